Build the first request path in tables, systems and one loop

Cause: the project had no code.

Change: tables, mailboxes, loop, error kinds and schemas; an entry routes a caller's request over gRPC to the agent beside an endpoint and answers it; the configuration is read from a stand-in of the platform's store; the whole runs in one process with npm start.

--- /dev/null
+++ b/src/base/common/clock.ts
@@ -0,0 +1,24 @@
+/** Monotonic time of one process. Values of different processes are never compared. */
+export abstract class Clock {
+  /** Milliseconds since an arbitrary origin; never decreases. */
+  abstract get now(): number;
+}
+
+/** A clock that tests move by hand. */
+export class ManualClock extends Clock {
+  private constructor(private time: number) {
+    super();
+  }
+
+  static create(startMs = 0): ManualClock {
+    return new ManualClock(startMs);
+  }
+
+  override get now(): number {
+    return this.time;
+  }
+
+  add(advanceMs: number): void {
+    this.time += advanceMs;
+  }
+}
--- /dev/null
+++ b/src/base/common/loop.ts
@@ -0,0 +1,109 @@
+import type { Clock } from './clock.ts';
+import type { Disposable } from './disposable.ts';
+import type { KindedMessage, Mailbox } from './mailbox.ts';
+import type { SeededRandom } from './seededRandom.ts';
+import type { System, Tick } from './system.ts';
+
+/** Schedules callbacks on the thread's event loop. */
+export abstract class Timer {
+  /** Runs the callback after the delay; the returned object cancels it. */
+  abstract schedule(delayMs: number, callback: () => void): Disposable;
+}
+
+/** A process state that a loop can drive. */
+export interface LoopState<Arrival extends KindedMessage, Effect extends KindedMessage> {
+  readonly inbox: Mailbox<Arrival>;
+  readonly outbox: Mailbox<Effect>;
+}
+
+/** Runs every system once over the state and returns the effects to carry out. */
+export interface LoopOptions<
+  Arrival extends KindedMessage,
+  Effect extends KindedMessage,
+  State extends LoopState<Arrival, Effect>,
+> {
+  readonly state: State;
+  readonly systems: readonly System<State>[];
+  readonly clock: Clock;
+  readonly random: SeededRandom;
+  /** Carries out one effect. Results come back as arrivals. */
+  readonly handleEffect: (effect: Effect) => void;
+  /** Receives the duration of each turn in milliseconds. */
+  readonly recordTurn?: (durationMs: number) => void;
+}
+
+/**
+ * The only owner of time in a process. One turn runs the systems over what has arrived and then
+ * hands the queued effects to the adapters.
+ */
+export class Loop<
+  Arrival extends KindedMessage,
+  Effect extends KindedMessage,
+  State extends LoopState<Arrival, Effect>,
+> implements Disposable {
+  private pending: Disposable | undefined;
+  private pendingAt = Number.POSITIVE_INFINITY;
+  private isDisposed = false;
+
+  private constructor(
+    private readonly options: LoopOptions<Arrival, Effect, State>,
+    private readonly timer: Timer | undefined,
+  ) {}
+
+  /** Without a timer the loop runs only when {@link runTurn} is called. */
+  static create<
+    Arrival extends KindedMessage,
+    Effect extends KindedMessage,
+    State extends LoopState<Arrival, Effect>,
+  >(options: LoopOptions<Arrival, Effect, State>, timer?: Timer): Loop<Arrival, Effect, State> {
+    return new Loop(options, timer);
+  }
+
+  /** Queues an arrival and wakes the loop. */
+  receive(arrival: Arrival): void {
+    if (this.isDisposed) return;
+    this.options.state.inbox.append(arrival);
+    this.scheduleTurn(this.options.clock.now);
+  }
+
+  /** Runs a turn as soon as possible. */
+  wake(): void {
+    this.scheduleTurn(this.options.clock.now);
+  }
+
+  /** Runs one turn now and returns the time at which a system wants the next one. */
+  runTurn(): number {
+    const { state, systems, clock, random } = this.options;
+    const now = clock.now;
+    let wakeAt = Number.POSITIVE_INFINITY;
+    const tick: Tick = {
+      now,
+      random,
+      wakeAt: (timeMs) => {
+        if (timeMs < wakeAt) wakeAt = timeMs;
+      },
+    };
+    for (const system of systems) system.run(state, tick);
+    state.inbox.takeAll();
+    for (const effect of state.outbox.takeAll()) this.options.handleEffect(effect);
+    this.options.recordTurn?.(clock.now - now);
+    return wakeAt;
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.pending?.dispose();
+  }
+
+  private scheduleTurn(timeMs: number): void {
+    if (this.timer === undefined || this.isDisposed || timeMs >= this.pendingAt) return;
+    this.pending?.dispose();
+    this.pendingAt = timeMs;
+    const delayMs = Math.max(0, timeMs - this.options.clock.now);
+    this.pending = this.timer.schedule(delayMs, () => {
+      this.pending = undefined;
+      this.pendingAt = Number.POSITIVE_INFINITY;
+      this.scheduleTurn(this.runTurn());
+    });
+  }
+}
--- /dev/null
+++ b/src/base/common/mailbox.ts
@@ -0,0 +1,45 @@
+/** A message with a discriminating `kind`. */
+export interface KindedMessage {
+  readonly kind: string;
+}
+
+/**
+ * Messages grouped by kind. Adapters append between turns of the loop; systems list what arrived;
+ * the loop clears the mailbox at the end of a turn.
+ */
+export class Mailbox<Message extends KindedMessage> {
+  private byKind = new Map<string, Message[]>();
+  private total = 0;
+
+  private constructor() {
+    // Built by create().
+  }
+
+  static create<Message extends KindedMessage>(): Mailbox<Message> {
+    return new Mailbox<Message>();
+  }
+
+  get size(): number {
+    return this.total;
+  }
+
+  append(message: Message): void {
+    const queue = this.byKind.get(message.kind);
+    if (queue === undefined) this.byKind.set(message.kind, [message]);
+    else queue.push(message);
+    this.total += 1;
+  }
+
+  /** Messages of one kind in order of arrival. They stay listed until {@link takeAll}. */
+  list<Kind extends Message['kind']>(kind: Kind): readonly Extract<Message, { kind: Kind }>[] {
+    return (this.byKind.get(kind) ?? []) as Extract<Message, { kind: Kind }>[];
+  }
+
+  /** Removes and returns all messages; order is kept within a kind. */
+  takeAll(): Message[] {
+    const all = [...this.byKind.values()].flat();
+    this.byKind = new Map();
+    this.total = 0;
+    return all;
+  }
+}
--- /dev/null
+++ b/src/base/common/parse.ts
@@ -0,0 +1,34 @@
+import type { Either } from 'purify-ts/Either';
+import { Left, Right } from 'purify-ts/Either';
+import * as z from 'zod/mini';
+
+/** One fault of a value, with the path to the field. */
+export interface ValueFault {
+  readonly path: string;
+  readonly message: string;
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path
+    .map((part) => (typeof part === 'number' ? `[${part}]` : `.${String(part)}`))
+    .join('')
+    .replace(/^\./, '');
+}
+
+/** Validates a value against a schema and reports all its faults at once. */
+export function parseValue<Schema extends z.ZodMiniType>(
+  schema: Schema,
+  value: unknown,
+): Either<ValueFault[], z.output<Schema>> {
+  const result = z.safeParse(schema, value);
+  if (result.success) return Right(result.data);
+  return Left(
+    result.error.issues.map((issue) => ({ path: formatPath(issue.path), message: issue.message })),
+  );
+}
+
+export function formatFaults(faults: readonly ValueFault[]): string {
+  return faults
+    .map((fault) => `${fault.path === '' ? '(root)' : fault.path}: ${fault.message}`)
+    .join('; ');
+}
--- /dev/null
+++ b/src/model/agentState.ts
@@ -0,0 +1,83 @@
+import { Counters } from '../base/common/counters.ts';
+import type { LoopState } from '../base/common/loop.ts';
+import { Mailbox } from '../base/common/mailbox.ts';
+import { Table } from '../base/common/table.ts';
+import type { PendingCallRow } from './call.ts';
+import type { AgentArrival, AgentEffect } from './effects.ts';
+import type { EndpointAnnouncement } from './endpoint.ts';
+import type { AgentConfig, EntryInfo } from './exchange.ts';
+import type { AttemptMessage, AttemptReply } from './request.ts';
+
+/** An endpoint beside this agent. */
+export interface LocalEndpointRow extends EndpointAnnouncement {
+  readonly id: string;
+  readonly draining: boolean;
+  readonly version: number;
+  readonly latencyMs: number;
+}
+
+/** An attempt that this agent has accepted or rejected, kept so that a copy gets the same answer. */
+export interface LocalAttemptRow {
+  readonly id: string;
+  readonly endpointId: string;
+  readonly phase: 'waiting' | 'running' | 'done';
+  readonly message: AttemptMessage | undefined;
+  /** Calls that wait for the answer. */
+  readonly callIds: readonly string[];
+  readonly reply: AttemptReply | undefined;
+  readonly receivedMs: number;
+  readonly startedMs: number;
+  readonly deadlineMs: number;
+  readonly doneMs: number;
+}
+
+/** A link to an entry over which the agent exchanges. */
+export interface EntryLinkRow {
+  /** Address of the entry. */
+  readonly id: string;
+  readonly seq: number;
+  readonly pendingCallId: string | undefined;
+  readonly sentMs: number;
+  readonly lastReplyMs: number;
+  readonly nextSendMs: number;
+}
+
+/** Who this process is and in which phase of its life. */
+export interface AgentSelf {
+  readonly id: string;
+  readonly bootId: string;
+  readonly address: string;
+  readonly region: string;
+  readonly zone: string;
+  /** Entry addresses from the settings, used until an entry sends its list. */
+  readonly seedAddresses: readonly string[];
+  phase: 'starting' | 'serving' | 'leaving' | 'stopped';
+}
+
+/** All state of an agent. */
+export interface AgentState extends LoopState<AgentArrival, AgentEffect> {
+  readonly self: AgentSelf;
+  readonly counters: Counters;
+  readonly calls: Table<PendingCallRow>;
+  /** Configuration in force; undefined before the first exchange. */
+  config: AgentConfig | undefined;
+  readonly entries: Table<EntryInfo>;
+  readonly links: Table<EntryLinkRow>;
+  readonly endpoints: Table<LocalEndpointRow>;
+  readonly attempts: Table<LocalAttemptRow>;
+}
+
+export function createAgentState(identity: Omit<AgentSelf, 'phase'>): AgentState {
+  return {
+    inbox: Mailbox.create(),
+    outbox: Mailbox.create(),
+    self: { ...identity, phase: 'starting' },
+    counters: Counters.create(),
+    calls: Table.create('calls'),
+    config: undefined,
+    entries: Table.create('entries'),
+    links: Table.create('links'),
+    endpoints: Table.create('endpoints'),
+    attempts: Table.create('attempts'),
+  };
+}
--- /dev/null
+++ b/src/model/resources.ts
@@ -0,0 +1,39 @@
+import * as z from 'zod/mini';
+
+/** An amount of what an instance can give to tasks. */
+export const resourcesSchema = z.object({
+  cores: z.number().check(z.nonnegative()),
+  memoryMb: z.number().check(z.nonnegative()),
+  accelerators: z.int().check(z.nonnegative()),
+});
+export type Resources = z.infer<typeof resourcesSchema>;
+
+export const NO_RESOURCES: Resources = { cores: 0, memoryMb: 0, accelerators: 0 };
+
+export function addResources(a: Resources, b: Resources): Resources {
+  return {
+    cores: a.cores + b.cores,
+    memoryMb: a.memoryMb + b.memoryMb,
+    accelerators: a.accelerators + b.accelerators,
+  };
+}
+
+export function removeResources(a: Resources, b: Resources): Resources {
+  return {
+    cores: a.cores - b.cores,
+    memoryMb: a.memoryMb - b.memoryMb,
+    accelerators: a.accelerators - b.accelerators,
+  };
+}
+
+/** Whether the demand fits into the capacity in every dimension. */
+export function hasRoom(capacity: Resources, demand: Resources): boolean {
+  return (
+    demand.cores <= capacity.cores + ROUNDING_CORES &&
+    demand.memoryMb <= capacity.memoryMb &&
+    demand.accelerators <= capacity.accelerators
+  );
+}
+
+/** Tolerates binary rounding of sums of fractional cores; far below any schedulable share. */
+const ROUNDING_CORES = 1e-9;
--- /dev/null
+++ b/src/protocol/common/failureBody.ts
@@ -0,0 +1,18 @@
+import type { Failure } from '../../base/common/errors.ts';
+import { ERROR_ANSWERS } from '../../base/common/errors.ts';
+
+/** Body of every error answer to callers and operators. */
+export interface FailureBody {
+  readonly error: string;
+  readonly message: string;
+  /** Whether the same call may succeed when it is sent again later. */
+  readonly retryable: boolean;
+  /** Whether the work was carried out: `no`, `yes` or `unknown`. */
+  readonly ran: string;
+  readonly requestId: string;
+}
+
+export function formatFailureBody(failure: Failure, requestId: string): FailureBody {
+  const { retryable, ran } = ERROR_ANSWERS[failure.kind];
+  return { error: failure.kind, message: failure.message, retryable, ran, requestId };
+}
--- /dev/null
+++ b/src/protocol/node/grpc.ts
@@ -0,0 +1,135 @@
+import * as grpc from '@grpc/grpc-js';
+import type * as z from 'zod/mini';
+import { exchangeReplySchema, exchangeRequestSchema } from '../../model/exchange.ts';
+import { peerCallSchema, peerReplySchema } from '../../model/peer.ts';
+import { attemptMessageSchema, attemptReplySchema } from '../../model/request.ts';
+import * as zod from 'zod/mini';
+import { decodeMessage, encodeMessage } from '../common/codec.ts';
+
+/** Largest message between processes: a request or response body of 8 MB and its headers. */
+export const MAX_MESSAGE_BYTES = 9 * 1024 * 1024;
+
+function decodeOrThrow<Schema extends z.ZodMiniType>(
+  schema: Schema,
+): (bytes: Buffer) => z.output<Schema> {
+  return (bytes) =>
+    decodeMessage(schema, bytes).caseOf({
+      Left: (message) => {
+        // The library turns this into an INTERNAL status for the call; the process goes on.
+        throw new Error(message);
+      },
+      Right: (value) => value,
+    });
+}
+
+function createMethod<Request extends z.ZodMiniType, Reply extends z.ZodMiniType>(
+  path: string,
+  request: Request,
+  reply: Reply,
+): grpc.MethodDefinition<z.output<Request>, z.output<Reply>> {
+  return {
+    path,
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: encodeMessage,
+    requestDeserialize: decodeOrThrow(request),
+    responseSerialize: encodeMessage,
+    responseDeserialize: decodeOrThrow(reply),
+  };
+}
+
+export const abandonMessageSchema = zod.object({ attemptId: zod.string() });
+export const emptySchema = zod.object({});
+export const identifiedPeerCallSchema = zod.object({ from: zod.string(), call: peerCallSchema });
+
+/** Calls that an agent serves. */
+export const AGENT_SERVICE = {
+  attempt: createMethod('/bramleyladder.Agent/Attempt', attemptMessageSchema, attemptReplySchema),
+  abandon: createMethod('/bramleyladder.Agent/Abandon', abandonMessageSchema, emptySchema),
+};
+
+/** Calls that an entry serves. */
+export const ENTRY_SERVICE = {
+  exchange: createMethod(
+    '/bramleyladder.Entry/Exchange',
+    exchangeRequestSchema,
+    exchangeReplySchema,
+  ),
+  peer: createMethod('/bramleyladder.Entry/Peer', identifiedPeerCallSchema, peerReplySchema),
+};
+
+const CHANNEL_OPTIONS: grpc.ChannelOptions = {
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+};
+
+export function createGrpcServer(): grpc.Server {
+  return new grpc.Server({
+    'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+    'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+  });
+}
+
+/** Binds a server and returns the port in use. */
+export async function openGrpcServer(server: grpc.Server, address: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error, port) => {
+      if (error === null) resolve(port);
+      else reject(error);
+    });
+  });
+}
+
+/** Connections to other processes, one per address, opened on first use. */
+export class GrpcLinks {
+  private readonly clients = new Map<string, grpc.Client>();
+
+  private constructor() {
+    // Built by create().
+  }
+
+  static create(): GrpcLinks {
+    return new GrpcLinks();
+  }
+
+  /** Sends one call. The callback gets the reply, or the text of the error when no answer came. */
+  send<Request, Reply>(
+    address: string,
+    method: grpc.MethodDefinition<Request, Reply>,
+    request: Request,
+    timeoutMs: number,
+    callback: (reply: Reply | undefined, error: string) => void,
+  ): void {
+    this.getClient(address).makeUnaryRequest(
+      method.path,
+      method.requestSerialize,
+      method.responseDeserialize,
+      request,
+      new grpc.Metadata(),
+      // The library compares deadlines with the wall clock of this process only.
+      { deadline: Date.now() + Math.max(1, timeoutMs) },
+      (error, reply) => {
+        if (error === null) callback(reply, '');
+        else callback(undefined, `${grpc.status[error.code]}: ${error.details}`);
+      },
+    );
+  }
+
+  dispose(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  private getClient(address: string): grpc.Client {
+    let client = this.clients.get(address);
+    if (client === undefined) {
+      client = new grpc.Client(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+}
--- /dev/null
+++ b/src/protocol/node/httpFront.ts
@@ -0,0 +1,185 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Failure } from '../../base/common/errors.ts';
+import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
+import type { SeededRandom } from '../../base/common/seededRandom.ts';
+import { httpMethodSchema } from '../../model/configuration.ts';
+import type { CallerRequest, Headers, Response } from '../../model/request.ts';
+import { formatFailureBody } from '../common/failureBody.ts';
+
+/** Largest body that the front reads; a route may set a lower bound. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const MAX_TIMEOUT_MS = 600_000;
+
+/** Headers that belong to one connection and are not passed on. */
+const HOP_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'content-length',
+  'expect',
+]);
+
+export interface HttpFrontOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly random: SeededRandom;
+  readonly onRequest: (request: CallerRequest) => void;
+  readonly onGone: (requestId: string) => void;
+  /** Takes a request that is no service request; returns whether it did. */
+  readonly onOther?: (
+    request: IncomingMessage,
+    body: Uint8Array,
+    response: ServerResponse,
+  ) => boolean;
+}
+
+/** The HTTP server for callers. It reads whole requests and writes whole answers. */
+export class HttpFront {
+  private readonly open = new Map<string, ServerResponse>();
+  private readonly server: Server;
+
+  private constructor(private readonly options: HttpFrontOptions) {
+    this.server = createServer((request, response) => {
+      this.receive(request, response);
+    });
+  }
+
+  static async create(options: HttpFrontOptions): Promise<HttpFront> {
+    const front = new HttpFront(options);
+    await new Promise<void>((resolve, reject) => {
+      front.server.once('error', reject);
+      front.server.listen(options.port, options.host, resolve);
+    });
+    return front;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  answer(requestId: string, answer: Response): void {
+    const response = this.takeOpen(requestId);
+    if (response === undefined) return;
+    for (const [name, value] of answer.headers) {
+      if (!HOP_HEADERS.has(name.toLowerCase())) response.appendHeader(name, value);
+    }
+    response.setHeader('content-length', answer.body.byteLength);
+    response.writeHead(answer.status).end(answer.body);
+  }
+
+  refuse(requestId: string, failure: Failure, retryAfterMs?: number): void {
+    const response = this.takeOpen(requestId);
+    if (response !== undefined) sendFailure(response, failure, requestId, retryAfterMs);
+  }
+
+  /** Stops accepting connections; requests in progress are answered. */
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private takeOpen(requestId: string): ServerResponse | undefined {
+    const response = this.open.get(requestId);
+    this.open.delete(requestId);
+    return response;
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.byteLength;
+      if (size <= MAX_BODY_BYTES) chunks.push(chunk);
+    });
+    request.on('error', () => {
+      response.destroy();
+    });
+    request.on('end', () => {
+      const requestId = this.options.random.takeId();
+      if (size > MAX_BODY_BYTES) {
+        sendFailure(
+          response,
+          createFailure('body_too_large', `a body has at most ${MAX_BODY_BYTES} bytes`),
+          requestId,
+        );
+        return;
+      }
+      const body = Buffer.concat(chunks);
+      if (this.options.onOther?.(request, body, response) === true) return;
+      this.accept(request, response, requestId, body);
+    });
+  }
+
+  private accept(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+    body: Buffer,
+  ): void {
+    const method = httpMethodSchema.safeParse(request.method);
+    if (!method.success) {
+      sendFailure(response, createFailure('bad_request', 'the method is not supported'), requestId);
+      return;
+    }
+    this.open.set(requestId, response);
+    response.on('close', () => {
+      if (this.open.delete(requestId)) this.options.onGone(requestId);
+    });
+    const idempotencyKey = readHeader(request, 'idempotency-key');
+    const timeoutMs = Number(readHeader(request, 'bramleyladder-timeout-ms') ?? Number.NaN);
+    this.options.onRequest({
+      requestId,
+      method: method.data,
+      host: request.headers.host ?? '',
+      path: request.url ?? '/',
+      headers: listHeaders(request),
+      body,
+      ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+      isRepeat: readHeader(request, 'bramleyladder-repeat') === 'true',
+      ...(timeoutMs > 0 && timeoutMs <= MAX_TIMEOUT_MS ? { timeoutMs } : {}),
+    });
+  }
+}
+
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function listHeaders(request: IncomingMessage): Headers {
+  const headers: Headers = [];
+  for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
+    const name = request.rawHeaders[index] ?? '';
+    if (!HOP_HEADERS.has(name.toLowerCase()))
+      headers.push([name, request.rawHeaders[index + 1] ?? '']);
+  }
+  return headers;
+}
+
+/** Writes the answer of an error kind as the table of error kinds says. */
+export function sendFailure(
+  response: ServerResponse,
+  failure: Failure,
+  requestId: string,
+  retryAfterMs?: number,
+): void {
+  const answer = ERROR_ANSWERS[failure.kind];
+  if (retryAfterMs !== undefined)
+    response.setHeader('retry-after', Math.max(1, Math.ceil(retryAfterMs / 1_000)));
+  response.setHeader('content-type', 'application/json');
+  response.setHeader('bramleyladder-ran', answer.ran);
+  response.writeHead(answer.status).end(JSON.stringify(formatFailureBody(failure, requestId)));
+}
--- /dev/null
+++ b/src/standins/endpointServer.ts
@@ -0,0 +1,75 @@
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Disposable } from '../base/common/disposable.ts';
+import type { Timer } from '../base/common/loop.ts';
+
+export interface EndpointServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly name: string;
+  readonly timer: Timer;
+}
+
+/** Stand-in of a service's endpoint: answers each request with its name and the body's length. */
+export class EndpointServer implements Disposable {
+  /** Time that each request takes, in milliseconds. */
+  serviceMs = 0;
+  /** Status of the answers. */
+  status = 200;
+  /** While set, requests are never answered. */
+  isSilent = false;
+  /** Requests seen, by the header `x-request-key`, to check for doubled runs. */
+  readonly runsByKey = new Map<string, number>();
+  /** Requests in progress now, and the highest number so far. */
+  running = 0;
+  maxRunning = 0;
+
+  private readonly server: Server;
+
+  private constructor(private readonly options: EndpointServerOptions) {
+    this.server = createServer((request, response) => {
+      const key = request.headers['x-request-key'];
+      if (typeof key === 'string') this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
+      this.running += 1;
+      this.maxRunning = Math.max(this.maxRunning, this.running);
+      response.on('close', () => {
+        this.running -= 1;
+      });
+      let size = 0;
+      request.on('data', (chunk: Buffer) => {
+        size += chunk.byteLength;
+      });
+      request.on('end', () => {
+        if (this.isSilent) return;
+        options.timer.schedule(this.serviceMs, () => {
+          const body = JSON.stringify({
+            endpoint: options.name,
+            path: request.url,
+            bodyBytes: size,
+            key,
+          });
+          response.writeHead(this.status, { 'content-type': 'application/json' }).end(body);
+        });
+      });
+    });
+  }
+
+  static async create(options: EndpointServerOptions): Promise<EndpointServer> {
+    const endpoint = new EndpointServer(options);
+    await new Promise<void>((resolve, reject) => {
+      endpoint.server.once('error', reject);
+      endpoint.server.listen(options.port, options.host, resolve);
+    });
+    return endpoint;
+  }
+
+  get origin(): string {
+    return `http://${this.options.host}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,5 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: { include: ['test/**/*.test.ts'], testTimeout: 60_000, hookTimeout: 60_000, maxWorkers: 4 },
+});
