Connect every effect of the entry and the agent to its adapter

Cause: only the request path reached the outside; jobs, operators, peers, workers and announcements had messages but no transport.

--- a/src/daemons/agentDaemon.ts
+++ b/src/daemons/agentDaemon.ts
@@ -1,14 +1,17 @@
 import { randomInt } from 'node:crypto';
 import type * as grpc from '@grpc/grpc-js';
 import type { Disposable } from '../base/common/disposable.ts';
+import { createFailure } from '../base/common/errors.ts';
 import { Loop } from '../base/common/loop.ts';
+import { formatFaults, parseValue } from '../base/common/parse.ts';
 import { SeededRandom } from '../base/common/seededRandom.ts';
 import type { LogWriter } from '../base/node/logWriter.ts';
 import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
 import type { AgentState } from '../model/agentState.ts';
 import { createAgentState } from '../model/agentState.ts';
-import type { AgentArrival, AgentEffect } from '../model/effects.ts';
+import type { AgentArrival, AgentEffect, JsonAnswer } from '../model/effects.ts';
 import type { EndpointAnnouncement } from '../model/endpoint.ts';
+import { endpointAnnouncementSchema } from '../model/endpoint.ts';
 import type { AttemptMessage, AttemptReply } from '../model/request.ts';
 import { EndpointClient } from '../protocol/node/endpointClient.ts';
 import {
@@ -18,103 +21,159 @@
   GrpcLinks,
   openGrpcServer,
 } from '../protocol/node/grpc.ts';
+import type { JsonRequest } from '../protocol/node/jsonServer.ts';
+import { JsonServer } from '../protocol/node/jsonServer.ts';
+import type { WorkerClient } from '../protocol/node/workerClient.ts';
+import { HttpWorkerClient } from '../protocol/node/workerClient.ts';
 import { createAgentSystems } from '../systems/agentSystems.ts';
+import { OpenCalls } from './openCalls.ts';
 import type { AgentSettings } from './settings.ts';
 
+const ENDPOINT_PATH = '/v1/endpoints';
+
 /** Runs an agent: connects the loop to gRPC, the endpoints and the worker beside it. It decides nothing. */
 export class AgentDaemon implements Disposable {
-  private readonly attemptCalls = new Map<string, (reply: AttemptReply) => void>();
+  private readonly attemptCalls = OpenCalls.create<AttemptReply>('attempt');
   private readonly links = GrpcLinks.create();
+  private readonly server = createGrpcServer();
   private readonly endpoints: EndpointClient;
-  private lastCall = 0;
+  private readonly worker: WorkerClient | undefined;
+  private readonly loop: Loop<AgentArrival, AgentEffect, AgentState>;
+  private announceServer: JsonServer | undefined;
+  private resolveStopped: () => void = () => undefined;
+  /** Resolves when the loop has asked to exit. */
+  readonly stopped = new Promise<void>((resolve) => {
+    this.resolveStopped = resolve;
+  });
 
   private constructor(
     private readonly log: LogWriter,
-    private readonly server: grpc.Server,
     readonly state: AgentState,
-    private readonly loop: Loop<AgentArrival, AgentEffect, AgentState>,
+    random: SeededRandom,
+    workerOrigin: string | undefined,
   ) {
+    this.worker = workerOrigin === undefined ? undefined : HttpWorkerClient.create(workerOrigin);
+    this.loop = Loop.create<AgentArrival, AgentEffect, AgentState>(
+      {
+        state,
+        systems: createAgentSystems(),
+        clock: NodeClock.create(),
+        random,
+        handleEffect: (effect) => {
+          this.handleEffect(effect);
+        },
+      },
+      NodeTimer.create(),
+    );
     this.endpoints = EndpointClient.create({
       onResponse: (attemptId, response) => {
-        loop.receive({ kind: 'endpointResponse', attemptId, response });
+        this.loop.receive({ kind: 'endpointResponse', attemptId, response });
       },
       onFailure: (attemptId, failure, sent) => {
-        loop.receive({ kind: 'endpointFailed', attemptId, failure, sent });
+        this.loop.receive({ kind: 'endpointFailed', attemptId, failure, sent });
       },
     });
   }
 
   static async create(settings: AgentSettings, log: LogWriter): Promise<AgentDaemon> {
     const random = SeededRandom.create(randomInt(0x7fffffff));
-    const server = createGrpcServer();
-    const holder: { daemon?: AgentDaemon } = {};
-    server.addService(AGENT_SERVICE, {
-      attempt: (
-        call: grpc.ServerUnaryCall<AttemptMessage, AttemptReply>,
-        callback: grpc.sendUnaryData<AttemptReply>,
-      ) => {
-        holder.daemon?.receiveAttempt(call.request, callback);
-      },
-      abandon: (
-        call: grpc.ServerUnaryCall<{ attemptId: string }, object>,
-        callback: grpc.sendUnaryData<object>,
-      ) => {
-        holder.daemon?.receiveAbandon(call.request.attemptId);
-        callback(null, {});
-      },
-    });
-    const port = await openGrpcServer(server, `${settings.host}:${settings.linkPort}`);
-    const state = createAgentState({
+    const identity = {
       id: settings.id,
       bootId: random.takeId(),
-      address: `${settings.host}:${port}`,
+      address: '',
       region: settings.region,
       zone: settings.zone,
       seedAddresses: settings.entries,
-    });
-    const loop = Loop.create<AgentArrival, AgentEffect, AgentState>(
-      {
-        state,
-        systems: createAgentSystems(),
-        clock: NodeClock.create(),
-        random,
-        handleEffect: (effect) => holder.daemon?.handleEffect(effect),
-      },
-      NodeTimer.create(),
+      hasWorker: settings.workerOrigin !== undefined,
+    };
+    const state = createAgentState(identity);
+    const daemon = new AgentDaemon(log, state, random, settings.workerOrigin);
+    daemon.addServices();
+    const port = await openGrpcServer(daemon.server, `${settings.host}:${settings.linkPort}`);
+    state.self.address = `${settings.host}:${port}`;
+    daemon.announceServer = await JsonServer.create(
+      settings.host,
+      settings.announcePort,
+      (request, answer) => daemon.receiveAnnouncement(request, answer),
     );
-    const daemon = new AgentDaemon(log, server, state, loop);
-    holder.daemon = daemon;
-    loop.wake();
-    log.write('info', 'agent_started', { id: settings.id, linkAddress: state.self.address });
+    daemon.loop.wake();
+    log.write('info', 'agent_started', {
+      id: settings.id,
+      linkAddress: state.self.address,
+      announcePort: daemon.announcePort,
+    });
     return daemon;
   }
 
+  get announcePort(): number {
+    return this.announceServer?.port ?? 0;
+  }
+
   /** Takes an announcement of an endpoint on this instance. */
   register(announcement: EndpointAnnouncement): void {
     this.loop.receive({ kind: 'endpointAnnounced', announcement });
   }
 
+  /** Starts the graceful shutdown; {@link stopped} resolves at its end. */
+  stop(): void {
+    this.loop.receive({ kind: 'stopRequested' });
+  }
+
   dispose(): void {
     this.loop.dispose();
+    this.announceServer?.dispose();
     this.server.forceShutdown();
     this.links.dispose();
     this.endpoints.dispose();
+    this.worker?.dispose();
   }
 
-  private receiveAttempt(
-    message: AttemptMessage,
-    callback: grpc.sendUnaryData<AttemptReply>,
-  ): void {
-    this.lastCall += 1;
-    const callId = `attempt-${this.lastCall}`;
-    this.attemptCalls.set(callId, (reply) => {
-      callback(null, reply);
+  private addServices(): void {
+    this.server.addService(AGENT_SERVICE, {
+      attempt: (
+        call: grpc.ServerUnaryCall<AttemptMessage, AttemptReply>,
+        callback: grpc.sendUnaryData<AttemptReply>,
+      ) => {
+        const callId = this.attemptCalls.open((reply) => {
+          callback(null, reply);
+        });
+        this.loop.receive({ kind: 'attempt', callId, message: call.request });
+      },
+      abandon: (
+        call: grpc.ServerUnaryCall<{ attemptId: string }, object>,
+        callback: grpc.sendUnaryData<object>,
+      ) => {
+        this.loop.receive({ kind: 'attemptAbandoned', attemptId: call.request.attemptId });
+        callback(null, {});
+      },
     });
-    this.loop.receive({ kind: 'attempt', callId, message });
   }
 
-  private receiveAbandon(attemptId: string): void {
-    this.loop.receive({ kind: 'attemptAbandoned', attemptId });
+  /** `PUT /v1/endpoints` announces an endpoint, `DELETE /v1/endpoints/<name>` says that it is leaving. */
+  private receiveAnnouncement(request: JsonRequest, answer: (answer: JsonAnswer) => void): boolean {
+    if (request.method === 'PUT' && request.path === ENDPOINT_PATH) {
+      parseValue(endpointAnnouncementSchema, request.body).caseOf({
+        Left: (faults) => {
+          answer({
+            kind: 'failure',
+            failure: createFailure('bad_request', formatFaults(faults)),
+            details: faults,
+          });
+        },
+        Right: (announcement) => {
+          this.register(announcement);
+          answer({ kind: 'value', value: { accepted: announcement.name } });
+        },
+      });
+      return true;
+    }
+    if (request.method === 'DELETE' && request.path.startsWith(`${ENDPOINT_PATH}/`)) {
+      const name = decodeURIComponent(request.path.slice(ENDPOINT_PATH.length + 1));
+      this.loop.receive({ kind: 'endpointLeaving', name });
+      answer({ kind: 'value', value: { leaving: name } });
+      return true;
+    }
+    return false;
   }
 
   private handleEffect(effect: AgentEffect): void {
@@ -123,8 +182,7 @@
         this.log.write(effect.level, effect.event, effect.fields);
         return;
       case 'answerAttempt':
-        this.attemptCalls.get(effect.callId)?.(effect.reply);
-        this.attemptCalls.delete(effect.callId);
+        this.attemptCalls.answer(effect.callId, effect.reply);
         return;
       case 'forwardAttempt':
         this.endpoints.send(effect.origin, effect.connections, effect.timeoutMs, effect.message);
@@ -143,8 +201,23 @@
           },
         );
         return;
-      default:
-        this.log.write('error', 'effect_not_carried_out', { kind: effect.kind });
+      case 'callWorker':
+        this.callWorker(effect);
+        return;
+      case 'exit':
+        this.resolveStopped();
+        return;
     }
   }
+
+  private callWorker({
+    call,
+    callId,
+    timeoutMs,
+  }: Extract<AgentEffect, { kind: 'callWorker' }>): void {
+    if (this.worker === undefined) return;
+    void this.worker.send(call, timeoutMs).then((reply) => {
+      this.loop.receive({ kind: 'workerReply', callId, reply });
+    });
+  }
 }
--- /dev/null
+++ b/src/daemons/openCalls.ts
@@ -0,0 +1,30 @@
+/** Calls from outside that wait for the loop's answer. */
+export class OpenCalls<Reply> {
+  private readonly callbacks = new Map<string, (reply: Reply) => void>();
+  private last = 0;
+
+  private constructor(private readonly prefix: string) {}
+
+  static create<Reply>(prefix: string): OpenCalls<Reply> {
+    return new OpenCalls(prefix);
+  }
+
+  /** Keeps the callback and returns the call id for the loop. */
+  open(callback: (reply: Reply) => void): string {
+    this.last += 1;
+    const callId = `${this.prefix}-${this.last}`;
+    this.callbacks.set(callId, callback);
+    return callId;
+  }
+
+  /** Answers a call once; a second answer is dropped. */
+  answer(callId: string, reply: Reply): void {
+    const callback = this.callbacks.get(callId);
+    this.callbacks.delete(callId);
+    callback?.(reply);
+  }
+
+  get size(): number {
+    return this.callbacks.size;
+  }
+}
--- a/src/model/agentState.ts
+++ b/src/model/agentState.ts
@@ -7,6 +7,7 @@
 import type { EndpointAnnouncement } from './endpoint.ts';
 import type { AgentConfig, EntryInfo } from './exchange.ts';
 import type { AttemptMessage, AttemptReply } from './request.ts';
+import type { WorkerStatus } from './workerCall.ts';
 
 /** An endpoint beside this agent. */
 export interface LocalEndpointRow extends EndpointAnnouncement {
@@ -46,11 +47,14 @@
 export interface AgentSelf {
   readonly id: string;
   readonly bootId: string;
-  readonly address: string;
+  /** Address of its gRPC server, `ip:port`; set when the server is open. */
+  address: string;
   readonly region: string;
   readonly zone: string;
   /** Entry addresses from the settings, used until an entry sends its list. */
   readonly seedAddresses: readonly string[];
+  /** Whether the platform runs tasks on this instance. */
+  readonly hasWorker: boolean;
   phase: 'starting' | 'serving' | 'leaving' | 'stopped';
 }
 
@@ -65,6 +69,8 @@
   readonly links: Table<EntryLinkRow>;
   readonly endpoints: Table<LocalEndpointRow>;
   readonly attempts: Table<LocalAttemptRow>;
+  /** Last status of the worker beside this agent, and the agent's time when it asked for it. */
+  worker: { readonly status: WorkerStatus; readonly askedMs: number } | undefined;
 }
 
 export function createAgentState(identity: Omit<AgentSelf, 'phase'>): AgentState {
@@ -79,5 +85,6 @@
     links: Table.create('links'),
     endpoints: Table.create('endpoints'),
     attempts: Table.create('attempts'),
+    worker: undefined,
   };
 }
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -7,8 +7,12 @@
 import { EMPTY_CONFIGURATION } from './configuration.ts';
 import type { DecisionRow } from './decision.ts';
 import type { EntryArrival, EntryEffect } from './effects.ts';
-import type { EntryInfo } from './exchange.ts';
+import type { EntryInfo, ExchangeReply } from './exchange.ts';
 import type { EndpointRow } from './endpoint.ts';
+import type { DutyRow, PendingChangeRow } from './ledger.ts';
+import type { RunRow, ThrottleRow } from './run.ts';
+import type { TaskRow } from './task.ts';
+import type { UsageSample, WorkerReport, WorkerRow } from './worker.ts';
 import type { AttemptRow, RequestRow } from './request.ts';
 
 /** Another entry, or this one, as this entry knows it. */
@@ -25,6 +29,25 @@
   readonly configRevision: number;
   readonly entriesDigest: number;
   readonly seq: number;
+  /** Present on the link of a worker to the owner of its shard. */
+  readonly worker: WorkerReport | undefined;
+}
+
+/** The owner's part of the answer to a held exchange. */
+export interface OwnerAnswerRow {
+  /** Call id of the held exchange. */
+  readonly id: string;
+  /** Whether the answer should go out now instead of at the end of the hold. */
+  readonly isDue: boolean;
+  readonly owner: NonNullable<ExchangeReply['owner']>;
+}
+
+/** A usage sample that the owner has received and not yet used. */
+export interface UsageSampleRow extends UsageSample {
+  readonly id: string;
+  readonly workerId: string;
+  /** Owner's time to which the sample refers, corrected by its age. */
+  readonly takenMs: number;
 }
 
 /** The configuration in force and what is known about its freshness. */
@@ -48,6 +71,7 @@
   readonly self: EntrySelf;
   readonly counters: Counters;
   readonly decisions: Table<DecisionRow>;
+  nextDecision: number;
   readonly calls: Table<PendingCallRow>;
   readonly configuration: ConfigurationState;
   readonly entries: Table<EntryRow>;
@@ -55,6 +79,15 @@
   readonly endpoints: Table<EndpointRow>;
   readonly requests: Table<RequestRow>;
   readonly attempts: Table<AttemptRow>;
+  readonly ownerAnswers: Table<OwnerAnswerRow>;
+  readonly duties: Table<DutyRow>;
+  /** Tasks as the ledger has them: every row is known to be in the store. */
+  readonly tasks: Table<TaskRow>;
+  readonly pendingChanges: Table<PendingChangeRow>;
+  readonly workers: Table<WorkerRow>;
+  readonly runs: Table<RunRow>;
+  readonly throttles: Table<ThrottleRow>;
+  readonly usageSamples: Table<UsageSampleRow>;
 }
 
 export function createEntryState(info: EntryInfo, bootId: string): EntryState {
@@ -64,6 +97,7 @@
     self: { info, bootId, phase: 'starting' },
     counters: Counters.create(),
     decisions: Table.create('decisions'),
+    nextDecision: 1,
     calls: Table.create('calls'),
     configuration: { current: EMPTY_CONFIGURATION, version: 0, confirmedSentMs: undefined },
     entries: Table.create('entries'),
@@ -71,5 +105,13 @@
     endpoints: Table.create('endpoints'),
     requests: Table.create('requests'),
     attempts: Table.create('attempts'),
+    ownerAnswers: Table.create('ownerAnswers'),
+    duties: Table.create('duties'),
+    tasks: Table.create('tasks'),
+    pendingChanges: Table.create('pendingChanges'),
+    workers: Table.create('workers'),
+    runs: Table.create('runs'),
+    throttles: Table.create('throttles'),
+    usageSamples: Table.create('usageSamples'),
   };
 }
--- /dev/null
+++ b/src/protocol/node/jsonServer.ts
@@ -0,0 +1,121 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
+import type { JsonAnswer } from '../../model/effects.ts';
+import { formatFailureBody } from '../common/failureBody.ts';
+
+const MAX_BODY_BYTES = 1024 * 1024;
+
+/** A request to a {@link JsonServer} with its parsed body. */
+export interface JsonRequest {
+  readonly method: string;
+  /** Path without the query. */
+  readonly path: string;
+  readonly query: URLSearchParams;
+  /** Undefined when the body is empty. */
+  readonly body: unknown;
+}
+
+/** Answers one request, now or later. Returns false when no handler exists for the path. */
+export type JsonHandler = (
+  request: JsonRequest,
+  answer: (answer: JsonAnswer) => void,
+  response: ServerResponse,
+) => boolean;
+
+/** Writes a JSON answer, or the answer of its error kind. */
+export function sendJsonAnswer(response: ServerResponse, answer: JsonAnswer, requestId = ''): void {
+  response.setHeader('content-type', 'application/json');
+  if (answer.kind === 'value') {
+    response.writeHead(200).end(JSON.stringify(answer.value));
+    return;
+  }
+  const body = {
+    ...formatFailureBody(answer.failure, requestId),
+    ...(answer.details === undefined ? {} : { details: answer.details }),
+  };
+  response.writeHead(ERROR_ANSWERS[answer.failure.kind].status).end(JSON.stringify(body));
+}
+
+/** Parses a request; the result is undefined when the body is no JSON. */
+export function parseJsonRequest(
+  request: IncomingMessage,
+  bytes: Uint8Array,
+): JsonRequest | undefined {
+  const url = new URL(request.url ?? '/', 'http://localhost');
+  let body: unknown;
+  if (bytes.byteLength > 0) {
+    try {
+      body = JSON.parse(Buffer.from(bytes).toString('utf8'));
+    } catch {
+      return undefined;
+    }
+  }
+  return { method: request.method ?? 'GET', path: url.pathname, query: url.searchParams, body };
+}
+
+/** A small HTTP server with JSON bodies, for operators and announcements. */
+export class JsonServer {
+  private readonly server: Server;
+
+  private constructor(private readonly handler: JsonHandler) {
+    this.server = createServer((request, response) => {
+      this.receive(request, response);
+    });
+  }
+
+  static async create(host: string, port: number, handler: JsonHandler): Promise<JsonServer> {
+    const server = new JsonServer(handler);
+    await new Promise<void>((resolve, reject) => {
+      server.server.once('error', reject);
+      server.server.listen(port, host, resolve);
+    });
+    return server;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.byteLength;
+      if (size <= MAX_BODY_BYTES) chunks.push(chunk);
+    });
+    request.on('end', () => {
+      const answer = (value: JsonAnswer): void => {
+        sendJsonAnswer(response, value);
+      };
+      if (size > MAX_BODY_BYTES) {
+        answer({
+          kind: 'failure',
+          failure: createFailure('body_too_large', `a body has at most ${MAX_BODY_BYTES} bytes`),
+        });
+        return;
+      }
+      const parsed = parseJsonRequest(request, Buffer.concat(chunks));
+      if (parsed === undefined) {
+        answer({
+          kind: 'failure',
+          failure: createFailure('bad_request', 'the body is not valid JSON'),
+        });
+      } else if (!this.handler(parsed, answer, response)) {
+        answer({
+          kind: 'failure',
+          failure: createFailure(
+            'no_route',
+            `nothing is served at ${parsed.method} ${parsed.path}`,
+          ),
+        });
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/protocol/node/operatorFront.ts
@@ -0,0 +1,43 @@
+import { Left, Right } from 'purify-ts/Either';
+import type { Either } from 'purify-ts/Either';
+import type { ValueFault } from '../../base/common/parse.ts';
+import { parseValue } from '../../base/common/parse.ts';
+import * as z from 'zod/mini';
+import { tablesSchema } from '../../model/configuration.ts';
+import type { OperatorCall } from '../../model/effects.ts';
+import type { JsonRequest } from './jsonServer.ts';
+
+/** Path of the operator interface on the operators' port. */
+export const OPERATOR_PATH = '/v1';
+
+const applyBodySchema = z.strictObject({ baseRevision: z.int(), tables: tablesSchema });
+
+/**
+ * Reads an operator call: `GET /v1/config`, `PUT /v1/config`, `PUT /v1/zones/<zone>/out|in`,
+ * `GET /v1/status`, `GET /v1/explain/<subject>`. Undefined when the path is none of these.
+ */
+export function parseOperatorCall(
+  request: JsonRequest,
+): Either<ValueFault[], OperatorCall> | undefined {
+  const [, version, noun, subject, action, ...rest] = request.path
+    .split('/')
+    .map((part) => decodeURIComponent(part));
+  if (`/${version ?? ''}` !== OPERATOR_PATH || rest.length > 0) return undefined;
+  if (noun === 'config' && request.method === 'GET') return Right({ kind: 'showConfig' });
+  if (noun === 'config' && request.method === 'PUT') {
+    return parseValue(applyBodySchema, request.body).map(({ baseRevision, tables }) => ({
+      kind: 'applyConfig',
+      baseRevision,
+      tables,
+    }));
+  }
+  if (noun === 'zones' && request.method === 'PUT' && subject !== undefined) {
+    if (action !== 'out' && action !== 'in')
+      return Left([{ path: 'action', message: 'must be out or in' }]);
+    return Right({ kind: 'setZone', zone: subject, out: action === 'out' });
+  }
+  if (noun === 'status' && request.method === 'GET') return Right({ kind: 'status' });
+  if (noun === 'explain' && request.method === 'GET' && subject !== undefined)
+    return Right({ kind: 'explain', subject });
+  return undefined;
+}
--- a/src/systems/membership/exchangeSystem.ts
+++ b/src/systems/membership/exchangeSystem.ts
@@ -9,7 +9,7 @@
 
 /**
  * Answers exchanges of agents and keeps the endpoint table.
- * Reads `exchange`, the configuration, `entries`. Writes `endpoints`, `heldExchanges`.
+ * Reads `exchange`, the configuration, `entries`, `ownerAnswers`. Writes `endpoints`, `heldExchanges`.
  * Runs each turn.
  */
 export class ExchangeSystem extends System<EntryState> {
@@ -28,7 +28,8 @@
       this.receive(state, tick, arrival.callId, arrival.request);
     for (const held of state.heldExchanges.list()) {
       const hasNews = held.configRevision < state.configuration.current.revision;
-      if (hasNews || held.answerByMs <= tick.now) this.answer(state, held.id);
+      const isDue = state.ownerAnswers.get(held.id)?.isDue === true;
+      if (hasNews || isDue || held.answerByMs <= tick.now) this.answer(state, held.id);
       else tick.wakeAt(held.answerByMs);
     }
     for (const endpoint of state.endpoints.list()) {
@@ -47,6 +48,7 @@
       configRevision: request.configRevision,
       entriesDigest: request.entriesDigest,
       seq: request.seq,
+      worker: request.worker,
     });
   }
 
@@ -79,10 +81,15 @@
     if (held === undefined) return;
     const { revision, zonesOut } = state.configuration.current;
     const isNewer = revision > held.configRevision;
+    const owner = state.ownerAnswers.remove(callId)?.owner;
     state.outbox.append({
       kind: 'answerExchange',
       callId,
-      reply: { seq: held.seq, ...(isNewer ? { config: { revision, zonesOut } } : {}) },
+      reply: {
+        seq: held.seq,
+        ...(isNewer ? { config: { revision, zonesOut } } : {}),
+        ...(owner === undefined ? {} : { owner }),
+      },
     });
   }
 }
