--- /dev/null
+++ b/src/cli/configDiff.ts
@@ -0,0 +1,61 @@
+import { isDeepStrictEqual } from 'node:util';
+import type { Tables } from '../model/configuration.ts';
+import { readConfiguration } from './configShow.ts';
+import type { OperatorOptions } from './output.ts';
+import { printJson, printLine } from './output.ts';
+import { loadTablesFile } from './tablesFile.ts';
+
+/** One difference between the tables in force and those of a file. */
+export interface TableDifference {
+  /** For example `routes.kit-read.deadlineMs`. */
+  readonly path: string;
+  readonly inForce: unknown;
+  readonly inFile: unknown;
+}
+
+type NamedRow = Readonly<Record<string, unknown>> & { readonly name: string };
+
+function compareRows(table: string, inForce: NamedRow[], inFile: NamedRow[]): TableDifference[] {
+  const names = new Set([...inForce, ...inFile].map((row) => row.name));
+  return [...names].flatMap((name) => {
+    const before = inForce.find((row) => row.name === name);
+    const after = inFile.find((row) => row.name === name);
+    const path = `${table}.${name}`;
+    if (before === undefined || after === undefined)
+      return [{ path, inForce: before, inFile: after }];
+    const fields = new Set([...Object.keys(before), ...Object.keys(after)]);
+    return [...fields]
+      .filter((field) => !isDeepStrictEqual(before[field], after[field]))
+      .map((field) => ({
+        path: `${path}.${field}`,
+        inForce: before[field],
+        inFile: after[field],
+      }));
+  });
+}
+
+/** Lists the differences row by row and field by field; rows are joined by name. */
+export function compareTables(inForce: Tables, inFile: Tables): TableDifference[] {
+  return [
+    ...compareRows('routes', inForce.routes, inFile.routes),
+    ...compareRows('pools', inForce.pools, inFile.pools),
+  ];
+}
+
+function formatSide(value: unknown): string {
+  return value === undefined ? 'absent' : JSON.stringify(value);
+}
+
+/** `config diff <file>`: compares a file with the tables in force. */
+export async function runConfigDiff(file: string, options: OperatorOptions): Promise<void> {
+  const { tables } = loadTablesFile(file);
+  const configuration = await readConfiguration(options);
+  const differences = compareTables(configuration, tables);
+  if (options.json === true) {
+    printJson({ revision: configuration.revision, differences });
+    return;
+  }
+  printLine(`revision ${configuration.revision}, ${differences.length} differences`);
+  for (const { path, inForce, inFile } of differences)
+    printLine(`${path}: ${formatSide(inForce)} -> ${formatSide(inFile)}`);
+}
--- /dev/null
+++ b/src/cli/configShow.ts
@@ -0,0 +1,21 @@
+import * as z from 'zod/mini';
+import type { Configuration } from '../model/configuration.ts';
+import { configurationSchema } from '../model/configuration.ts';
+import { callOperator } from './operatorClient.ts';
+import type { OperatorOptions } from './output.ts';
+import { printJson } from './output.ts';
+
+/** Reads the configuration in force at an entry. */
+export async function readConfiguration(options: OperatorOptions): Promise<Configuration> {
+  return z.parse(configurationSchema, await callOperator(options, 'GET', '/v1/config'));
+}
+
+/**
+ * `config show`: prints the tables with their revision, as `config apply` takes them. With `--json`
+ * the zones out of service are printed too.
+ */
+export async function runConfigShow(options: OperatorOptions): Promise<void> {
+  const { revision, routes, pools, zonesOut } = await readConfiguration(options);
+  if (options.json === true) printJson({ revision, zonesOut, routes, pools });
+  else printJson({ baseRevision: revision, routes, pools });
+}
--- /dev/null
+++ b/src/cli/localLoad.ts
@@ -0,0 +1,70 @@
+import { build } from 'hdr-histogram-js';
+import { Pool } from 'undici';
+import * as z from 'zod/mini';
+
+const CALLERS_PER_ENTRY = 1;
+const MICROSECONDS_PER_MS = 1_000;
+const MAX_LATENCY_US = 60_000_000;
+
+/** Result of a sample load. */
+export interface LoadSummary {
+  readonly requests: number;
+  readonly answered: number;
+  /** Refusals by error kind; `no_answer` counts broken connections. */
+  readonly refused: Readonly<Record<string, number>>;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+const errorBodySchema = z.object({ error: z.string() });
+
+async function sendOne(pool: Pool, index: number): Promise<string> {
+  try {
+    const answer = await pool.request({ method: 'GET', path: `/kits/${index}` });
+    if (answer.statusCode === 200) {
+      await answer.body.dump();
+      return 'answered';
+    }
+    const body = z.safeParse(errorBodySchema, await answer.body.json());
+    return body.success ? body.data.error : `status_${answer.statusCode}`;
+  } catch {
+    return 'no_answer';
+  }
+}
+
+/** Sends requests from a few callers per entry, each one after the other, and counts the outcomes. */
+export async function sendSampleLoad(
+  origins: readonly string[],
+  requests: number,
+): Promise<LoadSummary> {
+  const histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_LATENCY_US,
+    numberOfSignificantValueDigits: 3,
+  });
+  const counts: Record<string, number> = {};
+  let next = 0;
+  const runCaller = async (pool: Pool): Promise<void> => {
+    while (next < requests) {
+      next += 1;
+      const sentMs = performance.now();
+      const outcome = await sendOne(pool, next);
+      histogram.recordValue(Math.round((performance.now() - sentMs) * MICROSECONDS_PER_MS));
+      counts[outcome] = (counts[outcome] ?? 0) + 1;
+    }
+  };
+  const pools = origins.map((origin) => new Pool(origin, { connections: CALLERS_PER_ENTRY }));
+  const callers = pools.flatMap((pool) =>
+    Array.from({ length: CALLERS_PER_ENTRY }, () => runCaller(pool)),
+  );
+  await Promise.all(callers);
+  await Promise.all(pools.map((pool) => pool.close()));
+  const { answered = 0, ...refused } = counts;
+  return {
+    requests,
+    answered,
+    refused,
+    p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
+    p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
+  };
+}
--- a/src/cli/localMode.ts
+++ b/src/cli/localMode.ts
@@ -1,4 +1,3 @@
-import { request as sendRequest } from 'undici';
 import type { Disposable } from '../base/common/disposable.ts';
 import { LogWriter } from '../base/node/logWriter.ts';
 import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
@@ -31,6 +30,7 @@
           operatorPort: 0,
           linkPort: 0,
           storeOrigin,
+          peers: [],
           stopSeconds: 30,
         },
         log,
@@ -128,16 +128,3 @@
       part.dispose();
   }
 }
-
-/** Sends requests one after the other to the entries in turn and returns the number answered with 200. */
-export async function sendSampleLoad(cluster: LocalCluster, requests: number): Promise<number> {
-  let answered = 0;
-  for (let index = 0; index < requests; index += 1) {
-    const entry = cluster.entries[index % cluster.entries.length];
-    if (entry === undefined) break;
-    const answer = await sendRequest(`http://${HOST}:${entry.callerPort}/kits/${index}`);
-    await answer.body.dump();
-    if (answer.statusCode === 200) answered += 1;
-  }
-  return answered;
-}
--- /dev/null
+++ b/src/cli/runDaemon.ts
@@ -0,0 +1,27 @@
+import type { Disposable } from '../base/common/disposable.ts';
+import { EXIT_FAILED, EXIT_OK } from './output.ts';
+
+/** A program that ends by a graceful shutdown. */
+export interface StoppableProgram extends Disposable {
+  /** Resolves when the shutdown is complete. */
+  readonly stopped: Promise<void>;
+  stop(): void;
+}
+
+/**
+ * Runs until SIGTERM or SIGINT and the graceful shutdown that they start. A second signal ends the
+ * process at once.
+ */
+export async function runUntilStopped(program: StoppableProgram): Promise<void> {
+  let isStopping = false;
+  const handleSignal = (): void => {
+    if (isStopping) process.exit(EXIT_FAILED);
+    isStopping = true;
+    program.stop();
+  };
+  process.on('SIGTERM', handleSignal);
+  process.on('SIGINT', handleSignal);
+  await program.stopped;
+  program.dispose();
+  process.exit(EXIT_OK);
+}
--- /dev/null
+++ b/src/cli/tablesFile.ts
@@ -0,0 +1,36 @@
+import { readFileSync } from 'node:fs';
+import * as z from 'zod/mini';
+import type { Tables } from '../model/configuration.ts';
+import { checkTables } from '../model/tableChecks.ts';
+import { CommandError, EXIT_INVALID, formatFaultLines } from './output.ts';
+
+/** Tables with the revision that they were edited from, when the file names one. */
+export interface TablesFile {
+  readonly tables: Tables;
+  readonly baseRevision: number | undefined;
+}
+
+const baseSchema = z.looseObject({ baseRevision: z.optional(z.int()) });
+
+function omitBaseRevision(value: Readonly<Record<string, unknown>>): Record<string, unknown> {
+  return Object.fromEntries(Object.entries(value).filter(([name]) => name !== 'baseRevision'));
+}
+
+/** Reads a file of tables, as `config show` prints it. Throws a CommandError with every fault. */
+export function loadTablesFile(path: string): TablesFile {
+  let value: unknown;
+  try {
+    value = JSON.parse(readFileSync(path, 'utf8'));
+  } catch (error) {
+    throw new CommandError(`${path}: ${(error as Error).message}`, EXIT_INVALID);
+  }
+  const base = z.safeParse(baseSchema, value);
+  const baseRevision = base.success ? base.data.baseRevision : undefined;
+  const tables = base.success ? omitBaseRevision(base.data) : value;
+  return checkTables(tables).caseOf<TablesFile>({
+    Left: (faults) => {
+      throw new CommandError(`${path}: not valid\n${formatFaultLines(faults)}`, EXIT_INVALID);
+    },
+    Right: (checked) => ({ tables: checked, baseRevision }),
+  });
+}
--- a/src/daemons/agentDaemon.ts
+++ b/src/daemons/agentDaemon.ts
@@ -84,6 +84,7 @@
       region: settings.region,
       zone: settings.zone,
       seedAddresses: settings.entries,
+      stopBoundMs: settings.stopSeconds * 1_000,
       hasWorker: settings.workerOrigin !== undefined,
     };
     const state = createAgentState(identity);
--- a/src/daemons/entryDaemon.ts
+++ b/src/daemons/entryDaemon.ts
@@ -8,6 +8,7 @@
 import { formatFaults } from '../base/common/parse.ts';
 import { SeededRandom } from '../base/common/seededRandom.ts';
 import type { LogWriter } from '../base/node/logWriter.ts';
+import { Metrics } from '../base/node/metrics.ts';
 import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
 import type { EntryArrival, EntryEffect, JsonAnswer } from '../model/effects.ts';
 import type { EntryState } from '../model/entryState.ts';
@@ -30,7 +31,9 @@
 import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { HttpStoreClient } from '../protocol/node/storeClient.ts';
 import { createEntrySystems } from '../systems/entrySystems.ts';
+import { receiveMonitoring } from './monitoring.ts';
 import { OpenCalls } from './openCalls.ts';
+import { RequestTimes } from './requestTimes.ts';
 import type { EntrySettings } from './settings.ts';
 
 type IdentifiedPeerCall = z.output<typeof identifiedPeerCallSchema>;
@@ -42,6 +45,9 @@
   private readonly exchangeCalls = OpenCalls.create<ExchangeReply>('exchange');
   private readonly peerCalls = OpenCalls.create<PeerReply>('peer');
   private readonly jsonCalls = OpenCalls.create<JsonAnswer>('json');
+  private readonly clock = NodeClock.create();
+  private readonly metrics = Metrics.create();
+  private readonly requestTimes: RequestTimes;
   private readonly links = GrpcLinks.create();
   private readonly server = createGrpcServer();
   private readonly store: StoreClient;
@@ -60,16 +66,20 @@
     private readonly random: SeededRandom,
     storeOrigin: string,
   ) {
+    this.requestTimes = RequestTimes.create(this.clock, this.metrics);
     this.store = HttpStoreClient.create(storeOrigin);
     this.loop = Loop.create<EntryArrival, EntryEffect, EntryState>(
       {
         state,
         systems: createEntrySystems(),
-        clock: NodeClock.create(),
+        clock: this.clock,
         random,
         handleEffect: (effect) => {
           this.handleEffect(effect);
         },
+        recordTurn: (durationMs) => {
+          this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
+        },
       },
       NodeTimer.create(),
     );
@@ -78,7 +88,10 @@
   static async create(settings: EntrySettings, log: LogWriter): Promise<EntryDaemon> {
     const random = SeededRandom.create(randomInt(0x7fffffff));
     const info = { id: settings.id, region: settings.region, zone: settings.zone, address: '' };
-    const state = createEntryState(info, random.takeId());
+    const state = createEntryState(info, random.takeId(), {
+      peerAddresses: settings.peers,
+      stopBoundMs: settings.stopSeconds * 1_000,
+    });
     const daemon = new EntryDaemon(log, state, random, settings.storeOrigin);
     daemon.addServices();
     const port = await openGrpcServer(daemon.server, `${settings.host}:${settings.linkPort}`);
@@ -86,7 +99,9 @@
     daemon.operatorServer = await JsonServer.create(
       settings.host,
       settings.operatorPort,
-      (request, answer) => daemon.receiveOperator(request, answer),
+      (request, answer, response) =>
+        receiveMonitoring(daemon.state, daemon.metrics, request, response) ||
+        daemon.receiveOperator(request, answer),
     );
     daemon.front = await daemon.openFront(settings);
     daemon.loop.wake();
@@ -127,9 +142,11 @@
       port: settings.callerPort,
       random: this.random,
       onRequest: (request) => {
+        this.requestTimes.start(this.state.configuration.current, request);
         this.loop.receive({ kind: 'callerRequest', request });
       },
       onGone: (requestId) => {
+        this.requestTimes.record(requestId, 'caller_gone');
         this.loop.receive({ kind: 'callerGone', requestId });
       },
       onOther: (request, body, response) => this.receiveJob(request, body, response),
@@ -213,9 +230,11 @@
         this.log.write(effect.level, effect.event, effect.fields);
         return;
       case 'answerCaller':
+        this.requestTimes.record(effect.requestId, 'answered');
         this.front?.answer(effect.requestId, effect.response);
         return;
       case 'refuseCaller':
+        this.requestTimes.record(effect.requestId, effect.failure.kind);
         this.front?.refuse(effect.requestId, effect.failure, effect.retryAfterMs);
         return;
       case 'answerJob':
@@ -295,7 +314,10 @@
     callId,
     timeoutMs,
   }: Extract<EntryEffect, { kind: 'callStore' }>): void {
+    const sentMs = this.clock.now;
     void this.store.send(call, timeoutMs).then((reply) => {
+      const labels = { op: call.op, result: reply.kind };
+      this.metrics.recordDuration('store_call_duration_ms', labels, this.clock.now - sentMs);
       this.loop.receive({ kind: 'storeReply', callId, reply });
     });
   }
--- a/src/daemons/settings.ts
+++ b/src/daemons/settings.ts
@@ -23,6 +23,8 @@
   /** gRPC port for agents and other entries. */
   linkPort: portSchema,
   storeOrigin: originSchema,
+  /** Links of other entries, `ip:port`, asked for the configuration while the store is down at start. */
+  peers: z._default(z.array(addressSchema), []),
   /** Bound of a graceful shutdown, in seconds. */
   stopSeconds: z._default(z.number().check(z.positive(), z.maximum(600)), 30),
 });
--- a/src/model/agentState.ts
+++ b/src/model/agentState.ts
@@ -41,6 +41,10 @@
   readonly sentMs: number;
   readonly lastReplyMs: number;
   readonly nextSendMs: number;
+  /** Time of the last exchange without an answer; undefined when the last one was answered. */
+  readonly failedMs: number | undefined;
+  /** Version of `announcementVersion` that the last exchange carried. */
+  readonly sentVersion: number;
 }
 
 /** Who this process is and in which phase of its life. */
@@ -56,6 +60,10 @@
   /** Whether the platform runs tasks on this instance. */
   readonly hasWorker: boolean;
   phase: 'starting' | 'serving' | 'leaving' | 'stopped';
+  /** Bound of the graceful shutdown in milliseconds. */
+  readonly stopBoundMs: number;
+  /** Time at which the graceful shutdown began. */
+  leavingSinceMs: number | undefined;
 }
 
 /** All state of an agent. */
@@ -67,22 +75,39 @@
   config: AgentConfig | undefined;
   readonly entries: Table<EntryInfo>;
   readonly links: Table<EntryLinkRow>;
+  /** Address of the owner of the worker's shard, as the last answer named it. */
+  ownerAddress: string | undefined;
+  /** Grows with each change of the endpoints that entries must learn at once. */
+  announcementVersion: number;
   readonly endpoints: Table<LocalEndpointRow>;
   readonly attempts: Table<LocalAttemptRow>;
   /** Last status of the worker beside this agent, and the agent's time when it asked for it. */
   worker: { readonly status: WorkerStatus; readonly askedMs: number } | undefined;
 }
 
-export function createAgentState(identity: Omit<AgentSelf, 'phase'>): AgentState {
+/** Identity of an agent; the bound of its shutdown defaults to 30 s. */
+export type AgentIdentity = Omit<AgentSelf, 'phase' | 'stopBoundMs' | 'leavingSinceMs'> &
+  Partial<Pick<AgentSelf, 'stopBoundMs'>>;
+
+const DEFAULT_STOP_BOUND_MS = 30_000;
+
+export function createAgentState(identity: AgentIdentity): AgentState {
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
-    self: { ...identity, phase: 'starting' },
+    self: {
+      stopBoundMs: DEFAULT_STOP_BOUND_MS,
+      ...identity,
+      phase: 'starting',
+      leavingSinceMs: undefined,
+    },
     counters: Counters.create(),
     calls: Table.create('calls'),
     config: undefined,
     entries: Table.create('entries'),
     links: Table.create('links'),
+    ownerAddress: undefined,
+    announcementVersion: 0,
     endpoints: Table.create('endpoints'),
     attempts: Table.create('attempts'),
     worker: undefined,
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -4,6 +4,8 @@
 import { Table } from '../base/common/table.ts';
 import type { PendingCallRow } from './call.ts';
 import type { Configuration } from './configuration.ts';
+import type { ConfigWriteRow } from './configWrite.ts';
+import type { HomeAgentRow, PeerSyncRow, RegistrationState } from './membership.ts';
 import { EMPTY_CONFIGURATION } from './configuration.ts';
 import type { DecisionRow } from './decision.ts';
 import type { EntryArrival, EntryEffect } from './effects.ts';
@@ -25,6 +27,8 @@
 export interface HeldExchangeRow {
   readonly id: string;
   readonly agentId: string;
+  /** Region of the agent; the shard of its worker follows from it. */
+  readonly region: string;
   readonly answerByMs: number;
   readonly configRevision: number;
   readonly entriesDigest: number;
@@ -64,6 +68,12 @@
   readonly info: EntryInfo;
   readonly bootId: string;
   phase: 'starting' | 'serving' | 'leaving' | 'stopped';
+  /** Entry addresses from the settings, asked for the configuration while the store is down. */
+  readonly peerAddresses: readonly string[];
+  /** Bound of the graceful shutdown in milliseconds. */
+  readonly stopBoundMs: number;
+  /** Time at which the graceful shutdown began. */
+  leavingSinceMs: number | undefined;
 }
 
 /** All state of an entry. */
@@ -74,6 +84,10 @@
   nextDecision: number;
   readonly calls: Table<PendingCallRow>;
   readonly configuration: ConfigurationState;
+  readonly configWrites: Table<ConfigWriteRow>;
+  readonly registration: RegistrationState;
+  readonly homeAgents: Table<HomeAgentRow>;
+  readonly peerSyncs: Table<PeerSyncRow>;
   readonly entries: Table<EntryRow>;
   readonly heldExchanges: Table<HeldExchangeRow>;
   readonly endpoints: Table<EndpointRow>;
@@ -90,16 +104,29 @@
   readonly usageSamples: Table<UsageSampleRow>;
 }
 
-export function createEntryState(info: EntryInfo, bootId: string): EntryState {
+/** Parts of the settings that systems need. */
+export type EntryOptions = Pick<EntrySelf, 'peerAddresses' | 'stopBoundMs'>;
+
+const DEFAULT_OPTIONS: EntryOptions = { peerAddresses: [], stopBoundMs: 30_000 };
+
+export function createEntryState(
+  info: EntryInfo,
+  bootId: string,
+  options: EntryOptions = DEFAULT_OPTIONS,
+): EntryState {
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
-    self: { info, bootId, phase: 'starting' },
+    self: { info, bootId, phase: 'starting', ...options, leavingSinceMs: undefined },
     counters: Counters.create(),
     decisions: Table.create('decisions'),
     nextDecision: 1,
     calls: Table.create('calls'),
     configuration: { current: EMPTY_CONFIGURATION, version: 0, confirmedSentMs: undefined },
+    configWrites: Table.create('configWrites'),
+    registration: { leaseId: undefined, version: undefined, renewedMs: 0, digest: 0 },
+    homeAgents: Table.create('homeAgents'),
+    peerSyncs: Table.create('peerSyncs'),
     entries: Table.create('entries'),
     heldExchanges: Table.create('heldExchanges'),
     endpoints: Table.create('endpoints'),
--- /dev/null
+++ b/src/model/tableChecks.ts
@@ -0,0 +1,151 @@
+import type { Either } from 'purify-ts/Either';
+import { Left, Right } from 'purify-ts/Either';
+import * as z from 'zod/mini';
+import type { ValueFault } from '../base/common/parse.ts';
+import { parseValue } from '../base/common/parse.ts';
+import type { PoolConfig, RouteConfig, Tables } from './configuration.ts';
+import { poolSchema, routeSchema, tablesSchema } from './configuration.ts';
+
+/** A valid row with its index in the table that the operator wrote. */
+interface NumberedRow<Row> {
+  readonly index: number;
+  readonly row: Row;
+}
+
+function listValidRows<Schema extends z.ZodMiniType>(
+  schema: Schema,
+  value: unknown,
+): NumberedRow<z.output<Schema>>[] {
+  if (!Array.isArray(value)) return [];
+  return value.flatMap((item: unknown, index) => {
+    const result = z.safeParse(schema, item);
+    return result.success ? [{ index, row: result.data }] : [];
+  });
+}
+
+function listDuplicateFaults(names: readonly { path: string; name: string }[]): ValueFault[] {
+  const firstPaths = new Map<string, string>();
+  return names.flatMap(({ path, name }) => {
+    const first = firstPaths.get(name);
+    if (first === undefined) firstPaths.set(name, path);
+    return first === undefined
+      ? []
+      : [{ path, message: `${name} is already used at ${first}; names must be unique` }];
+  });
+}
+
+function hasCommonItem(a: readonly string[], b: readonly string[]): boolean {
+  if (a.length === 0 || b.length === 0) return a.length === b.length;
+  return a.some((item) => b.includes(item));
+}
+
+function hasSameMatch(a: RouteConfig, b: RouteConfig): boolean {
+  return (
+    a.pathPrefix === b.pathPrefix &&
+    hasCommonItem(a.hosts, b.hosts) &&
+    hasCommonItem(a.methods, b.methods)
+  );
+}
+
+function listRouteFaults(
+  routes: readonly NumberedRow<RouteConfig>[],
+  poolNames: ReadonlySet<string>,
+  pools: readonly NumberedRow<PoolConfig>[],
+): ValueFault[] {
+  return routes.flatMap(({ index, row }, position) => {
+    const faults: ValueFault[] = [];
+    const path = `routes[${index}]`;
+    if (!poolNames.has(row.pool))
+      faults.push({ path: `${path}.pool`, message: `pool ${row.pool} is not in the pools table` });
+    const pool = pools.find((candidate) => candidate.row.name === row.pool);
+    if (pool !== undefined && !pool.row.services.some((service) => service.name === row.service))
+      faults.push({
+        path: `${path}.service`,
+        message: `service ${row.service} is not in pool ${row.pool}`,
+      });
+    const twin = routes.slice(0, position).find((other) => hasSameMatch(other.row, row));
+    if (twin !== undefined)
+      faults.push({
+        path: `${path}.pathPrefix`,
+        message: `routes[${twin.index}] (${twin.row.name}) matches the same requests`,
+      });
+    return faults;
+  });
+}
+
+function listPoolFaults({ index, row }: NumberedRow<PoolConfig>): ValueFault[] {
+  const path = `pools[${index}]`;
+  const demandFaults = row.services.flatMap((service, position) =>
+    service.replicas > 0 && service.demand === undefined
+      ? [
+          {
+            path: `${path}.services[${position}].demand`,
+            message: `service ${service.name} has replicas and needs a demand`,
+          },
+        ]
+      : [],
+  );
+  const duplicates = [
+    row.services.map((service, i) => ({ path: `${path}.services[${i}].name`, name: service.name })),
+    row.quotas.map((quota, i) => ({ path: `${path}.quotas[${i}].team`, name: quota.team })),
+    row.zones.map((zone, i) => ({ path: `${path}.zones[${i}]`, name: zone })),
+  ];
+  return [...demandFaults, ...duplicates.flatMap(listDuplicateFaults)];
+}
+
+/** A zone lies in one region, so pools of different regions cannot share it. */
+function listZoneFaults(pools: readonly NumberedRow<PoolConfig>[]): ValueFault[] {
+  const regions = new Map<string, string>();
+  return pools.flatMap(({ index, row }) =>
+    row.zones.flatMap((zone, position) => {
+      const region = regions.get(zone) ?? row.region;
+      regions.set(zone, region);
+      return region === row.region
+        ? []
+        : [
+            {
+              path: `pools[${index}].zones[${position}]`,
+              message: `zone ${zone} is in region ${region}, the pool in region ${row.region}`,
+            },
+          ];
+    }),
+  );
+}
+
+/** Names of the pools table, including those of rows that have other faults. */
+function collectPoolNames(value: unknown): Set<string> {
+  const named = z.safeParse(z.array(z.object({ name: z.string() })), value);
+  return new Set(named.success ? named.data.map((pool) => pool.name) : []);
+}
+
+function listCrossFaults(value: unknown): ValueFault[] {
+  if (typeof value !== 'object' || value === null) return [];
+  const tables = value as { routes?: unknown; pools?: unknown };
+  const routes = listValidRows(routeSchema, tables.routes);
+  const pools = listValidRows(poolSchema, tables.pools);
+  return [
+    ...listDuplicateFaults(
+      routes.map(({ index, row }) => ({ path: `routes[${index}].name`, name: row.name })),
+    ),
+    ...listDuplicateFaults(
+      pools.map(({ index, row }) => ({ path: `pools[${index}].name`, name: row.name })),
+    ),
+    ...listRouteFaults(routes, collectPoolNames(tables.pools), pools),
+    ...pools.flatMap(listPoolFaults),
+    ...listZoneFaults(pools),
+  ];
+}
+
+/** Validates both tables, each field and the references between them, and reports every fault. */
+export function checkTables(value: unknown): Either<ValueFault[], Tables> {
+  const crossFaults = listCrossFaults(value);
+  return parseValue(tablesSchema, value).caseOf<Either<ValueFault[], Tables>>({
+    Left: (faults) => Left([...faults, ...crossFaults]),
+    Right: (tables) => (crossFaults.length === 0 ? Right(tables) : Left(crossFaults)),
+  });
+}
+
+/** Zones that the pools name. */
+export function listZones(tables: Pick<Tables, 'pools'>): string[] {
+  return [...new Set(tables.pools.flatMap((pool) => pool.zones))].sort();
+}
--- a/src/protocol/node/operatorFront.ts
+++ b/src/protocol/node/operatorFront.ts
@@ -3,14 +3,14 @@
 import type { ValueFault } from '../../base/common/parse.ts';
 import { parseValue } from '../../base/common/parse.ts';
 import * as z from 'zod/mini';
-import { tablesSchema } from '../../model/configuration.ts';
 import type { OperatorCall } from '../../model/effects.ts';
+import { checkTables } from '../../model/tableChecks.ts';
 import type { JsonRequest } from './jsonServer.ts';
 
 /** Path of the operator interface on the operators' port. */
 export const OPERATOR_PATH = '/v1';
 
-const applyBodySchema = z.strictObject({ baseRevision: z.int(), tables: tablesSchema });
+const applyBodySchema = z.strictObject({ baseRevision: z.int(), tables: z.unknown() });
 
 /**
  * Reads an operator call: `GET /v1/config`, `PUT /v1/config`, `PUT /v1/zones/<zone>/out|in`,
@@ -25,11 +25,14 @@
   if (`/${version ?? ''}` !== OPERATOR_PATH || rest.length > 0) return undefined;
   if (noun === 'config' && request.method === 'GET') return Right({ kind: 'showConfig' });
   if (noun === 'config' && request.method === 'PUT') {
-    return parseValue(applyBodySchema, request.body).map(({ baseRevision, tables }) => ({
-      kind: 'applyConfig',
-      baseRevision,
-      tables,
-    }));
+    // Paths of faults are relative to the tables, as the operator wrote them.
+    return parseValue(applyBodySchema, request.body).chain(({ baseRevision, tables }) =>
+      checkTables(tables).map((checked): OperatorCall => ({
+        kind: 'applyConfig',
+        baseRevision,
+        tables: checked,
+      })),
+    );
   }
   if (noun === 'zones' && request.method === 'PUT' && subject !== undefined) {
     if (action !== 'out' && action !== 'in')
--- a/src/systems/configuration/configurationReadSystem.ts
+++ b/src/systems/configuration/configurationReadSystem.ts
@@ -1,19 +1,31 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import { formatFaults, parseValue } from '../../base/common/parse.ts';
-import { configurationSchema } from '../../model/configuration.ts';
+import type { PendingCallRow } from '../../model/call.ts';
 import type { EntryState } from '../../model/entryState.ts';
-import type { StoreReply } from '../../model/store.ts';
+import type { StoreCall, StoreReply } from '../../model/store.ts';
+import {
+  applyConfiguration,
+  CONFIGURATION_KEY,
+  parseStoredConfiguration,
+  recordConfirmation,
+} from './applyConfiguration.ts';
+
+export { CONFIGURATION_KEY };
 
-export const CONFIGURATION_KEY = 'config/current';
 const READ_PERIOD_MS = 1_000;
 const READ_TIMEOUT_MS = 2_000;
-const CALL_ID = 'configuration.read';
+const WATCH_WAIT_MS = 10_000;
+/** A watch may be lost with its answer; the conditional read covers the time until its timeout. */
+const WATCH_TIMEOUT_MS = 11_000;
+/** A store that answers watches at once must not be called more often. */
+const MIN_WATCH_GAP_MS = 1_000;
+const LAST_READ = 'configurationRead.last';
+const LAST_WATCH = 'configurationRead.watch';
 
 /**
  * Keeps the configuration up to date from the store.
  * Reads `storeReply`. Writes the configuration, the phase of the process and `calls`.
- * Runs each turn; sends a conditional read every second.
+ * Runs each turn; sends a conditional read every second and keeps one watch open.
  */
 export class ConfigurationReadSystem extends System<EntryState> {
   override readonly name = 'configurationRead';
@@ -28,63 +40,95 @@
 
   override run(state: EntryState, tick: Tick): void {
     for (const arrival of state.inbox.list('storeReply')) {
-      if (arrival.callId === CALL_ID) this.handleReply(state, arrival.reply);
+      const call = state.calls.get(arrival.callId);
+      if (call?.owner !== this.name) continue;
+      state.calls.remove(call.id);
+      this.handleReply(state, call, arrival.reply);
     }
     this.sendRead(state, tick);
+    this.sendWatch(state, tick);
   }
 
   private sendRead(state: EntryState, tick: Tick): void {
-    const pending = state.calls.get(CALL_ID);
-    if (pending !== undefined && tick.now - pending.sentMs < READ_PERIOD_MS) {
-      tick.wakeAt(pending.sentMs + READ_PERIOD_MS);
+    const last = state.calls.get(LAST_READ);
+    if (last !== undefined && tick.now - last.sentMs < READ_PERIOD_MS) {
+      tick.wakeAt(last.sentMs + READ_PERIOD_MS);
       return;
     }
-    state.calls.set({
-      id: CALL_ID,
-      owner: this.name,
-      purpose: 'read',
-      subject: CONFIGURATION_KEY,
-      sentMs: tick.now,
-    });
-    state.outbox.append({
-      kind: 'callStore',
-      callId: CALL_ID,
-      call: { op: 'read', key: CONFIGURATION_KEY, newerThan: state.configuration.version },
-      timeoutMs: READ_TIMEOUT_MS,
+    const { version } = state.configuration;
+    this.send(state, tick, LAST_READ, 'read', READ_TIMEOUT_MS, {
+      op: 'read',
+      key: CONFIGURATION_KEY,
+      newerThan: version,
     });
     tick.wakeAt(tick.now + READ_PERIOD_MS);
   }
 
-  private handleReply(state: EntryState, reply: StoreReply): void {
-    const sentMs = state.calls.get(CALL_ID)?.sentMs;
+  private sendWatch(state: EntryState, tick: Tick): void {
+    if (state.configuration.confirmedSentMs === undefined) return;
+    const last = state.calls.get(LAST_WATCH);
+    if (last !== undefined && state.calls.has(last.subject)) return;
+    if (last !== undefined && tick.now - last.sentMs < MIN_WATCH_GAP_MS) {
+      tick.wakeAt(last.sentMs + MIN_WATCH_GAP_MS);
+      return;
+    }
+    this.send(state, tick, LAST_WATCH, 'watch', WATCH_TIMEOUT_MS, {
+      op: 'watch',
+      key: CONFIGURATION_KEY,
+      newerThan: state.configuration.version,
+      waitMs: WATCH_WAIT_MS,
+    });
+  }
+
+  /**
+   * Each call has an id of its own, so that a late answer is never counted with the sending time of
+   * a later call.
+   */
+  private send(
+    state: EntryState,
+    tick: Tick,
+    lastId: string,
+    purpose: string,
+    timeoutMs: number,
+    call: StoreCall,
+  ): void {
+    const callId = `${this.name}.${purpose}/${tick.now}`;
+    const row = { owner: this.name, purpose, sentMs: tick.now };
+    state.calls.set({ ...row, id: callId, subject: CONFIGURATION_KEY });
+    state.calls.set({ ...row, id: lastId, subject: callId });
+    state.outbox.append({ kind: 'callStore', callId, call, timeoutMs });
+  }
+
+  private handleReply(state: EntryState, call: PendingCallRow, reply: StoreReply): void {
+    if (reply.kind === 'unavailable') {
+      state.counters.add('store_failures', { purpose: call.purpose });
+      return;
+    }
+    // A watch that ends without a change was answered long after it was sent: it confirms only the
+    // state at its sending.
     if (reply.kind === 'unchanged') {
-      state.configuration.confirmedSentMs = sentMs;
-      state.self.phase = state.self.phase === 'starting' ? 'serving' : state.self.phase;
+      if (reply.version !== state.configuration.version) return;
+      if (reply.version === 0 && state.configuration.current.revision > 0) return;
+      recordConfirmation(state, call.sentMs, reply.version);
+      this.markServing(state);
       return;
     }
     if (reply.kind !== 'entry') return;
-    parseValue(configurationSchema, reply.entry.value).caseOf({
-      Left: (faults) => {
-        state.outbox.append({
-          kind: 'log',
-          level: 'error',
-          event: 'configuration_invalid',
-          fields: { faults: formatFaults(faults) },
-        });
-      },
-      Right: (configuration) => {
-        if (configuration.revision < state.configuration.current.revision) return;
-        state.configuration.current = configuration;
-        state.configuration.version = reply.entry.version;
-        state.configuration.confirmedSentMs = sentMs;
-        if (state.self.phase === 'starting') state.self.phase = 'serving';
-        state.outbox.append({
-          kind: 'log',
-          level: 'info',
-          event: 'configuration_in_force',
-          fields: { revision: configuration.revision },
-        });
-      },
-    });
+    if (reply.entry.version === 0) {
+      if (state.configuration.current.revision > 0) return;
+      recordConfirmation(state, call.sentMs, 0);
+      this.markServing(state);
+      return;
+    }
+    const configuration = parseStoredConfiguration(state, reply.entry);
+    if (configuration === undefined) return;
+    if (configuration.revision < state.configuration.current.revision) return;
+    applyConfiguration(state, configuration, 'store');
+    recordConfirmation(state, call.sentMs, reply.entry.version);
+    this.markServing(state);
+  }
+
+  private markServing(state: EntryState): void {
+    if (state.self.phase === 'starting') state.self.phase = 'serving';
   }
 }
--- /dev/null
+++ b/src/systems/configuration/peerConfigurationSystem.ts
@@ -0,0 +1,105 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import { applyConfiguration } from './applyConfiguration.ts';
+
+const PEER_TIMEOUT_MS = 1_000;
+const RETRY_PERIOD_MS = 1_000;
+const LAST_ROUND = 'peerConfiguration.last';
+
+/**
+ * Learns the configuration from other entries: at the start while the store does not answer, and
+ * when a peer names a greater revision. Answers `getConfig`.
+ * Reads `peerCall`, `peerReply`, `entries`. Writes the configuration, the phase and `calls`.
+ * Runs each turn, after the store reads.
+ */
+export class PeerConfigurationSystem extends System<EntryState> {
+  override readonly name = 'peerConfiguration';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): PeerConfigurationSystem {
+    return new PeerConfigurationSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const arrival of state.inbox.list('peerCall')) {
+      if (arrival.call.kind === 'getConfig') this.answer(state, arrival.callId);
+      if (arrival.call.kind !== 'sync') continue;
+      if (arrival.call.configRevision <= state.configuration.current.revision) continue;
+      const peer = state.entries.get(arrival.call.entryId);
+      if (peer !== undefined) this.sendQuestion(state, tick, peer.address);
+    }
+    for (const arrival of state.inbox.list('peerReply')) {
+      const call = state.calls.get(arrival.callId);
+      if (call?.owner !== this.name) continue;
+      state.calls.remove(call.id);
+      if (arrival.reply?.kind === 'config' && arrival.reply.configuration !== undefined)
+        applyConfiguration(state, arrival.reply.configuration, 'peer');
+    }
+    if (state.self.phase === 'starting') this.runStart(state, tick);
+  }
+
+  /** A configuration that this entry has from the store or from such a peer; otherwise nothing. */
+  private answer(state: EntryState, callId: string): void {
+    const { current, confirmedSentMs } = state.configuration;
+    const isKnown =
+      state.self.phase !== 'starting' && (confirmedSentMs !== undefined || current.revision > 0);
+    state.outbox.append({
+      kind: 'answerPeer',
+      callId,
+      reply: { kind: 'config', ...(isKnown ? { configuration: current } : {}) },
+    });
+  }
+
+  private runStart(state: EntryState, tick: Tick): void {
+    const isWaiting = [...state.calls.values()].some(
+      (call) => call.owner === this.name && call.purpose === 'getConfig',
+    );
+    // Waits for every peer that was asked, so that the greatest revision is in force first.
+    if (isWaiting) return;
+    if (state.configuration.current.revision > 0) {
+      state.self.phase = 'serving';
+      return;
+    }
+    if (state.counters.get('store_failures', { purpose: 'read' }) === 0) return;
+    const last = state.calls.get(LAST_ROUND);
+    if (last !== undefined && tick.now - last.sentMs < RETRY_PERIOD_MS) {
+      tick.wakeAt(last.sentMs + RETRY_PERIOD_MS);
+      return;
+    }
+    state.calls.set({
+      id: LAST_ROUND,
+      owner: this.name,
+      purpose: 'round',
+      subject: '',
+      sentMs: tick.now,
+    });
+    const known = [...state.entries.values()].map((entry) => entry.address);
+    for (const address of new Set([...state.self.peerAddresses, ...known])) {
+      if (address !== state.self.info.address) this.sendQuestion(state, tick, address);
+    }
+    tick.wakeAt(tick.now + RETRY_PERIOD_MS);
+  }
+
+  private sendQuestion(state: EntryState, tick: Tick, address: string): void {
+    const callId = `${this.name}.getConfig/${address}`;
+    if (state.calls.has(callId)) return;
+    state.calls.set({
+      id: callId,
+      owner: this.name,
+      purpose: 'getConfig',
+      subject: address,
+      sentMs: tick.now,
+    });
+    state.outbox.append({
+      kind: 'callPeer',
+      callId,
+      address,
+      call: { kind: 'getConfig' },
+      timeoutMs: PEER_TIMEOUT_MS,
+    });
+  }
+}
--- a/src/systems/entrySystems.ts
+++ b/src/systems/entrySystems.ts
@@ -1,7 +1,13 @@
 import type { System } from '../base/common/system.ts';
 import type { EntryState } from '../model/entryState.ts';
 import { ConfigurationReadSystem } from './configuration/configurationReadSystem.ts';
+import { ConfigurationWriteSystem } from './configuration/configurationWriteSystem.ts';
+import { PeerConfigurationSystem } from './configuration/peerConfigurationSystem.ts';
+import { EntryDrainSystem } from './drain/entryDrainSystem.ts';
+import { EndpointSyncSystem } from './membership/endpointSyncSystem.ts';
 import { ExchangeSystem } from './membership/exchangeSystem.ts';
+import { RegistrationSystem } from './membership/registrationSystem.ts';
+import { OperatorSystem } from './operators/operatorSystem.ts';
 import { AttemptReplySystem } from './requests/attemptReplySystem.ts';
 import { DispatchSystem } from './requests/dispatchSystem.ts';
 import { RequestIntakeSystem } from './requests/requestIntakeSystem.ts';
@@ -11,9 +17,15 @@
 export function createEntrySystems(): System<EntryState>[] {
   return [
     ConfigurationReadSystem.create(),
+    ConfigurationWriteSystem.create(),
+    PeerConfigurationSystem.create(),
+    RegistrationSystem.create(),
     ExchangeSystem.create(),
+    EndpointSyncSystem.create(),
     AttemptReplySystem.create(),
     RequestIntakeSystem.create(),
     DispatchSystem.create(RandomRouting.create()),
+    OperatorSystem.create(),
+    EntryDrainSystem.create(),
   ];
 }
--- /dev/null
+++ b/src/systems/membership/agentExchangeSystem.ts
@@ -0,0 +1,186 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { AgentState, EntryLinkRow } from '../../model/agentState.ts';
+import type { ExchangeReply, ExchangeRequest } from '../../model/exchange.ts';
+import { buildEndpointReports } from './announceSystem.ts';
+import { hashEntryList, sortHomeAddresses } from './entryList.ts';
+import { buildWorkerPart } from './workerPart.ts';
+
+const EXCHANGE_WAIT_MS = 1_000;
+/** The hold of the entry and twice the longest delay of a link that still counts as working. */
+const EXCHANGE_TIMEOUT_MS = 1_600;
+const MIN_EXCHANGE_GAP_MS = 100;
+/** Entries that did not answer are left out for this long, then tried again. */
+const FAILED_ENTRY_MS = 5_000;
+
+/**
+ * Exchanges with the home entry and with the owner of the worker's shard.
+ * Reads `exchangeReply`, `endpoints`, `worker`. Writes `links`, `config`, `entries`, `ownerAddress`,
+ * the phase. Runs each turn, after the announcements; keeps one long poll open per link.
+ */
+export class AgentExchangeSystem extends System<AgentState> {
+  override readonly name = 'agentExchange';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): AgentExchangeSystem {
+    return new AgentExchangeSystem();
+  }
+
+  override run(state: AgentState, tick: Tick): void {
+    for (const arrival of state.inbox.list('exchangeReply'))
+      this.handleReply(state, tick, arrival.callId, arrival.reply);
+    const home = this.chooseHome(state, tick);
+    const owner = state.self.hasWorker ? state.ownerAddress : undefined;
+    for (const link of state.links.list()) {
+      const isUsed = link.id === home || link.id === owner;
+      const isRecent = link.failedMs !== undefined && tick.now - link.failedMs < FAILED_ENTRY_MS;
+      if (!isUsed && !isRecent && link.pendingCallId === undefined) state.links.remove(link.id);
+    }
+    if (home !== undefined) this.sendExchange(state, tick, home, true, home === owner);
+    if (owner !== undefined && owner !== home) this.sendExchange(state, tick, owner, false, true);
+  }
+
+  /** The first entry by rendezvous hashing that has not failed lately. */
+  private chooseHome(state: AgentState, tick: Tick): string | undefined {
+    const { self } = state;
+    const addresses = sortHomeAddresses(self.id, state.entries.values(), self.seedAddresses);
+    const all = [...addresses, ...self.seedAddresses.filter((seed) => !addresses.includes(seed))];
+    const working = all.find((address) => {
+      const failedMs = state.links.get(address)?.failedMs;
+      return failedMs === undefined || tick.now - failedMs >= FAILED_ENTRY_MS;
+    });
+    return working ?? this.chooseOldestFailure(state, all);
+  }
+
+  private chooseOldestFailure(state: AgentState, addresses: readonly string[]): string | undefined {
+    const failedMs = (address: string): number => state.links.get(address)?.failedMs ?? 0;
+    return [...addresses].sort((a, b) => failedMs(a) - failedMs(b))[0];
+  }
+
+  private handleReply(
+    state: AgentState,
+    tick: Tick,
+    callId: string,
+    reply: ExchangeReply | undefined,
+  ): void {
+    const link = [...state.links.values()].find((candidate) => candidate.pendingCallId === callId);
+    if (link === undefined) return;
+    const nextSendMs = Math.max(tick.now, link.sentMs + MIN_EXCHANGE_GAP_MS);
+    if (reply === undefined || reply.failure !== undefined) {
+      state.counters.add('exchange_failures');
+      state.links.update(link.id, {
+        pendingCallId: undefined,
+        failedMs: tick.now,
+        nextSendMs: tick.now + MIN_EXCHANGE_GAP_MS,
+      });
+      state.outbox.append({
+        kind: 'log',
+        level: 'warn',
+        event: 'entry_silent',
+        fields: { address: link.id },
+      });
+      return;
+    }
+    state.links.update(link.id, {
+      pendingCallId: undefined,
+      lastReplyMs: tick.now,
+      failedMs: undefined,
+      nextSendMs,
+    });
+    this.mergeReply(state, reply);
+  }
+
+  private mergeReply(state: AgentState, reply: ExchangeReply): void {
+    if (reply.config !== undefined && reply.config.revision > (state.config?.revision ?? -1)) {
+      state.config = reply.config;
+      state.outbox.append({
+        kind: 'log',
+        level: 'info',
+        event: 'configuration_in_force',
+        fields: { revision: reply.config.revision, source: 'exchange' },
+      });
+    }
+    if (reply.entries !== undefined) {
+      state.entries.clear();
+      for (const entry of reply.entries) state.entries.set(entry);
+    }
+    if (reply.ownerAddress !== undefined) state.ownerAddress = reply.ownerAddress;
+    if (state.self.phase === 'starting') state.self.phase = 'serving';
+  }
+
+  /** A change of the endpoints goes out while the last exchange is still held. */
+  private isDue(state: AgentState, tick: Tick, link: EntryLinkRow, isHome: boolean): boolean {
+    const hasNews = isHome && link.sentVersion !== state.announcementVersion;
+    const dueMs =
+      link.pendingCallId === undefined ? link.nextSendMs : link.sentMs + MIN_EXCHANGE_GAP_MS;
+    if (link.pendingCallId !== undefined && !hasNews) return false;
+    if (dueMs <= tick.now) return true;
+    tick.wakeAt(dueMs);
+    return false;
+  }
+
+  private sendExchange(
+    state: AgentState,
+    tick: Tick,
+    address: string,
+    isHome: boolean,
+    isOwner: boolean,
+  ): void {
+    const link: EntryLinkRow = state.links.get(address) ?? {
+      id: address,
+      seq: 0,
+      pendingCallId: undefined,
+      sentMs: Number.NEGATIVE_INFINITY,
+      lastReplyMs: 0,
+      nextSendMs: tick.now,
+      failedMs: undefined,
+      sentVersion: -1,
+    };
+    if (!this.isDue(state, tick, link, isHome)) return;
+    // Grows over all links, so that an entry can order exchanges after a link was dropped.
+    const seq = 1 + Math.max(link.seq, ...[...state.links.values()].map((other) => other.seq));
+    const callId = `exchange/${address}/${seq}`;
+    state.links.set({
+      ...link,
+      seq,
+      pendingCallId: callId,
+      sentMs: tick.now,
+      sentVersion: isHome ? state.announcementVersion : link.sentVersion,
+    });
+    state.outbox.append({
+      kind: 'sendExchange',
+      callId,
+      address,
+      timeoutMs: EXCHANGE_TIMEOUT_MS,
+      request: this.buildRequest(state, seq, isHome, isOwner),
+    });
+  }
+
+  private buildRequest(
+    state: AgentState,
+    seq: number,
+    isHome: boolean,
+    isOwner: boolean,
+  ): ExchangeRequest {
+    const { self } = state;
+    const part = isOwner ? buildWorkerPart() : undefined;
+    return {
+      agentId: self.id,
+      agentBootId: self.bootId,
+      agentAddress: self.address,
+      region: self.region,
+      zone: self.zone,
+      seq,
+      // An agent that is leaving wants the acknowledgement now.
+      waitMs: self.phase === 'leaving' ? 0 : EXCHANGE_WAIT_MS,
+      configRevision: state.config?.revision ?? -1,
+      entriesDigest: hashEntryList(state.entries.values()),
+      epoch: part?.epoch ?? 0,
+      ...(isHome ? { endpoints: buildEndpointReports(state) } : {}),
+      ...(part?.worker === undefined ? {} : { worker: part.worker }),
+    };
+  }
+}
--- a/src/systems/membership/announceSystem.ts
+++ b/src/systems/membership/announceSystem.ts
@@ -1,18 +1,12 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { AgentState } from '../../model/agentState.ts';
-import type { EndpointReport } from '../../model/endpoint.ts';
-import type { ExchangeReply } from '../../model/exchange.ts';
-
-const EXCHANGE_WAIT_MS = 1_000;
-const EXCHANGE_TIMEOUT_MS = 3_000;
-const MIN_EXCHANGE_GAP_MS = 100;
-const RETRY_DELAY_MS = 500;
+import type { AgentState, LocalAttemptRow, LocalEndpointRow } from '../../model/agentState.ts';
+import type { EndpointAnnouncement, EndpointReport, LoadSignal } from '../../model/endpoint.ts';
 
 /**
- * Announces the endpoints beside the agent and learns the configuration.
- * Reads `endpointAnnounced`, `endpointLeaving`, `exchangeReply`. Writes `endpoints`, `links`, `config`.
- * Runs each turn; keeps one long poll open per link.
+ * Keeps the endpoints beside the agent and announces their changes.
+ * Reads `endpointAnnounced`, `endpointLeaving`, `stopRequested`. Writes `endpoints`,
+ * `announcementVersion`, the phase. Runs each turn, before the exchanges.
  */
 export class AnnounceSystem extends System<AgentState> {
   override readonly name = 'announce';
@@ -26,10 +20,11 @@
   }
 
   override run(state: AgentState, tick: Tick): void {
-    for (const arrival of state.inbox.list('endpointAnnounced')) {
-      const { announcement } = arrival;
+    for (const { announcement } of state.inbox.list('endpointAnnounced')) {
       const id = `${state.self.id}/${announcement.name}`;
       const previous = state.endpoints.get(id);
+      // Endpoints announce themselves again now and then, in case the agent was replaced.
+      if (previous !== undefined && isSameAnnouncement(previous, announcement)) continue;
       state.endpoints.set({
         ...announcement,
         id,
@@ -37,90 +32,73 @@
         version: (previous?.version ?? 0) + 1,
         latencyMs: previous?.latencyMs ?? 0,
       });
+      this.logEndpoint(state, 'endpoint_announced', id);
     }
     for (const arrival of state.inbox.list('endpointLeaving')) {
       const endpoint = state.endpoints.get(`${state.self.id}/${arrival.name}`);
-      if (endpoint !== undefined)
-        state.endpoints.update(endpoint.id, { draining: true, version: endpoint.version + 1 });
+      if (endpoint === undefined || endpoint.draining) continue;
+      state.endpoints.update(endpoint.id, { draining: true, version: endpoint.version + 1 });
+      this.logEndpoint(state, 'endpoint_leaving', endpoint.id);
     }
-    for (const arrival of state.inbox.list('exchangeReply'))
-      this.handleReply(state, tick, arrival.callId, arrival.reply);
-    for (const address of state.self.seedAddresses) this.sendExchange(state, tick, address);
+    if (state.inbox.list('stopRequested').length > 0) this.startLeaving(state, tick);
   }
 
-  private handleReply(
-    state: AgentState,
-    tick: Tick,
-    callId: string,
-    reply: ExchangeReply | undefined,
-  ): void {
-    const link = [...state.links.values()].find((candidate) => candidate.pendingCallId === callId);
-    if (link === undefined) return;
-    const delayMs = reply === undefined ? RETRY_DELAY_MS : MIN_EXCHANGE_GAP_MS;
-    state.links.update(link.id, {
-      pendingCallId: undefined,
-      nextSendMs: tick.now + delayMs,
-      ...(reply === undefined ? {} : { lastReplyMs: tick.now }),
-    });
-    if (reply?.config !== undefined && reply.config.revision > (state.config?.revision ?? -1))
-      state.config = reply.config;
-    if (reply !== undefined && state.self.phase === 'starting') state.self.phase = 'serving';
+  private startLeaving(state: AgentState, tick: Tick): void {
+    if (state.self.phase === 'leaving' || state.self.phase === 'stopped') return;
+    state.self.phase = 'leaving';
+    state.self.leavingSinceMs = tick.now;
+    state.announcementVersion += 1;
+    for (const endpoint of state.endpoints.list())
+      state.endpoints.update(endpoint.id, { draining: true, version: endpoint.version + 1 });
+    state.outbox.append({ kind: 'log', level: 'info', event: 'agent_leaving', fields: {} });
   }
 
-  private sendExchange(state: AgentState, tick: Tick, address: string): void {
-    const link = state.links.get(address) ?? {
-      id: address,
-      seq: 0,
-      pendingCallId: undefined,
-      sentMs: 0,
-      lastReplyMs: 0,
-      nextSendMs: tick.now,
-    };
-    if (link.pendingCallId !== undefined) return;
-    if (link.nextSendMs > tick.now) {
-      tick.wakeAt(link.nextSendMs);
-      return;
-    }
-    const seq = link.seq + 1;
-    const callId = `exchange/${address}/${seq}`;
-    state.links.set({ ...link, seq, pendingCallId: callId, sentMs: tick.now });
-    const { self } = state;
-    state.outbox.append({
-      kind: 'sendExchange',
-      callId,
-      address,
-      timeoutMs: EXCHANGE_TIMEOUT_MS,
-      request: {
-        agentId: self.id,
-        agentBootId: self.bootId,
-        agentAddress: self.address,
-        region: self.region,
-        zone: self.zone,
-        seq,
-        waitMs: EXCHANGE_WAIT_MS,
-        configRevision: state.config?.revision ?? -1,
-        entriesDigest: 0,
-        epoch: 0,
-        endpoints: this.listReports(state),
-      },
-    });
+  private logEndpoint(state: AgentState, event: string, endpoint: string): void {
+    state.announcementVersion += 1;
+    state.outbox.append({ kind: 'log', level: 'info', event, fields: { endpoint } });
   }
+}
 
-  private listReports(state: AgentState): EndpointReport[] {
-    const { self } = state;
-    return [...state.endpoints.values()].map((endpoint) => ({
-      id: endpoint.id,
-      service: endpoint.service,
-      region: self.region,
-      zone: self.zone,
-      agentId: self.id,
-      agentBootId: self.bootId,
-      agentAddress: self.address,
-      slots: endpoint.slots,
-      connections: endpoint.connections,
-      draining: endpoint.draining || self.phase === 'leaving',
-      version: endpoint.version,
-      load: { running: 0, waiting: 0, latencyMs: endpoint.latencyMs },
-    }));
+function isSameAnnouncement(row: LocalEndpointRow, announcement: EndpointAnnouncement): boolean {
+  return (
+    !row.draining &&
+    row.service === announcement.service &&
+    row.origin === announcement.origin &&
+    row.slots === announcement.slots &&
+    row.connections === announcement.connections
+  );
+}
+
+function countLoad(attempts: Iterable<LocalAttemptRow>): Map<string, LoadSignal> {
+  const loads = new Map<string, LoadSignal>();
+  for (const { endpointId, phase } of attempts) {
+    if (phase === 'done') continue;
+    const load = loads.get(endpointId) ?? { running: 0, waiting: 0, latencyMs: 0 };
+    loads.set(endpointId, { ...load, [phase]: load[phase] + 1 });
   }
+  return loads;
+}
+
+/** The endpoints as the agent reports them to its home entry. */
+export function buildEndpointReports(state: AgentState): EndpointReport[] {
+  const { self } = state;
+  const loads = countLoad(state.attempts.values());
+  return [...state.endpoints.values()].map((endpoint) => ({
+    id: endpoint.id,
+    service: endpoint.service,
+    region: self.region,
+    zone: self.zone,
+    agentId: self.id,
+    agentBootId: self.bootId,
+    agentAddress: self.address,
+    slots: endpoint.slots,
+    connections: endpoint.connections,
+    draining: endpoint.draining,
+    version: endpoint.version,
+    load: {
+      running: loads.get(endpoint.id)?.running ?? 0,
+      waiting: loads.get(endpoint.id)?.waiting ?? 0,
+      latencyMs: Math.round(endpoint.latencyMs * 10) / 10,
+    },
+  }));
 }
--- /dev/null
+++ b/src/systems/membership/endpointSyncSystem.ts
@@ -0,0 +1,211 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EndpointReport, EndpointRow } from '../../model/endpoint.ts';
+import { endpointReportSchema } from '../../model/endpoint.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { EntryInfo } from '../../model/exchange.ts';
+import type { PeerSyncRow, SyncedEndpoint } from '../../model/membership.ts';
+import type { PeerCall } from '../../model/peer.ts';
+import { ENDPOINT_SUSPECT_MS } from './endpointHealth.ts';
+import { mergeEndpoint, removeEndpoint } from './endpointMerge.ts';
+
+const DELTA_PERIOD_MS = 500;
+const FULL_PERIOD_MS = 5_000;
+const CALL_TIMEOUT_MS = 1_000;
+/**
+ * An unchanged endpoint is confirmed again after this time. The full list every 5 s alone would let
+ * peers call every endpoint suspect after 4 s.
+ */
+const CONFIRM_PERIOD_MS = 2_000;
+
+type SyncCall = Extract<PeerCall, { kind: 'sync' }>;
+
+/**
+ * Passes endpoint changes of the agents that exchange here to the other entries.
+ * Reads `peerCall`, `peerReply`, `entries`, `homeAgents`, `endpoints`. Writes `peerSyncs`,
+ * `endpoints`. Runs each turn, after the exchange system; sends at most one sync per peer and 500 ms.
+ */
+export class EndpointSyncSystem extends System<EntryState> {
+  override readonly name = 'endpointSync';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): EndpointSyncSystem {
+    return new EndpointSyncSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const { callId, call } of state.inbox.list('peerCall')) {
+      if (call.kind === 'sync') this.receive(state, tick, callId, call);
+    }
+    for (const { callId, reply } of state.inbox.list('peerReply')) {
+      const peer = [...state.peerSyncs.values()].find((row) => row.pendingCallId === callId);
+      if (peer === undefined) continue;
+      if (reply?.kind === 'synced') {
+        this.recordAcknowledgement(state, peer);
+        state.entries.update(peer.id, { lastHeardMs: tick.now });
+      } else {
+        state.counters.add('sync_failures');
+        state.peerSyncs.update(peer.id, { pendingCallId: undefined });
+      }
+    }
+    for (const peer of state.peerSyncs.list()) {
+      if (!state.entries.has(peer.id)) state.peerSyncs.remove(peer.id);
+    }
+    for (const entry of state.entries.values()) {
+      if (entry.id !== state.self.info.id) this.sendChanges(state, tick, entry);
+    }
+  }
+
+  /** Endpoints whose agents exchange with this entry now. */
+  private listOwn(state: EntryState, tick: Tick): EndpointRow[] {
+    return [...state.endpoints.values()].filter((endpoint) =>
+      this.isHome(state, tick, endpoint.agentId),
+    );
+  }
+
+  private isHome(state: EntryState, tick: Tick, agentId: string): boolean {
+    const agent = state.homeAgents.get(agentId);
+    return agent !== undefined && tick.now - agent.lastExchangeMs < ENDPOINT_SUSPECT_MS;
+  }
+
+  private sendChanges(state: EntryState, tick: Tick, entry: EntryInfo): void {
+    const peer = this.getPeer(state, entry.id);
+    if (peer.pendingCallId !== undefined) return;
+    if (tick.now - peer.checkedMs < DELTA_PERIOD_MS) {
+      tick.wakeAt(peer.checkedMs + DELTA_PERIOD_MS);
+      return;
+    }
+    const own = this.listOwn(state, tick);
+    const full = tick.now - peer.lastFullMs >= FULL_PERIOD_MS;
+    const changed = full ? own : own.filter((endpoint) => this.isChanged(peer, endpoint, tick));
+    const removed = this.listRemoved(state, tick, peer);
+    if (!full && changed.length === 0 && removed.length === 0) {
+      state.peerSyncs.set({ ...peer, checkedMs: tick.now });
+      tick.wakeAt(tick.now + DELTA_PERIOD_MS);
+      return;
+    }
+    this.send(state, tick, peer, entry.address, { full, changed, removed });
+  }
+
+  private isChanged(peer: PeerSyncRow, endpoint: EndpointRow, tick: Tick): boolean {
+    const known = peer.acknowledged.get(endpoint.id);
+    return (
+      known?.bootId !== endpoint.agentBootId ||
+      known.version !== endpoint.version ||
+      tick.now - known.sentMs >= CONFIRM_PERIOD_MS
+    );
+  }
+
+  /** Endpoints that an agent of this entry no longer reports. */
+  private listRemoved(state: EntryState, tick: Tick, peer: PeerSyncRow): string[] {
+    return [...peer.acknowledged]
+      .filter(([id, known]) => !state.endpoints.has(id) && this.isHome(state, tick, known.agentId))
+      .map(([id]) => id);
+  }
+
+  private send(
+    state: EntryState,
+    tick: Tick,
+    peer: PeerSyncRow,
+    address: string,
+    changes: { full: boolean; changed: readonly EndpointRow[]; removed: string[] },
+  ): void {
+    const seq = peer.seq + 1;
+    const callId = `${this.name}/${peer.id}/${seq}`;
+    const pending = new Map<string, SyncedEndpoint>(
+      changes.changed.map(({ id, agentId, agentBootId: bootId, version }) => [
+        id,
+        { agentId, bootId, version, sentMs: tick.now },
+      ]),
+    );
+    state.peerSyncs.set({
+      ...peer,
+      seq,
+      pendingCallId: callId,
+      pending,
+      pendingRemoved: changes.removed,
+      checkedMs: tick.now,
+      lastFullMs: changes.full ? tick.now : peer.lastFullMs,
+    });
+    state.outbox.append({
+      kind: 'callPeer',
+      callId,
+      address,
+      timeoutMs: CALL_TIMEOUT_MS,
+      call: {
+        kind: 'sync',
+        entryId: state.self.info.id,
+        entryBootId: state.self.bootId,
+        seq,
+        full: changes.full,
+        endpoints: changes.changed.map((endpoint) => ({
+          report: this.buildReport(endpoint),
+          ageMs: tick.now - endpoint.confirmedMs,
+        })),
+        removed: changes.removed,
+        configRevision: state.configuration.current.revision,
+      },
+    });
+  }
+
+  /** Only the fields that the agent reported; the rest of the row is this entry's own view. */
+  private buildReport(endpoint: EndpointRow): EndpointReport {
+    return endpointReportSchema.parse(endpoint);
+  }
+
+  private recordAcknowledgement(state: EntryState, peer: PeerSyncRow): void {
+    const acknowledged = new Map([...peer.acknowledged, ...peer.pending]);
+    for (const id of peer.pendingRemoved) {
+      if (!peer.pending.has(id)) acknowledged.delete(id);
+    }
+    state.peerSyncs.update(peer.id, { acknowledged, pendingCallId: undefined });
+  }
+
+  private receive(state: EntryState, tick: Tick, callId: string, call: SyncCall): void {
+    const peer = this.getPeer(state, call.entryId);
+    const isLate = peer.receivedBootId === call.entryBootId && call.seq <= peer.receivedSeq;
+    if (!isLate) {
+      state.peerSyncs.set({
+        ...peer,
+        receivedBootId: call.entryBootId,
+        receivedSeq: call.seq,
+      });
+      for (const { report, ageMs } of call.endpoints)
+        mergeEndpoint(state, report, tick.now - ageMs);
+      for (const id of call.removed) {
+        const endpoint = state.endpoints.get(id);
+        if (endpoint !== undefined && !this.isHome(state, tick, endpoint.agentId))
+          removeEndpoint(state, id, 'left');
+      }
+    }
+    state.outbox.append({
+      kind: 'answerPeer',
+      callId,
+      reply: {
+        kind: 'synced',
+        seq: call.seq,
+        configRevision: state.configuration.current.revision,
+      },
+    });
+  }
+
+  private getPeer(state: EntryState, id: string): PeerSyncRow {
+    return (
+      state.peerSyncs.get(id) ?? {
+        id,
+        seq: 0,
+        acknowledged: new Map<string, SyncedEndpoint>(),
+        pendingCallId: undefined,
+        pending: new Map<string, SyncedEndpoint>(),
+        pendingRemoved: [],
+        checkedMs: Number.NEGATIVE_INFINITY,
+        lastFullMs: Number.NEGATIVE_INFINITY,
+        receivedBootId: '',
+        receivedSeq: 0,
+      }
+    );
+  }
+}
--- a/src/systems/membership/exchangeSystem.ts
+++ b/src/systems/membership/exchangeSystem.ts
@@ -1,16 +1,20 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { EndpointReport } from '../../model/endpoint.ts';
-import type { EntryState } from '../../model/entryState.ts';
+import type { EntryState, HeldExchangeRow } from '../../model/entryState.ts';
 import type { ExchangeRequest } from '../../model/exchange.ts';
+import { ENDPOINT_REMOVE_MS } from './endpointHealth.ts';
+import { mergeEndpoint, removeEndpoint } from './endpointMerge.ts';
 
-/** An endpoint whose agent has been silent for this long is removed. */
-const ENDPOINT_REMOVE_MS = 10_000;
+/** Longest time that an exchange is held, whatever the agent asks for. */
+const MAX_HOLD_MS = 5_000;
+const SWEEP_PERIOD_MS = 500;
+const SWEEP_ID = 'exchange.sweep';
 
 /**
  * Answers exchanges of agents and keeps the endpoint table.
- * Reads `exchange`, the configuration, `entries`, `ownerAnswers`. Writes `endpoints`, `heldExchanges`.
- * Runs each turn.
+ * Reads `exchange`, the configuration, `entries`, `duties`, `ownerAnswers`. Writes `endpoints`,
+ * `homeAgents`, `heldExchanges`. Runs each turn, after the configuration systems.
  */
 export class ExchangeSystem extends System<EntryState> {
   override readonly name = 'exchange';
@@ -26,25 +30,63 @@
   override run(state: EntryState, tick: Tick): void {
     for (const arrival of state.inbox.list('exchange'))
       this.receive(state, tick, arrival.callId, arrival.request);
-    for (const held of state.heldExchanges.list()) {
-      const hasNews = held.configRevision < state.configuration.current.revision;
+    const { digest } = state.registration;
+    for (const held of state.heldExchanges.values()) {
+      const hasNews =
+        held.configRevision < state.configuration.current.revision ||
+        (digest !== 0 && held.entriesDigest !== digest);
       const isDue = state.ownerAnswers.get(held.id)?.isDue === true;
-      if (hasNews || isDue || held.answerByMs <= tick.now) this.answer(state, held.id);
+      if (hasNews || isDue || held.answerByMs <= tick.now) this.answer(state, held);
       else tick.wakeAt(held.answerByMs);
     }
+    this.removeSilent(state, tick);
+  }
+
+  /** Runs twice a second and not with each request, because it visits every endpoint. */
+  private removeSilent(state: EntryState, tick: Tick): void {
+    const last = state.calls.get(SWEEP_ID)?.sentMs;
+    if (last !== undefined && tick.now - last < SWEEP_PERIOD_MS) {
+      if (state.endpoints.size > 0) tick.wakeAt(last + SWEEP_PERIOD_MS);
+      return;
+    }
+    state.calls.set({
+      id: SWEEP_ID,
+      owner: this.name,
+      purpose: 'period',
+      subject: '',
+      sentMs: tick.now,
+    });
+    if (state.endpoints.size > 0) tick.wakeAt(tick.now + SWEEP_PERIOD_MS);
     for (const endpoint of state.endpoints.list()) {
       if (tick.now - endpoint.confirmedMs >= ENDPOINT_REMOVE_MS)
-        state.endpoints.remove(endpoint.id);
+        removeEndpoint(state, endpoint.id, 'silent');
+    }
+    for (const agent of state.homeAgents.list()) {
+      if (tick.now - agent.lastExchangeMs >= ENDPOINT_REMOVE_MS) state.homeAgents.remove(agent.id);
     }
   }
 
   private receive(state: EntryState, tick: Tick, callId: string, request: ExchangeRequest): void {
-    if (request.endpoints !== undefined)
+    state.counters.add('exchanges');
+    const link = [...state.heldExchanges.values()].find(
+      (held) => held.agentId === request.agentId && held.seq < request.seq,
+    );
+    // A newer exchange of the agent means that it no longer waits for the older answer.
+    if (link !== undefined) this.answer(state, link);
+    if (request.endpoints !== undefined && this.isNewest(state, request)) {
+      state.homeAgents.set({
+        id: request.agentId,
+        bootId: request.agentBootId,
+        seq: request.seq,
+        lastExchangeMs: tick.now,
+      });
       this.mergeEndpoints(state, tick, request.agentId, request.endpoints);
+    }
     state.heldExchanges.set({
       id: callId,
       agentId: request.agentId,
-      answerByMs: tick.now + request.waitMs,
+      region: request.region,
+      answerByMs: tick.now + Math.min(request.waitMs, MAX_HOLD_MS),
       configRevision: request.configRevision,
       entriesDigest: request.entriesDigest,
       seq: request.seq,
@@ -52,6 +94,14 @@
     });
   }
 
+  /** A delayed copy of an older exchange is answered but changes nothing. */
+  private isNewest(state: EntryState, request: ExchangeRequest): boolean {
+    const known = state.homeAgents.get(request.agentId);
+    if (known?.bootId !== request.agentBootId || request.seq > known.seq) return true;
+    state.counters.add('stale_exchanges');
+    return false;
+  }
+
   private mergeEndpoints(
     state: EntryState,
     tick: Tick,
@@ -61,33 +111,32 @@
     const reported = new Set(reports.map((report) => report.id));
     for (const endpoint of state.endpoints.list()) {
       if (endpoint.agentId === agentId && !reported.has(endpoint.id))
-        state.endpoints.remove(endpoint.id);
-    }
-    for (const report of reports) {
-      const previous = state.endpoints.get(report.id);
-      state.endpoints.set({
-        inFlight: previous?.inFlight ?? 0,
-        roundTripMs: previous?.roundTripMs ?? 0,
-        failuresInRow: previous?.failuresInRow ?? 0,
-        ejectedUntilMs: previous?.ejectedUntilMs ?? 0,
-        ...report,
-        confirmedMs: tick.now,
-      });
+        removeEndpoint(state, endpoint.id, 'left');
     }
+    for (const report of reports) mergeEndpoint(state, report, tick.now);
   }
 
-  private answer(state: EntryState, callId: string): void {
-    const held = state.heldExchanges.remove(callId);
-    if (held === undefined) return;
+  private answer(state: EntryState, held: HeldExchangeRow): void {
+    const { digest } = state.registration;
+    state.heldExchanges.remove(held.id);
     const { revision, zonesOut } = state.configuration.current;
     const isNewer = revision > held.configRevision;
-    const owner = state.ownerAnswers.remove(callId)?.owner;
+    const owner = state.ownerAnswers.remove(held.id)?.owner;
+    const ownerAddress = state.duties.get(held.region)?.ownerAddress;
+    const entries = [...state.entries.values()].map(({ id, region, zone, address }) => ({
+      id,
+      region,
+      zone,
+      address,
+    }));
     state.outbox.append({
       kind: 'answerExchange',
-      callId,
+      callId: held.id,
       reply: {
         seq: held.seq,
         ...(isNewer ? { config: { revision, zonesOut } } : {}),
+        ...(digest === 0 || digest === held.entriesDigest ? {} : { entries }),
+        ...(ownerAddress === undefined ? {} : { ownerAddress }),
         ...(owner === undefined ? {} : { owner }),
       },
     });
--- /dev/null
+++ b/src/systems/membership/registrationSystem.ts
@@ -0,0 +1,186 @@
+import * as z from 'zod/mini';
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { PendingCallRow } from '../../model/call.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import { entryInfoSchema } from '../../model/exchange.ts';
+import type { StoreCall, StoreEntry, StoreReply } from '../../model/store.ts';
+import { hashEntryList } from './entryList.ts';
+
+const LEASE_TTL_MS = 6_000;
+const PERIOD_MS = 2_000;
+const CALL_TIMEOUT_MS = 1_500;
+/** Shortest time between reads of the list when unknown entries call. */
+const MIN_LIST_GAP_MS = 100;
+
+/** Value of an entry's key in the store. */
+const registrationSchema = z.extend(entryInfoSchema, { bootId: z.string() });
+
+function formatEntryKey(region: string, id: string): string {
+  return `entries/${region}/${id}`;
+}
+
+/**
+ * Keeps this entry in the entry list of its region and reads the list.
+ * Reads `storeReply`, `peerCall`, `peerReply`. Writes `registration`, `entries`, `calls`.
+ * Runs each turn; every 2 s renews the store lease and reads the list. Without the store the last
+ * list stays, and peers are judged by their calls and answers.
+ */
+export class RegistrationSystem extends System<EntryState> {
+  override readonly name = 'registration';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): RegistrationSystem {
+    return new RegistrationSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const arrival of state.inbox.list('peerCall')) this.recordHeard(state, tick, arrival.from);
+    for (const arrival of state.inbox.list('storeReply')) {
+      const call = state.calls.get(arrival.callId);
+      if (call?.owner !== this.name || call.purpose === 'period') continue;
+      state.calls.remove(call.id);
+      this.handleReply(state, tick, call, arrival.reply);
+    }
+    this.setSelf(state, tick);
+    this.runPeriodically(state, tick, 'list', () => {
+      this.send(state, tick, 'list', { op: 'list', prefix: this.getPrefix(state) });
+    });
+    if (state.self.phase !== 'serving') return;
+    this.runPeriodically(state, tick, 'renew', () => {
+      this.sendLeaseCall(state, tick);
+    });
+  }
+
+  private getPrefix(state: EntryState): string {
+    return formatEntryKey(state.self.info.region, '');
+  }
+
+  private runPeriodically(state: EntryState, tick: Tick, purpose: string, act: () => void): void {
+    const id = `${this.name}.${purpose}.period`;
+    const last = state.calls.get(id);
+    if (last !== undefined && tick.now - last.sentMs < PERIOD_MS) {
+      tick.wakeAt(last.sentMs + PERIOD_MS);
+      return;
+    }
+    state.calls.set({ id, owner: this.name, purpose: 'period', subject: '', sentMs: tick.now });
+    tick.wakeAt(tick.now + PERIOD_MS);
+    act();
+  }
+
+  private sendLeaseCall(state: EntryState, tick: Tick): void {
+    const { leaseId, version } = state.registration;
+    if (leaseId === undefined) {
+      this.send(state, tick, 'grant', { op: 'grantLease', ttlMs: LEASE_TTL_MS });
+      return;
+    }
+    this.send(state, tick, 'renew', { op: 'renewLease', leaseId });
+    if (version === undefined) this.sendWrite(state, tick, 0);
+  }
+
+  private sendWrite(state: EntryState, tick: Tick, expectedVersion: number): void {
+    const { leaseId } = state.registration;
+    if (leaseId === undefined || state.self.phase === 'leaving') return;
+    const { info, bootId } = state.self;
+    this.send(state, tick, 'write', {
+      op: 'write',
+      key: formatEntryKey(info.region, info.id),
+      expectedVersion,
+      value: { ...info, bootId },
+      leaseId,
+    });
+  }
+
+  private send(state: EntryState, tick: Tick, purpose: string, call: StoreCall): void {
+    const callId = `${this.name}.${purpose}/${tick.now}`;
+    state.calls.set({ id: callId, owner: this.name, purpose, subject: '', sentMs: tick.now });
+    state.outbox.append({ kind: 'callStore', callId, call, timeoutMs: CALL_TIMEOUT_MS });
+  }
+
+  private handleReply(
+    state: EntryState,
+    tick: Tick,
+    call: PendingCallRow,
+    reply: StoreReply,
+  ): void {
+    const { registration } = state;
+    if (reply.kind === 'unavailable') {
+      state.counters.add('store_failures', { purpose: call.purpose });
+    } else if (reply.kind === 'entries') {
+      this.mergeList(state, reply.entries);
+    } else if (reply.kind === 'lease') {
+      registration.renewedMs = call.sentMs;
+      if (call.purpose !== 'grant') return;
+      registration.leaseId = reply.leaseId;
+      registration.version = undefined;
+      this.sendWrite(state, tick, 0);
+    } else if (reply.kind === 'written') {
+      registration.version = reply.version;
+      this.send(state, tick, 'list', { op: 'list', prefix: this.getPrefix(state) });
+    } else if (reply.kind === 'conflict') {
+      // The key of an earlier boot is still there, or the answer to this boot's write was lost.
+      this.sendWrite(state, tick, reply.version);
+    } else if (reply.kind === 'leaseLost') {
+      registration.leaseId = undefined;
+      registration.version = undefined;
+      this.send(state, tick, 'grant', { op: 'grantLease', ttlMs: LEASE_TTL_MS });
+    }
+  }
+
+  private mergeList(state: EntryState, listed: readonly StoreEntry[]): void {
+    const infos = listed.flatMap((entry) => {
+      const parsed = z.safeParse(registrationSchema, entry.value);
+      return parsed.success ? [parsed.data] : [];
+    });
+    const ids = new Set(infos.map((info) => info.id));
+    const { registration, self } = state;
+    // The key is gone although the lease was not reported lost, for example after a store reset.
+    if (!ids.has(self.info.id)) registration.version = undefined;
+    for (const known of state.entries.list()) {
+      if (known.id !== self.info.id && !ids.has(known.id)) this.removeEntry(state, known.id);
+    }
+    for (const { id, region, zone, address } of infos) {
+      if (id === self.info.id) continue;
+      const known = state.entries.get(id);
+      if (known?.address === address && known.zone === zone) continue;
+      state.entries.set({ id, region, zone, address, lastHeardMs: known?.lastHeardMs ?? 0 });
+      this.updateDigest(state);
+      this.logMember(state, 'entry_joined', id);
+    }
+  }
+
+  private removeEntry(state: EntryState, id: string): void {
+    state.entries.remove(id);
+    this.updateDigest(state);
+    this.logMember(state, 'entry_left', id);
+  }
+
+  private logMember(state: EntryState, event: string, entry: string): void {
+    state.outbox.append({ kind: 'log', level: 'info', event, fields: { entry } });
+  }
+
+  private setSelf(state: EntryState, tick: Tick): void {
+    const { info, phase } = state.self;
+    const isListed = state.entries.has(info.id);
+    if (phase === 'leaving' && isListed) this.removeEntry(state, info.id);
+    if (phase === 'leaving' || isListed || info.address === '') return;
+    state.entries.set({ ...info, lastHeardMs: tick.now });
+    this.updateDigest(state);
+  }
+
+  private updateDigest(state: EntryState): void {
+    state.registration.digest = hashEntryList(state.entries.values());
+  }
+
+  private recordHeard(state: EntryState, tick: Tick, entryId: string): void {
+    if (state.entries.update(entryId, { lastHeardMs: tick.now }) !== undefined) return;
+    // An entry that is not in the list yet has just registered: read the list soon.
+    const id = `${this.name}.list.period`;
+    const last = state.calls.get(id);
+    if (last === undefined || tick.now - last.sentMs < MIN_LIST_GAP_MS) return;
+    state.calls.update(id, { sentMs: tick.now - PERIOD_MS });
+  }
+}
--- /dev/null
+++ b/src/systems/operators/explanation.ts
@@ -0,0 +1,72 @@
+import type { Table } from '../../base/common/table.ts';
+import type { EntryState } from '../../model/entryState.ts';
+
+/** What `explain` prints: the rows of the subject by table, and the decisions about it. */
+export interface Explanation {
+  readonly subject: string;
+  readonly entry: string;
+  readonly rows: Readonly<Record<string, unknown>>;
+  readonly decisions: readonly {
+    readonly ageMs: number;
+    readonly action: string;
+    readonly reason: string;
+  }[];
+  readonly note?: string;
+}
+
+/** Tables that `explain` searches by id. */
+function listTables(state: EntryState): readonly Table<{ readonly id: string }>[] {
+  const { tasks, workers, endpoints, entries, duties, attempts, throttles } = state;
+  return [tasks, workers, endpoints, entries, duties, attempts, throttles] as unknown as Table<{
+    readonly id: string;
+  }>[];
+}
+
+function collectRows(state: EntryState, subject: string): Record<string, unknown> {
+  const rows: Record<string, unknown> = {};
+  for (const table of listTables(state)) {
+    const row = table.get(subject);
+    if (row !== undefined) rows[table.name] = row;
+  }
+  const request = state.requests.get(subject);
+  if (request !== undefined) {
+    // The body and the headers belong to the caller and are not shown.
+    const { request: caller, ...rest } = request;
+    rows.requests = { ...rest, method: caller.method, path: caller.path };
+  }
+  const { routes, pools, zonesOut } = state.configuration.current;
+  const route = routes.find((candidate) => candidate.name === subject);
+  const pool = pools.find((candidate) => candidate.name === subject);
+  if (route !== undefined) rows.routes = route;
+  if (pool !== undefined) rows.pools = pool;
+  if (pools.some((candidate) => candidate.zones.includes(subject)))
+    rows.zones = { id: subject, out: zonesOut.includes(subject) };
+  return rows;
+}
+
+function isAbout(decisionSubject: string, subject: string): boolean {
+  return decisionSubject === subject || decisionSubject.startsWith(`${subject}#`);
+}
+
+export function hasSubject(state: EntryState, subject: string): boolean {
+  if (Object.keys(collectRows(state, subject)).length > 0) return true;
+  return [...state.decisions.values()].some((decision) => isAbout(decision.subject, subject));
+}
+
+export function buildExplanation(
+  state: EntryState,
+  subject: string,
+  nowMs: number,
+  note?: string,
+): Explanation {
+  const decisions = [...state.decisions.values()]
+    .filter((decision) => isAbout(decision.subject, subject))
+    .map(({ atMs, action, reason }) => ({ ageMs: Math.round(nowMs - atMs), action, reason }));
+  return {
+    subject,
+    entry: state.self.info.id,
+    rows: collectRows(state, subject),
+    decisions,
+    ...(note === undefined ? {} : { note }),
+  };
+}
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,5 +1,6 @@
 import { build } from 'esbuild';
 import { existsSync } from 'node:fs';
+import { rm } from 'node:fs/promises';
 
 /** Packages that need files of their own at run time stay outside the bundles. */
 const external = ['@grpc/proto-loader', 'msgpackr-extract'];
@@ -7,10 +8,7 @@
 const entryPoints = { bramleyladder: 'src/cli/main.ts' };
 if (existsSync('bench/main.ts')) entryPoints.bench = 'bench/main.ts';
 
-await build({
-  entryPoints,
-  outdir: 'dist',
-  outExtension: { '.js': '.js' },
+const options = {
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -22,4 +20,22 @@
   banner: {
     js: "#!/usr/bin/env node\nimport { createRequire as createNodeRequire } from 'node:module';\nconst require = createNodeRequire(import.meta.url);",
   },
+};
+
+// Each command is a chunk of its own, so a process loads only the code of its command.
+await rm('dist', { recursive: true, force: true });
+await build({
+  ...options,
+  entryPoints,
+  outdir: 'dist',
+  chunkNames: 'chunks/[name]-[hash]',
+  splitting: true,
+});
+
+// The agent runs on every instance; its bundle holds nothing that only entries and operators need.
+await build({
+  ...options,
+  entryPoints: { 'bramleyladder-agent': 'src/cli/agentMain.ts' },
+  outdir: 'dist',
+  minify: true,
 });
