--- /dev/null
+++ b/test/docs/readme.test.ts
@@ -0,0 +1,128 @@
+import type { ChildProcess } from 'node:child_process';
+import { execFile, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { basename, join } from 'node:path';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { buildBundle } from '../support/builtBundle.ts';
+
+const READY_MS = 20_000;
+
+async function findFreePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
+}
+
+function listCommands(): string[] {
+  const text = readFileSync('README.md', 'utf8');
+  return [...text.matchAll(/```sh\n([\s\S]*?)```/g)]
+    .flatMap((block) => block[1]!.trim().split('\n'))
+    .filter((line) => line.startsWith('node dist/') || line.startsWith('curl '));
+}
+
+async function waitFor(label: string, check: () => Promise<boolean>): Promise<void> {
+  const until = Date.now() + READY_MS;
+  for (;;) {
+    if (await check().catch(() => false)) return;
+    if (Date.now() > until) throw new Error(`not ready: ${label}`);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+}
+
+describe('walk-through of the README', () => {
+  const children: ChildProcess[] = [];
+  const ports = new Map<string, string>();
+  let folder = '';
+  let bundle = '';
+
+  function setPorts(text: string): string {
+    return text.replace(/\b7\d{3}\b/g, (port) => ports.get(port) ?? port);
+  }
+
+  /** The command with free ports, copies of the settings and the test's own bundle. */
+  function parseCommand(line: string): string[] {
+    return setPorts(line)
+      .replace('dist/', `${bundle}/`)
+      .split(' ')
+      .map((word) => {
+        if (!word.startsWith('examples/settings/')) return word;
+        const copy = join(folder, basename(word));
+        writeFileSync(copy, setPorts(readFileSync(word, 'utf8')));
+        return copy;
+      });
+  }
+
+  async function runCommand(line: string): Promise<{ code: number; output: string }> {
+    const [, ...args] = parseCommand(line);
+    return new Promise((resolve) => {
+      execFile(process.execPath, args, (error, stdout, stderr) => {
+        resolve({ code: error === null ? 0 : Number(error.code), output: stdout + stderr });
+      });
+    });
+  }
+
+  beforeAll(async () => {
+    bundle = buildBundle('readme');
+    folder = mkdtempSync(join(tmpdir(), 'bramleyladder-'));
+    const text =
+      readFileSync('README.md', 'utf8') +
+      [0, 1].map((i) => readFileSync(`examples/settings/entry-${i}.json`, 'utf8')).join('') +
+      [0, 1, 2].map((i) => readFileSync(`examples/settings/agent-${i}.json`, 'utf8')).join('');
+    for (const [port] of text.matchAll(/\b7\d{3}\b/g)) {
+      if (!ports.has(port)) ports.set(port, String(await findFreePort()));
+    }
+  });
+
+  afterAll(() => {
+    for (const child of children) child.kill('SIGKILL');
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  it('does not contain a command that fails', async () => {
+    const daemons = / (store|entry|agent|endpoint) |bramleyladder-agent/;
+    const commands = listCommands();
+    expect(commands.length).toBeGreaterThan(15);
+    for (const line of commands.filter((command) => daemons.test(command))) {
+      const [, ...args] = parseCommand(line);
+      children.push(spawn(process.execPath, args, { stdio: 'ignore' }));
+      // The store and the entries first: a reader also waits for the first log line.
+      if (line.includes(' store ')) await new Promise((resolve) => setTimeout(resolve, 500));
+    }
+    for (const port of ['7102', '7112'])
+      await waitFor(`entry ${port}`, async () => {
+        const answer = await fetch(setPorts(`http://127.0.0.1:${port}/v1/status`));
+        return ((await answer.json()) as { endpoints: unknown[] }).endpoints.length === 3;
+      });
+    for (const line of commands.filter((command) => !daemons.test(command))) {
+      if (line.startsWith('curl ')) {
+        await waitFor(line, async () => (await fetch(setPorts(line.slice(5)))).status === 200);
+        continue;
+      }
+      const { code, output } = await runCommand(line);
+      expect(`${line}: ${code}${code === 0 ? '' : output}`).toBe(`${line}: 0`);
+    }
+  });
+
+  it('does not end an agent or an entry without a graceful stop', async () => {
+    const stopping = children.slice(1, 6);
+    const codes = await Promise.all(
+      stopping.map(
+        async (child) =>
+          new Promise((resolve) => {
+            child.once('exit', resolve);
+            child.kill('SIGTERM');
+          }),
+      ),
+    );
+    expect(codes).toEqual([0, 0, 0, 0, 0]);
+  });
+});
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,10 +1,14 @@
 import { build } from 'esbuild';
 import { existsSync } from 'node:fs';
 import { rm } from 'node:fs/promises';
+import { argv } from 'node:process';
 
 /** Packages that need files of their own at run time stay outside the bundles. */
 const external = ['@grpc/proto-loader', 'msgpackr-extract'];
 
+/** Folder of the bundles; tests give one of their own. */
+const outdir = argv[2] ?? 'dist';
+
 const entryPoints = { bramleyladder: 'src/cli/main.ts' };
 if (existsSync('bench/main.ts')) entryPoints.bench = 'bench/main.ts';
 
@@ -23,11 +27,11 @@
 };
 
 // Each command is a chunk of its own, so a process loads only the code of its command.
-await rm('dist', { recursive: true, force: true });
+await rm(outdir, { recursive: true, force: true });
 await build({
   ...options,
   entryPoints,
-  outdir: 'dist',
+  outdir,
   chunkNames: 'chunks/[name]-[hash]',
   splitting: true,
 });
@@ -36,6 +40,6 @@
 await build({
   ...options,
   entryPoints: { 'bramleyladder-agent': 'src/cli/agentMain.ts' },
-  outdir: 'dist',
+  outdir,
   minify: true,
 });
