--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -8,7 +8,7 @@
 const DEFAULT_HOST = '127.0.0.1';
 
 function addDaemons(cli: CAC): void {
-  const requireSettings = (settings: string | undefined): string => {
+  const getSettingsPath = (settings: string | undefined): string => {
     if (settings === undefined) throw new CommandError('give --settings <file>', EXIT_INVALID);
     return settings;
   };
@@ -16,14 +16,14 @@
     .command('entry', 'Run an entry: HTTP front of callers, routing, tables, shard duties')
     .option('--settings <file>', 'Settings, see schemas/entry-settings.schema.json')
     .action(async (options: { settings?: string }) => {
-      const settings = requireSettings(options.settings);
+      const settings = getSettingsPath(options.settings);
       await (await import('./entry.ts')).runEntry(settings);
     });
   cli
     .command('agent', 'Run the agent beside an endpoint or a worker')
     .option('--settings <file>', 'Settings, see schemas/agent-settings.schema.json')
     .action(async (options: { settings?: string }) => {
-      const settings = requireSettings(options.settings);
+      const settings = getSettingsPath(options.settings);
       await (await import('./agent.ts')).runAgent(settings);
     });
 }
--- a/src/cli/localMode.ts
+++ b/src/cli/localMode.ts
@@ -113,9 +113,7 @@
     const until = clock.now + READY_TIMEOUT_MS;
     while (
       !this.entries.every(
-        (entry) =>
-          entry.state.self.phase === 'serving' &&
-          entry.state.endpoints.size === this.endpoints.length,
+        (entry) => entry.callerPort !== 0 && entry.state.endpoints.size === this.endpoints.length,
       )
     ) {
       if (clock.now > until) throw new Error('the local cluster did not become ready');
--- a/src/cli/tablesFile.ts
+++ b/src/cli/tablesFile.ts
@@ -12,7 +12,7 @@
 
 const baseSchema = z.looseObject({ baseRevision: z.optional(z.int()) });
 
-function omitBaseRevision(value: Readonly<Record<string, unknown>>): Record<string, unknown> {
+function removeBaseRevision(value: Readonly<Record<string, unknown>>): Record<string, unknown> {
   return Object.fromEntries(Object.entries(value).filter(([name]) => name !== 'baseRevision'));
 }
 
@@ -26,7 +26,7 @@
   }
   const base = z.safeParse(baseSchema, value);
   const baseRevision = base.success ? base.data.baseRevision : undefined;
-  const tables = base.success ? omitBaseRevision(base.data) : value;
+  const tables = base.success ? removeBaseRevision(base.data) : value;
   return checkTables(tables).caseOf<TablesFile>({
     Left: (faults) => {
       throw new CommandError(`${path}: not valid\n${formatFaultLines(faults)}`, EXIT_INVALID);
--- a/src/daemons/entryDaemon.ts
+++ b/src/daemons/entryDaemon.ts
@@ -1,7 +1,5 @@
 import { randomInt } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type * as grpc from '@grpc/grpc-js';
-import type * as z from 'zod/mini';
 import type { Disposable } from '../base/common/disposable.ts';
 import { createFailure } from '../base/common/errors.ts';
 import { Loop } from '../base/common/loop.ts';
@@ -13,9 +11,8 @@
 import type { EntryArrival, EntryEffect, JsonAnswer } from '../model/effects.ts';
 import type { EntryState } from '../model/entryState.ts';
 import { createEntryState } from '../model/entryState.ts';
-import type { ExchangeReply, ExchangeRequest } from '../model/exchange.ts';
+import type { ExchangeReply } from '../model/exchange.ts';
 import type { PeerReply } from '../model/peer.ts';
-import type { identifiedPeerCallSchema } from '../protocol/node/grpc.ts';
 import {
   AGENT_SERVICE,
   createGrpcServer,
@@ -31,13 +28,12 @@
 import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { HttpStoreClient } from '../protocol/node/storeClient.ts';
 import { createEntrySystems } from '../systems/entrySystems.ts';
+import { addEntryServices, JOB_CALL_REFUSAL } from './entryServices.ts';
 import { receiveMonitoring } from './monitoring.ts';
 import { OpenCalls } from './openCalls.ts';
 import { RequestTimes } from './requestTimes.ts';
 import type { EntrySettings } from './settings.ts';
 
-type IdentifiedPeerCall = z.output<typeof identifiedPeerCallSchema>;
-
 const ABANDON_TIMEOUT_MS = 1_000;
 
 /** Runs an entry: connects the loop to HTTP, gRPC and the store. It decides nothing. */
@@ -53,6 +49,7 @@
   private readonly store: StoreClient;
   private readonly loop: Loop<EntryArrival, EntryEffect, EntryState>;
   private front: HttpFront | undefined;
+  private isFrontStarted = false;
   private operatorServer: JsonServer | undefined;
   private resolveStopped: () => void = () => undefined;
   /** Resolves when the loop has asked to exit. */
@@ -64,10 +61,10 @@
     private readonly log: LogWriter,
     readonly state: EntryState,
     private readonly random: SeededRandom,
-    storeOrigin: string,
+    private readonly settings: EntrySettings,
   ) {
     this.requestTimes = RequestTimes.create(this.clock, this.metrics);
-    this.store = HttpStoreClient.create(storeOrigin);
+    this.store = HttpStoreClient.create(settings.storeOrigin);
     this.loop = Loop.create<EntryArrival, EntryEffect, EntryState>(
       {
         state,
@@ -79,6 +76,7 @@
         },
         recordTurn: (durationMs) => {
           this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
+          if (this.state.self.phase === 'serving') this.startFront();
         },
       },
       NodeTimer.create(),
@@ -92,8 +90,10 @@
       peerAddresses: settings.peers,
       stopBoundMs: settings.stopSeconds * 1_000,
     });
-    const daemon = new EntryDaemon(log, state, random, settings.storeOrigin);
-    daemon.addServices();
+    const daemon = new EntryDaemon(log, state, random, settings);
+    addEntryServices(daemon.server, daemon.exchangeCalls, daemon.peerCalls, (arrival) => {
+      daemon.loop.receive(arrival);
+    });
     const port = await openGrpcServer(daemon.server, `${settings.host}:${settings.linkPort}`);
     info.address = `${settings.host}:${port}`;
     daemon.operatorServer = await JsonServer.create(
@@ -103,17 +103,16 @@
         receiveMonitoring(daemon.state, daemon.metrics, request, response) ||
         daemon.receiveOperator(request, answer),
     );
-    daemon.front = await daemon.openFront(settings);
     daemon.loop.wake();
     log.write('info', 'entry_started', {
       id: info.id,
-      callerPort: daemon.callerPort,
       operatorPort: daemon.operatorPort,
       linkAddress: info.address,
     });
     return daemon;
   }
 
+  /** Port of the front end; 0 until it is open. */
   get callerPort(): number {
     return this.front?.port ?? 0;
   }
@@ -136,10 +135,20 @@
     this.store.dispose();
   }
 
-  private async openFront(settings: EntrySettings): Promise<HttpFront> {
+  /** Opens the front end once, when a configuration is in force; a request before that has no route. */
+  private startFront(): void {
+    if (this.isFrontStarted) return;
+    this.isFrontStarted = true;
+    void this.openFront().then((front) => {
+      this.front = front;
+      this.log.write('info', 'front_opened', { port: front.port });
+    });
+  }
+
+  private async openFront(): Promise<HttpFront> {
     return HttpFront.create({
-      host: settings.host,
-      port: settings.callerPort,
+      host: this.settings.host,
+      port: this.settings.callerPort,
       random: this.random,
       onRequest: (request) => {
         this.requestTimes.start(this.state.configuration.current, request);
@@ -153,34 +162,6 @@
     });
   }
 
-  private addServices(): void {
-    this.server.addService(ENTRY_SERVICE, {
-      exchange: (
-        call: grpc.ServerUnaryCall<ExchangeRequest, ExchangeReply>,
-        callback: grpc.sendUnaryData<ExchangeReply>,
-      ) => {
-        const callId = this.exchangeCalls.open((reply) => {
-          callback(null, reply);
-        });
-        this.loop.receive({ kind: 'exchange', callId, request: call.request });
-      },
-      peer: (
-        call: grpc.ServerUnaryCall<IdentifiedPeerCall, PeerReply>,
-        callback: grpc.sendUnaryData<PeerReply>,
-      ) => {
-        const callId = this.peerCalls.open((reply) => {
-          callback(null, reply);
-        });
-        this.loop.receive({
-          kind: 'peerCall',
-          callId,
-          from: call.request.from,
-          call: call.request.call,
-        });
-      },
-    });
-  }
-
   private receiveJob(
     request: IncomingMessage,
     bytes: Uint8Array,
@@ -190,13 +171,7 @@
     const parsed = parseJsonRequest(request, bytes);
     const call = parsed === undefined ? undefined : parseJobCall(parsed);
     if (call === undefined) {
-      sendJsonAnswer(response, {
-        kind: 'failure',
-        failure: createFailure(
-          'bad_request',
-          'not a call of the job interface, or the body is not valid JSON',
-        ),
-      });
+      sendJsonAnswer(response, JOB_CALL_REFUSAL);
       return true;
     }
     const callId = this.jsonCalls.open((answer) => {
--- a/src/systems/configuration/configurationWriteSystem.ts
+++ b/src/systems/configuration/configurationWriteSystem.ts
@@ -52,7 +52,7 @@
         .find((candidate) => candidate.pendingCallId === arrival.callId);
       if (row !== undefined) this.handleReply(state, tick, row, arrival.reply);
     }
-    for (const row of state.configWrites.list()) this.continueWrite(state, tick, row);
+    for (const row of state.configWrites.list()) this.sendNext(state, tick, row);
   }
 
   private receive(
@@ -64,7 +64,7 @@
     if (change.kind === 'applyConfig') {
       const faults = checkTables(change.tables).swap().orDefault([]);
       if (faults.length > 0) {
-        this.refuseInvalid(state, callId, faults);
+        this.answerInvalid(state, callId, faults);
         return;
       }
     }
@@ -83,12 +83,17 @@
     });
   }
 
-  private continueWrite(state: EntryState, tick: Tick, row: ConfigWriteRow): void {
+  private sendNext(state: EntryState, tick: Tick, row: ConfigWriteRow): void {
     if (tick.now >= row.deadlineMs) {
       if (row.next === undefined)
-        this.refuse(state, row.id, 'store_unavailable', 'the store does not answer; not written');
+        this.answerFailure(
+          state,
+          row.id,
+          'store_unavailable',
+          'the store does not answer; not written',
+        );
       else
-        this.refuse(
+        this.answerFailure(
           state,
           row.id,
           'outcome_unknown',
@@ -130,7 +135,7 @@
         phase: row.next === undefined ? 'reading' : 'checking',
       });
     } else if (reply.kind === 'written' && row.next !== undefined) {
-      this.accept(state, tick, row, row.next, reply.version);
+      this.recordAccepted(state, tick, row, row.next, reply.version);
     } else if (reply.kind === 'entry') {
       state.configWrites.update(row.id, patch);
       this.handleEntry(state, tick, row, reply.entry);
@@ -151,16 +156,16 @@
         ? EMPTY_CONFIGURATION
         : parseStoredConfiguration(state, { ...entry, value: entry.value });
     if (stored === undefined) {
-      this.refuse(state, row.id, 'internal', 'the configuration in the store is not valid');
+      this.answerFailure(state, row.id, 'internal', 'the configuration in the store is not valid');
       return;
     }
     if (row.next !== undefined) {
       if (stored.token === row.token) {
-        this.accept(state, tick, row, stored, entry.version);
+        this.recordAccepted(state, tick, row, stored, entry.version);
         return;
       }
       if (stored.revision > row.next.revision) {
-        this.refuse(
+        this.answerFailure(
           state,
           row.id,
           'outcome_unknown',
@@ -183,11 +188,11 @@
   ): void {
     buildChange(row.change, stored, row.token).caseOf({
       Left: (refusal) => {
-        if (refusal.kind === 'invalid') this.refuseInvalid(state, row.id, refusal.faults);
+        if (refusal.kind === 'invalid') this.answerInvalid(state, row.id, refusal.faults);
         else if (refusal.kind === 'unchanged')
           this.answer(state, row.id, { revision: stored.revision, changed: false });
         else
-          this.refuse(
+          this.answerFailure(
             state,
             row.id,
             'config_conflict',
@@ -206,7 +211,7 @@
     });
   }
 
-  private accept(
+  private recordAccepted(
     state: EntryState,
     tick: Tick,
     row: ConfigWriteRow,
@@ -233,11 +238,11 @@
     state.outbox.append({ kind: 'answerOperator', callId, answer: { kind: 'value', value } });
   }
 
-  private refuseInvalid(state: EntryState, callId: string, faults: readonly ValueFault[]): void {
-    this.refuse(state, callId, 'config_invalid', formatFaults(faults), faults);
+  private answerInvalid(state: EntryState, callId: string, faults: readonly ValueFault[]): void {
+    this.answerFailure(state, callId, 'config_invalid', formatFaults(faults), faults);
   }
 
-  private refuse(
+  private answerFailure(
     state: EntryState,
     callId: string,
     kind: ErrorKind,
--- a/src/systems/drain/agentDrainSystem.ts
+++ b/src/systems/drain/agentDrainSystem.ts
@@ -41,13 +41,13 @@
           fields: { attempt: attempt.id },
         });
       }
-      this.exit(state, tick, open.length);
+      this.stopProcess(state, tick, open.length);
       return;
     }
     tick.wakeAt(boundMs);
     const restMs = this.computeRestMs(state, tick, self.leavingSinceMs);
     if (open.length > 0) return;
-    if (restMs <= 0) this.exit(state, tick, 0);
+    if (restMs <= 0) this.stopProcess(state, tick, 0);
     else tick.wakeAt(tick.now + restMs);
   }
 
@@ -66,7 +66,7 @@
     return Math.max(untilMs, lastDoneMs) - tick.now;
   }
 
-  private exit(state: AgentState, tick: Tick, cutOff: number): void {
+  private stopProcess(state: AgentState, tick: Tick, cutOff: number): void {
     state.self.phase = 'stopped';
     state.outbox.append({
       kind: 'log',
--- a/src/systems/drain/entryDrainSystem.ts
+++ b/src/systems/drain/entryDrainSystem.ts
@@ -35,7 +35,7 @@
     const boundMs = self.leavingSinceMs + self.stopBoundMs;
     if (tick.now >= boundMs) {
       this.closeRequests(state);
-      this.exit(state, tick);
+      this.stopProcess(state, tick);
       return;
     }
     tick.wakeAt(boundMs);
@@ -101,7 +101,7 @@
     const doneId = `${REVOKE_ID}.done`;
     if (!state.calls.has(doneId)) this.addCall(state, tick, doneId);
     const exitMs = (state.calls.get(doneId)?.sentMs ?? tick.now) + EXIT_DELAY_MS;
-    if (tick.now >= exitMs) this.exit(state, tick);
+    if (tick.now >= exitMs) this.stopProcess(state, tick);
     else tick.wakeAt(exitMs);
   }
 
@@ -109,7 +109,7 @@
     state.calls.set({ id, owner: this.name, purpose: id, subject: '', sentMs: tick.now });
   }
 
-  private exit(state: EntryState, tick: Tick): void {
+  private stopProcess(state: EntryState, tick: Tick): void {
     state.self.phase = 'stopped';
     state.outbox.append({
       kind: 'log',
