--- a/src/protocol/node/endpointClient.ts
+++ b/src/protocol/node/endpointClient.ts
@@ -1,15 +1,9 @@
 import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { Failure } from '../../base/common/errors.ts';
 import { createFailure } from '../../base/common/errors.ts';
 import type { AttemptMessage, Headers, Response } from '../../model/request.ts';
 
-/** Errors of the client that occur before the request is written to the endpoint. */
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
 const CONNECT_TIMEOUT_MS = 1_000;
 
 export interface EndpointCallbacks {
@@ -17,10 +11,82 @@
   readonly onFailure: (attemptId: string, failure: Failure, sent: boolean) => void;
 }
 
+/**
+ * One attempt at the endpoint. It uses the dispatch interface of the client: the promise and stream
+ * of `request` cost about as much time per attempt as everything else in the agent.
+ */
+class ForwardedAttempt implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private isAborted = false;
+  private isTooLarge = false;
+  /** Whether the endpoint may have seen the request. */
+  private isSent = false;
+  private status = 0;
+  private headers: Headers = [];
+  private readonly chunks: Buffer[] = [];
+  private size = 0;
+
+  constructor(
+    private readonly message: AttemptMessage,
+    private readonly callbacks: EndpointCallbacks,
+    private readonly onEnd: () => void,
+  ) {}
+
+  /** Gives up the attempt; one that has not been written yet is never written. */
+  stop(): void {
+    this.isAborted = true;
+    this.controller?.abort(new Error('the attempt was abandoned'));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isAborted) controller.abort(new Error('the attempt was abandoned'));
+    else this.isSent = true;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    this.status = status;
+    this.headers = toHeaders(headers);
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.size += chunk.byteLength;
+    if (this.size <= this.message.maxResponseBytes) {
+      this.chunks.push(chunk);
+      return;
+    }
+    this.isTooLarge = true;
+    controller.abort(new Error('the answer is too large'));
+  }
+
+  onResponseEnd(): void {
+    this.onEnd();
+    const [first] = this.chunks;
+    const body =
+      first !== undefined && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
+    const { status, headers } = this;
+    this.callbacks.onResponse(this.message.attemptId, { status, headers, body });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+    this.onEnd();
+    const { attemptId, maxResponseBytes } = this.message;
+    const code = (error as { code?: string }).code ?? error.message;
+    const failure = this.isTooLarge
+      ? createFailure('answer_too_large', `the answer has more than ${maxResponseBytes} bytes`)
+      : createFailure('endpoint_failed', `the endpoint did not answer: ${code}`);
+    this.callbacks.onFailure(attemptId, failure, this.isSent);
+  }
+}
+
 /** Sends attempts to the endpoints beside the agent, each once, over a bounded pool of connections. */
 export class EndpointClient {
   private readonly pools = new Map<string, Pool>();
-  private readonly aborts = new Map<string, AbortController>();
+  private readonly forwarded = new Map<string, ForwardedAttempt>();
 
   private constructor(private readonly callbacks: EndpointCallbacks) {}
 
@@ -29,16 +95,32 @@
   }
 
   send(origin: string, connections: number, timeoutMs: number, message: AttemptMessage): void {
-    const abort = new AbortController();
-    this.aborts.set(message.attemptId, abort);
-    void this.run(this.getPool(origin, connections), timeoutMs, message, abort).finally(() => {
-      this.aborts.delete(message.attemptId);
+    const { attemptId } = message;
+    const attempt = new ForwardedAttempt(message, this.callbacks, () => {
+      this.forwarded.delete(attemptId);
     });
+    this.forwarded.set(attemptId, attempt);
+    const boundMs = Math.max(1, Math.ceil(timeoutMs));
+    const options: Dispatcher.DispatchOptions = {
+      origin,
+      method: message.method,
+      path: message.path,
+      headers: message.headers.flat(),
+      body: message.body.byteLength === 0 ? null : message.body,
+      headersTimeout: boundMs,
+      bodyTimeout: boundMs,
+    };
+    try {
+      this.getPool(origin, connections).dispatch(options, attempt);
+    } catch (error) {
+      // Invalid headers or paths are found before anything is written.
+      attempt.onResponseError(undefined, error as Error);
+    }
   }
 
   /** Gives up waiting for the answer of an attempt. */
   close(attemptId: string): void {
-    this.aborts.get(attemptId)?.abort();
+    this.forwarded.get(attemptId)?.stop();
   }
 
   dispose(): void {
@@ -46,46 +128,6 @@
     this.pools.clear();
   }
 
-  private async run(
-    pool: Pool,
-    timeoutMs: number,
-    message: AttemptMessage,
-    abort: AbortController,
-  ): Promise<void> {
-    try {
-      const answer = await pool.request({
-        method: message.method,
-        path: message.path,
-        headers: message.headers.flat(),
-        body: message.body.byteLength === 0 ? null : message.body,
-        headersTimeout: Math.max(1, timeoutMs),
-        bodyTimeout: Math.max(1, timeoutMs),
-        signal: abort.signal,
-      });
-      const body = await readBody(answer.body, message.maxResponseBytes);
-      if (body === undefined) {
-        this.callbacks.onFailure(
-          message.attemptId,
-          createFailure(
-            'answer_too_large',
-            `the answer has more than ${message.maxResponseBytes} bytes`,
-          ),
-          true,
-        );
-        return;
-      }
-      this.callbacks.onResponse(message.attemptId, {
-        status: answer.statusCode,
-        headers: toHeaders(answer.headers),
-        body,
-      });
-    } catch (error) {
-      const code = (error as { code?: string }).code ?? 'unknown';
-      const failure = createFailure('endpoint_failed', `the endpoint did not answer: ${code}`);
-      this.callbacks.onFailure(message.attemptId, failure, !NOT_SENT_CODES.has(code));
-    }
-  }
-
   private getPool(origin: string, connections: number): Pool {
     let pool = this.pools.get(origin);
     if (pool === undefined) {
@@ -100,26 +142,11 @@
   }
 }
 
-async function readBody(
-  body: AsyncIterable<Uint8Array>,
-  maxBytes: number,
-): Promise<Uint8Array | undefined> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of body) {
-    size += chunk.byteLength;
-    if (size > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-}
-
 function toHeaders(headers: Record<string, string | string[] | undefined>): Headers {
-  return Object.entries(headers).flatMap(([name, value]): Headers => {
-    if (value === undefined) return [];
-    return (Array.isArray(value) ? value : [value]).map((single): [string, string] => [
-      name,
-      single,
-    ]);
-  });
+  const list: Headers = [];
+  for (const [name, value] of Object.entries(headers)) {
+    if (typeof value === 'string') list.push([name, value]);
+    else for (const single of value ?? []) list.push([name, single]);
+  }
+  return list;
 }
--- a/src/protocol/node/grpc.ts
+++ b/src/protocol/node/grpc.ts
@@ -62,6 +62,8 @@
   'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
   'grpc.enable_retries': 0,
+  // The library's own call statistics cost time on each call and are read by nobody.
+  'grpc.enable_channelz': 0,
   'grpc.service_config_disable_resolution': 1,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 1_000,
@@ -71,6 +73,8 @@
   return new grpc.Server({
     'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
     'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+    // Channelz stays on: without it, forceShutdown of the library leaves connections open and the
+    // calls on them wait until their deadlines.
   });
 }
 
--- a/src/protocol/node/httpFront.ts
+++ b/src/protocol/node/httpFront.ts
@@ -11,6 +11,7 @@
 /** Largest body that the front reads; a route may set a lower bound. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const MAX_TIMEOUT_MS = 600_000;
+const EMPTY_BODY = Buffer.alloc(0);
 
 /** Headers that belong to one connection and are not passed on. */
 const HOP_HEADERS = new Set([
@@ -45,6 +46,7 @@
 export class HttpFront {
   private readonly open = new Map<string, ServerResponse>();
   private readonly server: Server;
+  private isClosed = false;
 
   private constructor(private readonly options: HttpFrontOptions) {
     this.server = createServer((request, response) => {
@@ -68,20 +70,24 @@
   answer(requestId: string, answer: Response): void {
     const response = this.takeOpen(requestId);
     if (response === undefined) return;
-    for (const [name, value] of answer.headers) {
-      if (!HOP_HEADERS.has(name.toLowerCase())) response.appendHeader(name, value);
-    }
-    response.setHeader('content-length', answer.body.byteLength);
-    response.writeHead(answer.status).end(answer.body);
+    const headers: string[] = [];
+    for (const [name, value] of answer.headers)
+      if (!HOP_HEADERS.has(name.toLowerCase())) headers.push(name, value);
+    headers.push('content-length', `${answer.body.byteLength}`);
+    if (this.isClosed) headers.push('connection', 'close');
+    response.writeHead(answer.status, headers).end(answer.body);
   }
 
   refuse(requestId: string, failure: Failure, retryAfterMs?: number): void {
     const response = this.takeOpen(requestId);
-    if (response !== undefined) sendFailure(response, failure, requestId, retryAfterMs);
+    if (response === undefined) return;
+    if (this.isClosed) response.setHeader('connection', 'close');
+    sendFailure(response, failure, requestId, retryAfterMs);
   }
 
-  /** Stops accepting connections; requests in progress are answered. */
+  /** Stops accepting connections; requests in progress are answered and their connections closed. */
   close(): void {
+    this.isClosed = true;
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -117,7 +123,7 @@
         );
         return;
       }
-      const body = Buffer.concat(chunks);
+      const body = chunks.length === 0 ? EMPTY_BODY : Buffer.concat(chunks);
       if (this.options.onOther?.(request, body, response) === true) return;
       this.accept(request, response, requestId, body);
     });
