--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,14 @@
 import { cac } from 'cac';
 import { runConfigurationBench } from './configuration.ts';
+import { isMainThread } from 'node:worker_threads';
+import { runOverheadBench } from './overhead.ts';
 import type { BenchReport } from './report.ts';
 import { formatReport } from './report.ts';
 
 /** Every bench by name; a new one is one more line. */
 const BENCHES: Readonly<Record<string, (seed: number) => BenchReport | Promise<BenchReport>>> = {
   configuration: runConfigurationBench,
+  overhead: runOverheadBench,
 };
 
 const DEFAULT_SEED = 1;
@@ -42,4 +45,5 @@
     process.exit(await runBenches(name, options));
   });
 cli.help();
-cli.parse();
+// Benches start this bundle again as worker threads, which must not run the command line.
+if (isMainThread) cli.parse();
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -1,6 +1,7 @@
 import { Counters } from '../base/common/counters.ts';
 import type { LoopState } from '../base/common/loop.ts';
 import { Mailbox } from '../base/common/mailbox.ts';
+import type { TableIndex } from '../base/common/table.ts';
 import { Table } from '../base/common/table.ts';
 import type { PendingCallRow } from './call.ts';
 import type { Configuration } from './configuration.ts';
@@ -11,6 +12,14 @@
 import type { EntryArrival, EntryEffect } from './effects.ts';
 import type { EntryInfo, ExchangeReply } from './exchange.ts';
 import type { EndpointRow } from './endpoint.ts';
+import type {
+  KeyCopyRow,
+  KeyCoverRow,
+  KeyHandOverRow,
+  KeyMemory,
+  KeyRow,
+  KeySettlementRow,
+} from './key.ts';
 import type { DutyRow, PendingChangeRow } from './ledger.ts';
 import type { RunRow, ThrottleRow } from './run.ts';
 import type { TaskRow } from './task.ts';
@@ -63,6 +72,13 @@
   confirmedSentMs: number | undefined;
 }
 
+/** Tokens that pay for the retries of a service. */
+export interface RetryBudgetRow {
+  /** Service name. */
+  readonly id: string;
+  readonly tokens: number;
+}
+
 /** Who this process is and in which phase of its life. */
 export interface EntrySelf {
   readonly info: EntryInfo;
@@ -70,10 +86,12 @@
   phase: 'starting' | 'serving' | 'leaving' | 'stopped';
   /** Entry addresses from the settings, asked for the configuration while the store is down. */
   readonly peerAddresses: readonly string[];
-  /** Bound of the graceful shutdown in milliseconds. */
+  /** Bound of a graceful shutdown, in milliseconds. */
   readonly stopBoundMs: number;
-  /** Time at which the graceful shutdown began. */
-  leavingSinceMs: number | undefined;
+  /** Time of the stop request; undefined before it. */
+  stopRequestedMs: number | undefined;
+  /** Whether the callers' listener has been closed. */
+  isFrontClosed: boolean;
 }
 
 /** All state of an entry. */
@@ -92,7 +110,19 @@
   readonly heldExchanges: Table<HeldExchangeRow>;
   readonly endpoints: Table<EndpointRow>;
   readonly requests: Table<RequestRow>;
+  readonly requestsByPhase: TableIndex<RequestRow>;
+  /** No request has an earlier deadline than this; the rows are checked again then. */
+  requestCheckMs: number;
   readonly attempts: Table<AttemptRow>;
+  readonly attemptsByPhase: TableIndex<AttemptRow>;
+  readonly retryBudgets: Table<RetryBudgetRow>;
+  /** Records of the idempotency keys that this entry holds. */
+  readonly keys: Table<KeyRow>;
+  readonly keyMemory: KeyMemory;
+  readonly keyCopies: Table<KeyCopyRow>;
+  readonly keySettlements: Table<KeySettlementRow>;
+  readonly keyHandOvers: Table<KeyHandOverRow>;
+  readonly keyCovers: Table<KeyCoverRow>;
   readonly ownerAnswers: Table<OwnerAnswerRow>;
   readonly duties: Table<DutyRow>;
   /** Tasks as the ledger has them: every row is known to be in the store. */
@@ -114,10 +144,19 @@
   bootId: string,
   options: EntryOptions = DEFAULT_OPTIONS,
 ): EntryState {
+  const requests = Table.create<RequestRow>('requests');
+  const attempts = Table.create<AttemptRow>('attempts');
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
-    self: { info, bootId, phase: 'starting', ...options, leavingSinceMs: undefined },
+    self: {
+      info,
+      bootId,
+      phase: 'starting',
+      ...options,
+      stopRequestedMs: undefined,
+      isFrontClosed: false,
+    },
     counters: Counters.create(),
     decisions: Table.create('decisions'),
     nextDecision: 1,
@@ -130,8 +169,18 @@
     entries: Table.create('entries'),
     heldExchanges: Table.create('heldExchanges'),
     endpoints: Table.create('endpoints'),
-    requests: Table.create('requests'),
-    attempts: Table.create('attempts'),
+    requests,
+    requestsByPhase: requests.addIndex((row) => row.phase),
+    requestCheckMs: Number.POSITIVE_INFINITY,
+    attempts,
+    attemptsByPhase: attempts.addIndex((row) => row.phase),
+    retryBudgets: Table.create('retryBudgets'),
+    keys: Table.create('keys'),
+    keyMemory: { bytes: 0, views: [], isHandedOver: false },
+    keyCopies: Table.create('keyCopies'),
+    keySettlements: Table.create('keySettlements'),
+    keyHandOvers: Table.create('keyHandOvers'),
+    keyCovers: Table.create('keyCovers'),
     ownerAnswers: Table.create('ownerAnswers'),
     duties: Table.create('duties'),
     tasks: Table.create('tasks'),
--- a/src/systems/drain/agentDrainSystem.ts
+++ b/src/systems/drain/agentDrainSystem.ts
@@ -2,78 +2,88 @@
 import { System } from '../../base/common/system.ts';
 import type { AgentState } from '../../model/agentState.ts';
 
-/** Without any entry to tell, the agent does not wait for the acknowledgement longer than this. */
+/** Names what still has to finish before the process may exit. */
+export type AgentBlocker = (state: AgentState, nowMs: number) => string[];
+
+/** Entries learn within 2 s that the endpoints are leaving; until then the agent rejects attempts. */
+const MIN_LEAVE_MS = 2_000;
+/** Time for the last answers to leave the process. */
+const LAST_ANSWER_MS = 100;
+/** Without an entry that answers, the agent does not wait longer for the acknowledgement. */
 const ANNOUNCE_WAIT_MS = 3_000;
-/**
- * Entries that learn of the leaving late still send attempts, and need the rejections. Two seconds
- * is the time in which all reachable entries know.
- */
-const LINGER_MS = 2_000;
-/** Answers that are already in the adapter need time to reach the entry. */
-const EXIT_DELAY_MS = 50;
+/** Period of the check while something blocks the exit. */
+const CHECK_MS = 100;
+
+/** Attempts in progress, answers under way and the notice to the entries. */
+export function listAttemptBlockers(state: AgentState, nowMs: number): string[] {
+  const blockers: string[] = [];
+  if ([...state.attemptsByPhase.keys()].length > 0) blockers.push('attempts');
+  if (nowMs - state.lastAnswerMs < LAST_ANSWER_MS) blockers.push('answers');
+  const stopMs = state.self.stopRequestedMs ?? nowMs;
+  if (state.endpoints.size > 0 && nowMs - stopMs < MIN_LEAVE_MS) blockers.push('notice');
+  return blockers;
+}
+
+/** The notice that the endpoints are leaving, until an entry has answered it. */
+export function listAnnouncementBlockers(state: AgentState, nowMs: number): string[] {
+  const stopMs = state.self.stopRequestedMs ?? nowMs;
+  const isAnnounced = [...state.links.values()].some(
+    (link) =>
+      link.sentVersion === state.announcementVersion &&
+      link.lastReplyMs > stopMs &&
+      link.pendingCallId === undefined,
+  );
+  return isAnnounced || nowMs - stopMs >= ANNOUNCE_WAIT_MS ? [] : ['announcement'];
+}
+
+/** Everything that an agent has to finish. */
+export const AGENT_BLOCKERS: readonly AgentBlocker[] = [
+  listAttemptBlockers,
+  listAnnouncementBlockers,
+];
 
 /**
- * Ends the agent's process after a planned stop.
- * Reads `attempts`, `links`, the phase. Writes the phase. Runs each turn, last.
+ * Leads an agent through its graceful shutdown.
+ * Reads `stopRequested` and what the blockers read. Writes `self`.
+ * Runs each turn, after all other systems.
  */
 export class AgentDrainSystem extends System<AgentState> {
   override readonly name = 'agentDrain';
 
-  private constructor() {
+  private constructor(private readonly blockers: readonly AgentBlocker[]) {
     super();
   }
 
-  static create(): AgentDrainSystem {
-    return new AgentDrainSystem();
+  static create(blockers: readonly AgentBlocker[] = AGENT_BLOCKERS): AgentDrainSystem {
+    return new AgentDrainSystem(blockers);
   }
 
   override run(state: AgentState, tick: Tick): void {
     const { self } = state;
-    if (self.phase !== 'leaving' || self.leavingSinceMs === undefined) return;
-    const boundMs = self.leavingSinceMs + self.stopBoundMs;
-    const open = [...state.attempts.values()].filter((attempt) => attempt.phase !== 'done');
-    if (tick.now >= boundMs) {
-      for (const attempt of open) {
-        state.outbox.append({
-          kind: 'log',
-          level: 'warn',
-          event: 'attempt_cut_off',
-          fields: { attempt: attempt.id },
-        });
-      }
-      this.stopProcess(state, tick, open.length);
+    if (state.inbox.list('stopRequested').length > 0 && self.stopRequestedMs === undefined) {
+      self.phase = 'leaving';
+      self.stopRequestedMs = tick.now;
+    }
+    if (self.phase !== 'leaving' || self.stopRequestedMs === undefined) return;
+    const names = this.blockers.flatMap((list) => list(state, tick.now));
+    if (names.length > 0 && tick.now - self.stopRequestedMs < self.stopBoundMs) {
+      tick.wakeAt(tick.now + CHECK_MS);
       return;
     }
-    tick.wakeAt(boundMs);
-    const restMs = this.computeRestMs(state, tick, self.leavingSinceMs);
-    if (open.length > 0) return;
-    if (restMs <= 0) this.stopProcess(state, tick, 0);
-    else tick.wakeAt(tick.now + restMs);
-  }
-
-  private computeRestMs(state: AgentState, tick: Tick, sinceMs: number): number {
-    const isAnnounced = [...state.links.values()].some(
-      (link) =>
-        link.sentVersion === state.announcementVersion &&
-        link.lastReplyMs > sinceMs &&
-        link.pendingCallId === undefined,
-    );
-    const lastDoneMs = Math.max(
-      0,
-      ...[...state.attempts.values()].map((attempt) => attempt.doneMs + EXIT_DELAY_MS),
-    );
-    const untilMs = sinceMs + (isAnnounced ? LINGER_MS : ANNOUNCE_WAIT_MS);
-    return Math.max(untilMs, lastDoneMs) - tick.now;
+    self.phase = 'stopped';
+    const level = names.length > 0 ? 'warn' : 'info';
+    const afterMs = Math.round(tick.now - self.stopRequestedMs);
+    const fields = { afterMs, unfinished: names.join(',') };
+    this.logCutOffs(state);
+    state.outbox.append({ kind: 'log', level, event: 'agent_stopped', fields });
+    state.outbox.append({ kind: 'exit' });
   }
 
-  private stopProcess(state: AgentState, tick: Tick, cutOff: number): void {
-    state.self.phase = 'stopped';
-    state.outbox.append({
-      kind: 'log',
-      level: 'info',
-      event: 'agent_stopped',
-      fields: { afterMs: Math.round(tick.now - (state.self.leavingSinceMs ?? tick.now)), cutOff },
-    });
-    state.outbox.append({ kind: 'exit' });
+  private logCutOffs(state: AgentState): void {
+    for (const attempt of state.attempts.values()) {
+      if (attempt.phase === 'done') continue;
+      const fields = { attempt: attempt.id };
+      state.outbox.append({ kind: 'log', level: 'warn', event: 'attempt_cut_off', fields });
+    }
   }
 }
--- /dev/null
+++ b/src/systems/drain/entryBlockers.ts
@@ -0,0 +1,34 @@
+import type { EntryState } from '../../model/entryState.ts';
+
+/** Names what still has to finish before the process may exit. */
+export type EntryBlocker = (state: EntryState) => string[];
+
+/** Requests in progress and key records that have not reached their next holders. */
+export function listRequestBlockers(state: EntryState): string[] {
+  const blockers: string[] = [];
+  if (!state.self.isFrontClosed) blockers.push('front');
+  if (state.requests.size > 0) blockers.push('requests');
+  if (state.keySettlements.size > 0) blockers.push('keySettlements');
+  if (!state.keyMemory.isHandedOver || state.keyHandOvers.size > 0) blockers.push('keys');
+  return blockers;
+}
+
+/** Duties that this entry holds or is handing over. */
+export function listDutyBlockers(state: EntryState): string[] {
+  const isHeld = [...state.duties.values()].some(
+    (duty) => duty.phase === 'holding' || duty.phase === 'releasing',
+  );
+  return isHeld ? ['duties'] : [];
+}
+
+/** The entry's key in the entry list. */
+export function listRegistrationBlockers(state: EntryState): string[] {
+  return state.registration.leaseId === undefined ? [] : ['registration'];
+}
+
+/** Everything that an entry has to finish. */
+export const ENTRY_BLOCKERS: readonly EntryBlocker[] = [
+  listRequestBlockers,
+  listDutyBlockers,
+  listRegistrationBlockers,
+];
--- a/src/systems/drain/entryDrainSystem.ts
+++ b/src/systems/drain/entryDrainSystem.ts
@@ -2,121 +2,69 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
+import type { EntryBlocker } from './entryBlockers.ts';
+import { ENTRY_BLOCKERS } from './entryBlockers.ts';
 import { closeWithFailure } from '../requests/refuse.ts';
 
-/** Time for the balancer to see the health page and send new connections elsewhere. */
-const BALANCER_WAIT_MS = 2_000;
-const STORE_TIMEOUT_MS = 1_500;
-const EXIT_DELAY_MS = 50;
-const CLOSE_ID = 'entryDrain.close';
-const REVOKE_ID = 'entryDrain.revoke';
+/** The balancer sees within this time that the entry is leaving and sends nothing new. */
+export const FRONT_CLOSE_MS = 2_000;
+/** Period of the check while something blocks the exit. */
+const CHECK_MS = 50;
 
 /**
- * Runs the graceful shutdown of an entry: leave the balancer, close the listener, answer what is in
- * progress, give back the duties, delete the entry key, exit.
- * Reads `stopRequested`, `requests`, `duties`, `storeReply`. Writes the phase, `calls`, `requests`.
- * Runs each turn, last.
+ * Leads an entry through its graceful shutdown.
+ * Reads `stopRequested` and what the blockers read. Writes `self`, `requests` at the bound.
+ * Runs each turn, after all other systems, so that it sees what they have left.
  */
 export class EntryDrainSystem extends System<EntryState> {
   override readonly name = 'entryDrain';
 
-  private constructor() {
+  private constructor(private readonly blockers: readonly EntryBlocker[]) {
     super();
   }
 
-  static create(): EntryDrainSystem {
-    return new EntryDrainSystem();
+  static create(blockers: readonly EntryBlocker[] = ENTRY_BLOCKERS): EntryDrainSystem {
+    return new EntryDrainSystem(blockers);
   }
 
   override run(state: EntryState, tick: Tick): void {
     const { self } = state;
-    if (state.inbox.list('stopRequested').length > 0) this.startLeaving(state, tick);
-    if (self.phase !== 'leaving' || self.leavingSinceMs === undefined) return;
-    const boundMs = self.leavingSinceMs + self.stopBoundMs;
-    if (tick.now >= boundMs) {
-      this.closeRequests(state);
-      this.stopProcess(state, tick);
-      return;
+    if (state.inbox.list('stopRequested').length > 0 && self.stopRequestedMs === undefined) {
+      self.phase = 'leaving';
+      self.stopRequestedMs = tick.now;
+      const fields = { requests: state.requests.size };
+      state.outbox.append({ kind: 'log', level: 'info', event: 'entry_leaving', fields });
     }
-    tick.wakeAt(boundMs);
-    const closeMs = self.leavingSinceMs + BALANCER_WAIT_MS;
-    if (tick.now < closeMs) {
-      tick.wakeAt(closeMs);
+    if (self.phase !== 'leaving' || self.stopRequestedMs === undefined) return;
+    this.closeFront(state, tick, self.stopRequestedMs);
+    const names = this.blockers.flatMap((list) => list(state));
+    if (names.length > 0 && tick.now - self.stopRequestedMs < self.stopBoundMs) {
+      tick.wakeAt(tick.now + CHECK_MS);
       return;
     }
-    if (!state.calls.has(CLOSE_ID)) {
-      this.addCall(state, tick, CLOSE_ID);
-      state.outbox.append({ kind: 'closeFront' });
-    }
-    const holdsDuty = [...state.duties.values()].some(
-      (duty) => duty.phase === 'holding' || duty.phase === 'releasing',
-    );
-    if (state.requests.size > 0 || holdsDuty) return;
-    this.removeRegistration(state, tick);
+    this.stop(state, tick, names);
   }
 
-  private startLeaving(state: EntryState, tick: Tick): void {
-    if (state.self.phase === 'leaving' || state.self.phase === 'stopped') return;
-    state.self.phase = 'leaving';
-    state.self.leavingSinceMs = tick.now;
-    state.outbox.append({
-      kind: 'log',
-      level: 'info',
-      event: 'entry_leaving',
-      fields: { requests: state.requests.size },
-    });
+  private closeFront(state: EntryState, tick: Tick, stopRequestedMs: number): void {
+    if (state.self.isFrontClosed) return;
+    if (tick.now - stopRequestedMs < FRONT_CLOSE_MS) return;
+    state.self.isFrontClosed = true;
+    state.outbox.append({ kind: 'closeFront' });
   }
 
-  private closeRequests(state: EntryState): void {
+  /** What is still running at the bound is answered by what is known about it. */
+  private stop(state: EntryState, tick: Tick, names: readonly string[]): void {
     for (const request of state.requests.list()) {
-      state.outbox.append({
-        kind: 'log',
-        level: 'warn',
-        event: 'request_cut_off',
-        fields: { request: request.id },
-      });
+      const cutOff = { request: request.id };
+      state.outbox.append({ kind: 'log', level: 'warn', event: 'request_cut_off', fields: cutOff });
       const kind = request.mayHaveRun ? 'outcome_unknown' : 'shutting_down';
-      closeWithFailure(state, request.id, createFailure(kind, 'the entry has stopped'));
-    }
-  }
-
-  /** Revoking the lease deletes the entry's key. */
-  private removeRegistration(state: EntryState, tick: Tick): void {
-    const { leaseId } = state.registration;
-    const revoke = state.calls.get(REVOKE_ID);
-    if (revoke === undefined && leaseId !== undefined) {
-      this.addCall(state, tick, REVOKE_ID);
-      state.outbox.append({
-        kind: 'callStore',
-        callId: REVOKE_ID,
-        call: { op: 'revokeLease', leaseId },
-        timeoutMs: STORE_TIMEOUT_MS,
-      });
-      return;
+      closeWithFailure(state, request.id, createFailure(kind, 'this entry has left'));
     }
-    const isAnswered = state.inbox.list('storeReply').some((reply) => reply.callId === REVOKE_ID);
-    if (isAnswered) state.registration.leaseId = undefined;
-    if (revoke !== undefined && state.registration.leaseId !== undefined) return;
-    // Answers that are already in the adapter need time to reach their callers.
-    const doneId = `${REVOKE_ID}.done`;
-    if (!state.calls.has(doneId)) this.addCall(state, tick, doneId);
-    const exitMs = (state.calls.get(doneId)?.sentMs ?? tick.now) + EXIT_DELAY_MS;
-    if (tick.now >= exitMs) this.stopProcess(state, tick);
-    else tick.wakeAt(exitMs);
-  }
-
-  private addCall(state: EntryState, tick: Tick, id: string): void {
-    state.calls.set({ id, owner: this.name, purpose: id, subject: '', sentMs: tick.now });
-  }
-
-  private stopProcess(state: EntryState, tick: Tick): void {
     state.self.phase = 'stopped';
-    state.outbox.append({
-      kind: 'log',
-      level: 'info',
-      event: 'entry_stopped',
-      fields: { afterMs: Math.round(tick.now - (state.self.leavingSinceMs ?? tick.now)) },
-    });
+    const level = names.length > 0 ? 'warn' : 'info';
+    const afterMs = Math.round(tick.now - (state.self.stopRequestedMs ?? tick.now));
+    const fields = { afterMs, unfinished: names.join(',') };
+    state.outbox.append({ kind: 'log', level, event: 'entry_stopped', fields });
     state.outbox.append({ kind: 'exit' });
   }
 }
--- a/src/systems/entrySystems.ts
+++ b/src/systems/entrySystems.ts
@@ -4,6 +4,11 @@
 import { ConfigurationWriteSystem } from './configuration/configurationWriteSystem.ts';
 import { PeerConfigurationSystem } from './configuration/peerConfigurationSystem.ts';
 import { EntryDrainSystem } from './drain/entryDrainSystem.ts';
+import { KeyClaimSystem } from './keys/keyClaimSystem.ts';
+import { KeyHandOverSystem } from './keys/keyHandOverSystem.ts';
+import { KeyHolderSystem } from './keys/keyHolderSystem.ts';
+import { KeyReplySystem } from './keys/keyReplySystem.ts';
+import { DeregistrationSystem } from './membership/deregistrationSystem.ts';
 import { EndpointSyncSystem } from './membership/endpointSyncSystem.ts';
 import { ExchangeSystem } from './membership/exchangeSystem.ts';
 import { RegistrationSystem } from './membership/registrationSystem.ts';
@@ -11,10 +16,16 @@
 import { AttemptReplySystem } from './requests/attemptReplySystem.ts';
 import { DispatchSystem } from './requests/dispatchSystem.ts';
 import { RequestIntakeSystem } from './requests/requestIntakeSystem.ts';
+import { ResendSystem } from './requests/resendSystem.ts';
+import type { RetryPolicy } from './requests/retryPolicy.ts';
+import { BudgetedRetry } from './requests/retryPolicy.ts';
+import { RetrySystem } from './requests/retrySystem.ts';
 import { RandomRouting } from './routing/routingPolicy.ts';
 
 /** The systems of an entry in the order in which a turn runs them. */
-export function createEntrySystems(): System<EntryState>[] {
+export function createEntrySystems(
+  retryPolicy: RetryPolicy = BudgetedRetry.create(),
+): System<EntryState>[] {
   return [
     ConfigurationReadSystem.create(),
     ConfigurationWriteSystem.create(),
@@ -22,10 +33,17 @@
     RegistrationSystem.create(),
     ExchangeSystem.create(),
     EndpointSyncSystem.create(),
-    AttemptReplySystem.create(),
+    AttemptReplySystem.create(retryPolicy),
+    ResendSystem.create(retryPolicy),
     RequestIntakeSystem.create(),
+    KeyHandOverSystem.create(),
+    KeyClaimSystem.create(),
+    KeyHolderSystem.create(),
+    KeyReplySystem.create(),
+    RetrySystem.create(),
     DispatchSystem.create(RandomRouting.create()),
     OperatorSystem.create(),
+    DeregistrationSystem.create(),
     EntryDrainSystem.create(),
   ];
 }
--- a/src/systems/membership/announceSystem.ts
+++ b/src/systems/membership/announceSystem.ts
@@ -46,7 +46,7 @@
   private startLeaving(state: AgentState, tick: Tick): void {
     if (state.self.phase === 'leaving' || state.self.phase === 'stopped') return;
     state.self.phase = 'leaving';
-    state.self.leavingSinceMs = tick.now;
+    state.self.stopRequestedMs = tick.now;
     state.announcementVersion += 1;
     for (const endpoint of state.endpoints.list())
       state.endpoints.update(endpoint.id, { draining: true, version: endpoint.version + 1 });
--- /dev/null
+++ b/src/systems/membership/deregistrationSystem.ts
@@ -0,0 +1,50 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import { listDutyBlockers, listRequestBlockers } from '../drain/entryBlockers.ts';
+
+const STORE_TIMEOUT_MS = 1_500;
+const REVOKE_ID = 'deregistration.revoke';
+
+/**
+ * Takes a leaving entry off the entry list once it has nothing left to do for others.
+ * Reads `storeReply` and what the blockers read. Writes `registration`, `calls`.
+ * Runs each turn, before the drain.
+ */
+export class DeregistrationSystem extends System<EntryState> {
+  override readonly name = 'deregistration';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): DeregistrationSystem {
+    return new DeregistrationSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    const { leaseId } = state.registration;
+    if (state.self.phase !== 'leaving' || leaseId === undefined) return;
+    // Any answer ends the wait: without the store the lease runs out by itself.
+    if (state.inbox.list('storeReply').some((reply) => reply.callId === REVOKE_ID)) {
+      state.registration.leaseId = undefined;
+      return;
+    }
+    const isBusy = listRequestBlockers(state).length + listDutyBlockers(state).length > 0;
+    if (isBusy || state.calls.has(REVOKE_ID)) return;
+    const call = { op: 'revokeLease', leaseId } as const;
+    state.calls.set({
+      id: REVOKE_ID,
+      owner: this.name,
+      purpose: 'revoke',
+      subject: '',
+      sentMs: tick.now,
+    });
+    state.outbox.append({
+      kind: 'callStore',
+      callId: REVOKE_ID,
+      call,
+      timeoutMs: STORE_TIMEOUT_MS,
+    });
+  }
+}
--- a/src/systems/membership/registrationSystem.ts
+++ b/src/systems/membership/registrationSystem.ts
@@ -49,7 +49,8 @@
     this.runPeriodically(state, tick, 'list', () => {
       this.send(state, tick, 'list', { op: 'list', prefix: this.getPrefix(state) });
     });
-    if (state.self.phase !== 'serving') return;
+    // A leaving entry still holds keys and answers requests, so it keeps its registration until the end.
+    if (state.self.phase !== 'serving' && state.self.phase !== 'leaving') return;
     this.runPeriodically(state, tick, 'renew', () => {
       this.sendLeaseCall(state, tick);
     });
@@ -74,6 +75,7 @@
   private sendLeaseCall(state: EntryState, tick: Tick): void {
     const { leaseId, version } = state.registration;
     if (leaseId === undefined) {
+      if (state.self.phase !== 'serving') return;
       this.send(state, tick, 'grant', { op: 'grantLease', ttlMs: LEASE_TTL_MS });
       return;
     }
