Route by load signals and admit by deadline

Cause: requests went to a random endpoint without regard to load or faults, and nothing bounded or ordered the requests that wait at an entry.

Change: LoadAwareRouting takes the better of two endpoints with room, own zone first. Endpoints that fail five times in a row, answer three times slower than the service, or fall silent are ejected or used last, and come back by single trials. DeadlineAdmission refuses a request when its expected wait passes its deadline, serves urgent queues first with one ordinary request in five, and shares by route weight. Queues are table indexes.

Conclusion: the load-aware policy is the default of the entry.

--- a/src/base/common/table.ts
+++ b/src/base/common/table.ts
@@ -31,6 +31,12 @@
     return found;
   }
 
+  /** The row that has had the given key for the longest time; takes constant time. */
+  getFirst(key: string): Row | undefined {
+    for (const id of this.idsByKey.get(key) ?? []) return this.rows.get(id);
+    return undefined;
+  }
+
   count(key: string): number {
     return this.idsByKey.get(key)?.size ?? 0;
   }
@@ -48,6 +54,13 @@
     else ids.add(row.id);
   }
 
+  /** Called by the owning table only. A row whose key stays the same keeps its position. */
+  update(previous: Row, next: Row): void {
+    if (this.keyOf(previous) === this.keyOf(next)) return;
+    this.remove(previous);
+    this.add(next);
+  }
+
   /** Called by the owning table only. */
   remove(row: Row): void {
     const key = this.keyOf(row);
@@ -96,9 +109,11 @@
   /** Inserts the row, or replaces the row with the same id. */
   set(row: Row): void {
     const previous = this.rows.get(row.id);
-    if (previous !== undefined) for (const index of this.indexes) index.remove(previous);
     this.rows.set(row.id, row);
-    for (const index of this.indexes) index.add(row);
+    for (const index of this.indexes) {
+      if (previous === undefined) index.add(row);
+      else index.update(previous, row);
+    }
   }
 
   /** Replaces some fields of a row and returns the new row, or undefined when there is no such row. */
--- a/src/model/endpoint.ts
+++ b/src/model/endpoint.ts
@@ -57,3 +57,19 @@
   ejectedUntilMs: z.number(),
 });
 export type EndpointRow = z.infer<typeof endpointRowSchema>;
+
+/** What the routing of an entry has learnt about an endpoint; kept apart from what agents report. */
+export const endpointHealthRowSchema = z.object({
+  id: z.string(),
+  /** Attempts of other entries there, as of the last answer. */
+  othersLoad: z.number(),
+  /** Entry's time of the last answer that carried a load signal or a rejection. */
+  loadMs: z.number(),
+  /** Entry's time since which attempts are in progress without any answer; 0 when none are. */
+  silentSinceMs: z.number(),
+  /** Answers since the endpoint was last admitted. */
+  samples: z.int(),
+  /** Ejections without a stable period in between. */
+  ejections: z.int(),
+});
+export type EndpointHealthRow = z.infer<typeof endpointHealthRowSchema>;
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -1,14 +1,17 @@
 import { Counters } from '../base/common/counters.ts';
 import type { LoopState } from '../base/common/loop.ts';
 import { Mailbox } from '../base/common/mailbox.ts';
+import type { TableIndex } from '../base/common/table.ts';
 import { Table } from '../base/common/table.ts';
+import type { QueueRow, ServiceLoadRow } from './admission.ts';
+import { formatQueueId } from './admission.ts';
 import type { PendingCallRow } from './call.ts';
 import type { Configuration } from './configuration.ts';
 import { EMPTY_CONFIGURATION } from './configuration.ts';
 import type { DecisionRow } from './decision.ts';
 import type { EntryArrival, EntryEffect } from './effects.ts';
 import type { EntryInfo, ExchangeReply } from './exchange.ts';
-import type { EndpointRow } from './endpoint.ts';
+import type { EndpointHealthRow, EndpointRow } from './endpoint.ts';
 import type { DutyRow, PendingChangeRow } from './ledger.ts';
 import type { RunRow, ThrottleRow } from './run.ts';
 import type { TaskRow } from './task.ts';
@@ -78,6 +81,14 @@
   readonly heldExchanges: Table<HeldExchangeRow>;
   readonly endpoints: Table<EndpointRow>;
   readonly requests: Table<RequestRow>;
+  /** Queued requests that admission has not decided on, under the key `new`. */
+  readonly newRequests: TableIndex<RequestRow>;
+  /** Admitted queued requests by queue id, oldest first. */
+  readonly queuedRequests: TableIndex<RequestRow>;
+  readonly queues: Table<QueueRow>;
+  readonly serviceLoads: Table<ServiceLoadRow>;
+  readonly endpointHealth: Table<EndpointHealthRow>;
+  readonly endpointsByService: TableIndex<EndpointRow>;
   readonly attempts: Table<AttemptRow>;
   readonly ownerAnswers: Table<OwnerAnswerRow>;
   readonly duties: Table<DutyRow>;
@@ -91,6 +102,8 @@
 }
 
 export function createEntryState(info: EntryInfo, bootId: string): EntryState {
+  const requests = Table.create<RequestRow>('requests');
+  const endpoints = Table.create<EndpointRow>('endpoints');
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
@@ -102,8 +115,20 @@
     configuration: { current: EMPTY_CONFIGURATION, version: 0, confirmedSentMs: undefined },
     entries: Table.create('entries'),
     heldExchanges: Table.create('heldExchanges'),
-    endpoints: Table.create('endpoints'),
-    requests: Table.create('requests'),
+    endpoints,
+    requests,
+    newRequests: requests.addIndex((row) =>
+      row.phase === 'queued' && row.admittedMs === undefined ? 'new' : undefined,
+    ),
+    queuedRequests: requests.addIndex((row) =>
+      row.phase === 'queued' && row.admittedMs !== undefined
+        ? formatQueueId(row.route, row.priority)
+        : undefined,
+    ),
+    queues: Table.create('queues'),
+    serviceLoads: Table.create('serviceLoads'),
+    endpointHealth: Table.create('endpointHealth'),
+    endpointsByService: endpoints.addIndex((row) => row.service),
     attempts: Table.create('attempts'),
     ownerAnswers: Table.create('ownerAnswers'),
     duties: Table.create('duties'),
--- a/src/model/request.ts
+++ b/src/model/request.ts
@@ -55,6 +55,8 @@
   request: callerRequestSchema,
   receivedMs: z.number(),
   deadlineMs: z.number(),
+  /** Time at which the admission queue accepted the request; absent before the decision. */
+  admittedMs: z.optional(z.number()),
   /** Earliest time of the next attempt while `backing-off`. */
   notBeforeMs: z.number(),
   attempts: z.int(),
--- /dev/null
+++ b/src/systems/admission/deadlineAdmission.ts
@@ -0,0 +1,72 @@
+import type { Failure } from '../../base/common/errors.ts';
+import { createFailure } from '../../base/common/errors.ts';
+import type { ServiceLoadRow } from '../../model/admission.ts';
+import type { RequestRow } from '../../model/request.ts';
+import type { ArrivalQuery, QueueView } from './admissionPolicy.ts';
+import { AdmissionPolicy, findQueueFull } from './admissionPolicy.ts';
+
+/** Urgent dispatches in a row before a waiting ordinary request gets one. */
+const MAX_URGENT_IN_ROW = 4;
+/** Time kept for the attempt itself: an average attempt and its usual spread. */
+const SERVICE_TIME_RESERVE = 2;
+
+export interface DeadlineAdmissionOptions {
+  /** Whether the limit learnt from rejections bounds the attempts in progress. */
+  readonly isLimitAdaptive: boolean;
+}
+
+/**
+ * Refuses a request as soon as its expected wait passes its deadline, serves urgent queues first
+ * without starving ordinary ones, and shares between routes of one class by weight.
+ */
+export class DeadlineAdmission extends AdmissionPolicy {
+  private constructor(private readonly options: DeadlineAdmissionOptions) {
+    super();
+  }
+
+  static create(options: DeadlineAdmissionOptions = { isLimitAdaptive: false }): DeadlineAdmission {
+    return new DeadlineAdmission(options);
+  }
+
+  override findRefusal(query: ArrivalQuery): Failure | undefined {
+    const full = findQueueFull(query);
+    // An empty queue always admits: its dispatches are what corrects an outdated estimate.
+    if (full !== undefined || query.length === 0) return full;
+    const waitMs = query.length * query.queue.intervalMs;
+    if (!this.isTooLate(query.request, query.load, query.now + waitMs)) return undefined;
+    return createFailure(
+      'deadline_exceeded_before_run',
+      `expected wait of ${Math.round(waitMs)} ms on route ${query.queue.route} passes the deadline`,
+    );
+  }
+
+  override chooseQueue(views: readonly QueueView[], load: ServiceLoadRow): QueueView | undefined {
+    const urgent = views.filter((view) => view.queue.priority === 'urgent');
+    const ordinary = views.filter((view) => view.queue.priority === 'ordinary');
+    const isOrdinaryDue = load.urgentInRow >= MAX_URGENT_IN_ROW && ordinary.length > 0;
+    return findLeastServed(urgent.length === 0 || isOrdinaryDue ? ordinary : urgent);
+  }
+
+  override isTooLate(request: RequestRow, load: ServiceLoadRow, now: number): boolean {
+    if (request.deadlineMs <= now) return true;
+    // The reserve is at most half of the request's own time, so that slow answers of the service
+    // never make every request too late.
+    const reserveMs = Math.min(
+      SERVICE_TIME_RESERVE * load.roundTripMs,
+      (request.deadlineMs - request.receivedMs) / 2,
+    );
+    return now + reserveMs >= request.deadlineMs;
+  }
+
+  override getLimit(load: ServiceLoadRow): number {
+    return this.options.isLimitAdaptive && load.limit > 0 ? load.limit : Number.POSITIVE_INFINITY;
+  }
+}
+
+function findLeastServed(views: readonly QueueView[]): QueueView | undefined {
+  let least = views[0];
+  for (const view of views) {
+    if (least === undefined || view.queue.virtualTime < least.queue.virtualTime) least = view;
+  }
+  return least;
+}
--- a/src/systems/entrySystems.ts
+++ b/src/systems/entrySystems.ts
@@ -5,15 +5,21 @@
 import { AttemptReplySystem } from './requests/attemptReplySystem.ts';
 import { DispatchSystem } from './requests/dispatchSystem.ts';
 import { RequestIntakeSystem } from './requests/requestIntakeSystem.ts';
-import { RandomRouting } from './routing/routingPolicy.ts';
+import { DeadlineAdmission } from './admission/deadlineAdmission.ts';
+import type { RoutingPolicy } from './routing/routingPolicy.ts';
+import type { AdmissionPolicy } from './admission/admissionPolicy.ts';
+import { LoadAwareRouting } from './routing/loadAwareRouting.ts';
 
 /** The systems of an entry in the order in which a turn runs them. */
-export function createEntrySystems(): System<EntryState>[] {
+export function createEntrySystems(
+  routing: RoutingPolicy = LoadAwareRouting.create(),
+  admission: AdmissionPolicy = DeadlineAdmission.create(),
+): System<EntryState>[] {
   return [
     ConfigurationReadSystem.create(),
     ExchangeSystem.create(),
     AttemptReplySystem.create(),
     RequestIntakeSystem.create(),
-    DispatchSystem.create(RandomRouting.create()),
+    DispatchSystem.create(routing, admission),
   ];
 }
--- a/src/systems/requests/attemptReplySystem.ts
+++ b/src/systems/requests/attemptReplySystem.ts
@@ -3,6 +3,7 @@
 import { System } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
 import type { AttemptReply, AttemptRow } from '../../model/request.ts';
+import { recordFailure, recordReply } from '../routing/endpointHealth.ts';
 import { closeWithFailure } from './refuse.ts';
 
 /**
@@ -25,12 +26,13 @@
     for (const arrival of state.inbox.list('attemptReply'))
       this.handleReply(state, tick, arrival.attemptId, arrival.reply);
     for (const arrival of state.inbox.list('attemptLinkFailed'))
-      this.handleLinkFailure(state, arrival.attemptId, arrival.message);
+      this.handleLinkFailure(state, tick, arrival.attemptId, arrival.message);
   }
 
   private handleReply(state: EntryState, tick: Tick, attemptId: string, reply: AttemptReply): void {
     const attempt = this.takeAttempt(state, attemptId);
     if (attempt === undefined) return;
+    recordReply(state, tick.now, attempt, reply);
     const endpoint = state.endpoints.get(attempt.endpointId);
     if (endpoint !== undefined && reply.load !== undefined) {
       state.endpoints.update(endpoint.id, { load: reply.load, confirmedMs: tick.now });
@@ -49,9 +51,15 @@
     closeWithFailure(state, attempt.requestId, reply.outcome.failure);
   }
 
-  private handleLinkFailure(state: EntryState, attemptId: string, message: string): void {
+  private handleLinkFailure(
+    state: EntryState,
+    tick: Tick,
+    attemptId: string,
+    message: string,
+  ): void {
     const attempt = this.takeAttempt(state, attemptId);
     if (attempt === undefined) return;
+    recordFailure(state, tick.now, attempt.endpointId);
     closeWithFailure(state, attempt.requestId, createFailure('outcome_unknown', message));
   }
 
--- a/src/systems/requests/dispatchSystem.ts
+++ b/src/systems/requests/dispatchSystem.ts
@@ -1,62 +1,145 @@
+import type { Failure } from '../../base/common/errors.ts';
 import { createFailure } from '../../base/common/errors.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { EndpointRow } from '../../model/endpoint.ts';
 import type { EntryState } from '../../model/entryState.ts';
 import type { RequestRow } from '../../model/request.ts';
+import type { AdmissionPolicy, QueueView } from '../admission/admissionPolicy.ts';
+import {
+  collectWaiting,
+  findView,
+  loadQueue,
+  queueRequest,
+  recordDispatch,
+} from '../admission/queues.ts';
+import { getServiceLoad } from '../admission/serviceLoad.ts';
+import { recordSent } from '../routing/endpointHealth.ts';
+import type { EndpointView } from '../routing/endpointView.ts';
+import { collectViews } from '../routing/endpointView.ts';
 import type { RoutingPolicy } from '../routing/routingPolicy.ts';
 import { closeWithFailure } from './refuse.ts';
 
+/** While nothing of this entry is in progress, estimates of other entries' load are checked again after this time. */
+const LOAD_CHECK_MS = 50;
+
 /**
- * Sends queued requests to endpoints.
- * Reads `requests`, `endpoints`, the configuration. Writes `requests`, `attempts`, `endpoints`.
- * Runs each turn, after intake and replies.
+ * Admits queued requests to their queues and sends them to endpoints.
+ * Reads `requests`, `endpoints`, `endpointHealth`, the configuration. Writes `requests`, `queues`,
+ * `serviceLoads`, `attempts`, `endpoints`, `endpointHealth`.
+ * Runs each turn, after intake and replies. Its cost depends on the queues, the endpoints and what
+ * it sends, not on the number of waiting requests.
  */
 export class DispatchSystem extends System<EntryState> {
   override readonly name = 'dispatch';
 
-  private constructor(private readonly routing: RoutingPolicy) {
+  private constructor(
+    private readonly routing: RoutingPolicy,
+    private readonly admission: AdmissionPolicy,
+  ) {
     super();
   }
 
-  static create(routing: RoutingPolicy): DispatchSystem {
-    return new DispatchSystem(routing);
+  static create(routing: RoutingPolicy, admission: AdmissionPolicy): DispatchSystem {
+    return new DispatchSystem(routing, admission);
   }
 
   override run(state: EntryState, tick: Tick): void {
-    for (const request of state.requests.list()) {
-      if (request.phase === 'queued') this.dispatch(state, tick, request);
+    // Served before and after admission, so that the queue lengths are those after free slots are used.
+    this.serveAll(state, tick);
+    if (state.newRequests.count('new') === 0) return;
+    for (const request of state.newRequests.list('new')) this.admit(state, tick, request);
+    this.serveAll(state, tick);
+  }
+
+  private admit(state: EntryState, tick: Tick, request: RequestRow): void {
+    const queue = loadQueue(state, request);
+    const length = state.queuedRequests.count(queue.id);
+    const load = getServiceLoad(state, request.service);
+    const refusal = request.mayHaveRun
+      ? undefined
+      : this.admission.findRefusal({ queue, length, request, load, now: tick.now });
+    if (refusal === undefined) queueRequest(state, queue, request, tick.now);
+    else closeWithFailure(state, request.id, refusal);
+  }
+
+  private serveAll(state: EntryState, tick: Tick): void {
+    for (const [service, queues] of collectWaiting(state)) this.serve(state, tick, service, queues);
+  }
+
+  private serve(state: EntryState, tick: Tick, service: string, queues: QueueView[]): void {
+    const endpoints = collectViews(state, service, tick.now);
+    let inFlight = endpoints.reduce((total, view) => total + view.row.inFlight, 0);
+    let waiting = queues;
+    while (waiting.length > 0) {
+      const load = getServiceLoad(state, service);
+      const next = this.admission.chooseQueue(waiting, load);
+      if (next === undefined) return;
+      if (endpoints.length === 0) this.refuse(state, next.head, createNoEndpoint(service));
+      else if (this.admission.isTooLate(next.head, load, tick.now))
+        this.refuse(state, next.head, createTooLate(next));
+      else {
+        const endpoint =
+          inFlight < this.admission.getLimit(load)
+            ? this.chooseEndpoint(state, tick, next.head, endpoints)
+            : undefined;
+        if (endpoint === undefined) {
+          this.scheduleWake(tick, next, endpoints, inFlight);
+          return;
+        }
+        this.send(state, tick, next.head, endpoint);
+        inFlight += 1;
+        const isOrdinaryWaiting = waiting.some((view) => view.queue.priority === 'ordinary');
+        recordDispatch(state, next, isOrdinaryWaiting, tick.now);
+      }
+      waiting = this.updateViews(state, waiting, next);
     }
   }
 
-  private dispatch(state: EntryState, tick: Tick, request: RequestRow): void {
-    const candidates = this.listCandidates(state, request);
-    const endpoint =
-      candidates.length === 0
-        ? undefined
-        : this.routing.choose({ candidates, zone: state.self.info.zone, random: tick.random });
-    if (endpoint === undefined) {
-      closeWithFailure(
-        state,
-        request.id,
-        createFailure('no_endpoint', `no endpoint of service ${request.service} is available`),
-      );
-      return;
+  private updateViews(
+    state: EntryState,
+    waiting: readonly QueueView[],
+    served: QueueView,
+  ): QueueView[] {
+    return waiting.flatMap((view) => {
+      if (view !== served) return [view];
+      const queue = state.queues.get(view.queue.id);
+      const next = queue === undefined ? undefined : findView(state, queue);
+      return next === undefined ? [] : [next];
+    });
+  }
+
+  private chooseEndpoint(
+    state: EntryState,
+    tick: Tick,
+    request: RequestRow,
+    candidates: readonly EndpointView[],
+  ): EndpointView | undefined {
+    const { zone } = state.self.info;
+    return this.routing.choose({ candidates, request, zone, now: tick.now, random: tick.random });
+  }
+
+  /** Answers wake the loop by themselves; only the passing of time needs a deadline. */
+  private scheduleWake(
+    tick: Tick,
+    next: QueueView,
+    endpoints: readonly EndpointView[],
+    inFlight: number,
+  ): void {
+    tick.wakeAt(next.head.deadlineMs);
+    if (inFlight === 0) tick.wakeAt(tick.now + LOAD_CHECK_MS);
+    for (const { row } of endpoints) {
+      if (row.ejectedUntilMs > tick.now) tick.wakeAt(row.ejectedUntilMs);
     }
-    this.send(state, tick, request, endpoint);
   }
 
-  private listCandidates(state: EntryState, request: RequestRow): EndpointRow[] {
-    const zonesOut = state.configuration.current.zonesOut;
-    return [...state.endpoints.values()].filter(
-      (endpoint) =>
-        endpoint.service === request.service &&
-        !endpoint.draining &&
-        !zonesOut.includes(endpoint.zone),
-    );
+  private refuse(state: EntryState, request: RequestRow, failure: Failure): void {
+    const isProven = !request.mayHaveRun;
+    const unproven = request.lastFailure ?? createFailure('outcome_unknown', failure.message);
+    closeWithFailure(state, request.id, isProven ? failure : unproven);
   }
 
-  private send(state: EntryState, tick: Tick, request: RequestRow, endpoint: EndpointRow): void {
+  private send(state: EntryState, tick: Tick, request: RequestRow, view: EndpointView): void {
+    const endpoint = view.row;
     const attemptId = `${request.id}.${request.attempts + 1}`;
     const route = state.configuration.current.routes.find(
       (candidate) => candidate.name === request.route,
@@ -75,7 +158,9 @@
       attempts: request.attempts + 1,
       mayHaveRun: true,
     });
-    state.endpoints.update(endpoint.id, { inFlight: endpoint.inFlight + 1 });
+    recordSent(state, tick.now, endpoint.id);
+    view.row = state.endpoints.get(endpoint.id) ?? endpoint;
+    view.outstanding += 1;
     state.outbox.append({
       kind: 'sendAttempt',
       address: endpoint.agentAddress,
@@ -94,3 +179,14 @@
     });
   }
 }
+
+function createNoEndpoint(service: string): Failure {
+  return createFailure('no_endpoint', `no endpoint of service ${service} is available`);
+}
+
+function createTooLate({ head, queue }: QueueView): Failure {
+  return createFailure(
+    'deadline_exceeded_before_run',
+    `request ${head.id} waited too long on route ${queue.route}`,
+  );
+}
--- /dev/null
+++ b/src/systems/routing/endpointHealth.ts
@@ -0,0 +1,149 @@
+import type { EntryState } from '../../model/entryState.ts';
+import type { EndpointHealthRow, EndpointRow, LoadSignal } from '../../model/endpoint.ts';
+import type { AttemptReply, AttemptRow } from '../../model/request.ts';
+import { recordServiceRejection, recordServiceSuccess } from '../admission/serviceLoad.ts';
+
+const FAILURES_TO_EJECT = 5;
+const FIRST_EJECTION_MS = 2_000;
+/** Bounds the time for which a recovered endpoint stays unused. */
+const MAX_EJECTION_MS = 15_000;
+/** Ejecting more than half would overload the rest, and points to a fault of the whole service. */
+const MAX_EJECTED_SHARE = 0.5;
+const SLOW_FACTOR = 3;
+const SLOW_MIN_SAMPLES = 8;
+const ROUND_TRIP_SMOOTHING = 0.2;
+const LOAD_SMOOTHING = 0.3;
+/** Answers in a row after which an earlier ejection no longer lengthens the next one. */
+const STABLE_SAMPLES = 100;
+
+export function getHealth(state: EntryState, endpointId: string): EndpointHealthRow {
+  return (
+    state.endpointHealth.get(endpointId) ?? {
+      id: endpointId,
+      othersLoad: 0,
+      loadMs: Number.NEGATIVE_INFINITY,
+      silentSinceMs: 0,
+      samples: 0,
+      ejections: 0,
+    }
+  );
+}
+
+/** Notes that an attempt has been sent, so that missing answers are noticed before the deadline. */
+export function recordSent(state: EntryState, nowMs: number, endpointId: string): void {
+  const endpoint = state.endpoints.update(endpointId, {
+    inFlight: (state.endpoints.get(endpointId)?.inFlight ?? 0) + 1,
+  });
+  if (endpoint === undefined) return;
+  const health = getHealth(state, endpointId);
+  if (health.silentSinceMs === 0 || endpoint.inFlight === 1)
+    state.endpointHealth.set({ ...health, silentSinceMs: nowMs });
+}
+
+/** Applies the outcome of an attempt to the endpoint; `inFlight` no longer counts the attempt. */
+export function recordReply(
+  state: EntryState,
+  nowMs: number,
+  attempt: AttemptRow,
+  reply: AttemptReply,
+): void {
+  const endpoint = state.endpoints.get(attempt.endpointId);
+  if (endpoint === undefined) return;
+  recordLoad(state, nowMs, endpoint, reply.load);
+  const { outcome } = reply;
+  if (outcome.kind === 'rejected' && outcome.failure.kind === 'endpoint_busy')
+    recordRejection(state, nowMs, endpoint);
+  else if (outcome.kind === 'rejected' && outcome.failure.kind === 'endpoint_draining')
+    state.endpoints.update(endpoint.id, { draining: true });
+  else if (outcome.kind === 'response' && outcome.response.status < 500)
+    recordSuccess(state, nowMs, endpoint, nowMs - attempt.sentMs);
+  else recordFailure(state, nowMs, endpoint.id);
+}
+
+function recordLoad(
+  state: EntryState,
+  nowMs: number,
+  endpoint: EndpointRow,
+  load: LoadSignal | undefined,
+): void {
+  const health = getHealth(state, endpoint.id);
+  const silentSinceMs = endpoint.inFlight > 0 ? nowMs : 0;
+  if (load === undefined) {
+    state.endpointHealth.set({ ...health, silentSinceMs });
+    return;
+  }
+  const seen = Math.max(0, load.running + load.waiting - endpoint.inFlight);
+  const othersLoad = health.othersLoad + LOAD_SMOOTHING * (seen - health.othersLoad);
+  state.endpointHealth.set({ ...health, silentSinceMs, othersLoad, loadMs: nowMs });
+}
+
+/** The agent had no room: slots and the agent's queue of the same size are full. */
+export function recordRejection(state: EntryState, nowMs: number, endpoint: EndpointRow): void {
+  const othersLoad = Math.max(0, 2 * endpoint.slots - endpoint.inFlight);
+  state.endpointHealth.set({ ...getHealth(state, endpoint.id), othersLoad, loadMs: nowMs });
+  recordServiceRejection(state, endpoint.service, nowMs);
+}
+
+export function recordSuccess(
+  state: EntryState,
+  nowMs: number,
+  endpoint: EndpointRow,
+  durationMs: number,
+): void {
+  const service = recordServiceSuccess(state, endpoint.service, durationMs);
+  // Answers to attempts that were sent before the ejection say nothing new.
+  if (endpoint.ejectedUntilMs > nowMs) return;
+  const isTrial = endpoint.ejectedUntilMs > 0;
+  if (isTrial && durationMs > SLOW_FACTOR * service.roundTripMs) {
+    startEjection(state, nowMs, endpoint, 'a trial was slow');
+    return;
+  }
+  const health = getHealth(state, endpoint.id);
+  const samples = isTrial ? 1 : health.samples + 1;
+  const ejections = samples >= STABLE_SAMPLES ? 0 : health.ejections;
+  state.endpointHealth.set({ ...health, samples, ejections });
+  const roundTripMs =
+    isTrial || endpoint.roundTripMs === 0
+      ? durationMs
+      : endpoint.roundTripMs + ROUND_TRIP_SMOOTHING * (durationMs - endpoint.roundTripMs);
+  state.endpoints.update(endpoint.id, { roundTripMs, failuresInRow: 0, ejectedUntilMs: 0 });
+  const isSlow = roundTripMs > SLOW_FACTOR * service.roundTripMs;
+  if (isSlow && samples >= SLOW_MIN_SAMPLES)
+    startEjection(state, nowMs, endpoint, 'answers are slow');
+}
+
+export function recordFailure(state: EntryState, nowMs: number, endpointId: string): void {
+  const endpoint = state.endpoints.get(endpointId);
+  if (endpoint === undefined) return;
+  const failuresInRow = endpoint.failuresInRow + 1;
+  state.endpoints.update(endpointId, { failuresInRow });
+  const isTrial = endpoint.ejectedUntilMs > 0 && endpoint.ejectedUntilMs <= nowMs;
+  if (isTrial) startEjection(state, nowMs, endpoint, 'a trial failed');
+  else if (failuresInRow >= FAILURES_TO_EJECT && endpoint.ejectedUntilMs === 0)
+    startEjection(state, nowMs, endpoint, `${failuresInRow} attempts failed in a row`);
+}
+
+function startEjection(
+  state: EntryState,
+  nowMs: number,
+  endpoint: EndpointRow,
+  reason: string,
+): void {
+  const peers = state.endpointsByService.list(endpoint.service);
+  const ejected = peers.filter((peer) => peer.ejectedUntilMs > 0 && peer.id !== endpoint.id).length;
+  if (ejected + 1 > peers.length * MAX_EJECTED_SHARE) {
+    state.endpoints.update(endpoint.id, { ejectedUntilMs: 0 });
+    return;
+  }
+  const health = getHealth(state, endpoint.id);
+  const lengthMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** health.ejections);
+  state.endpointHealth.set({ ...health, samples: 0, ejections: health.ejections + 1 });
+  state.endpoints.update(endpoint.id, { ejectedUntilMs: nowMs + lengthMs });
+  state.counters.add('endpoint_ejections', { service: endpoint.service });
+  state.outbox.append({
+    kind: 'log',
+    level: 'warn',
+    event: 'endpoint_ejected',
+    fields: { endpoint: endpoint.id, reason, forMs: lengthMs },
+  });
+}
--- a/src/systems/routing/routingPolicy.ts
+++ b/src/systems/routing/routingPolicy.ts
@@ -1,18 +1,21 @@
 import type { SeededRandom } from '../../base/common/seededRandom.ts';
-import type { EndpointRow } from '../../model/endpoint.ts';
+import type { RequestRow } from '../../model/request.ts';
+import type { EndpointView } from './endpointView.ts';
 
 /** What a routing policy may look at. */
 export interface RoutingQuery {
   /** Endpoints that may take the attempt; never empty. */
-  readonly candidates: readonly EndpointRow[];
+  readonly candidates: readonly EndpointView[];
+  readonly request: Pick<RequestRow, 'idempotent' | 'triedEndpoints'>;
   /** Zone of the entry. */
   readonly zone: string;
+  readonly now: number;
   readonly random: SeededRandom;
 }
 
-/** Chooses an endpoint for an attempt. */
+/** Chooses an endpoint for an attempt, or none while no endpoint has room. */
 export abstract class RoutingPolicy {
-  abstract choose(query: RoutingQuery): EndpointRow | undefined;
+  abstract choose(query: RoutingQuery): EndpointView | undefined;
 }
 
 /** Baseline: any endpoint, uniformly at random. */
@@ -25,7 +28,7 @@
     return new RandomRouting();
   }
 
-  override choose(query: RoutingQuery): EndpointRow | undefined {
+  override choose(query: RoutingQuery): EndpointView | undefined {
     return query.candidates[query.random.takeInt(0, query.candidates.length - 1)];
   }
 }
--- /dev/null
+++ b/test/systems/admission/deadlineAdmission.test.ts
@@ -0,0 +1,108 @@
+import { describe, expect, it } from 'vitest';
+import type { QueueRow, ServiceLoadRow } from '../../../src/model/admission.ts';
+import { createEntryState } from '../../../src/model/entryState.ts';
+import { DeadlineAdmission } from '../../../src/systems/admission/deadlineAdmission.ts';
+import { FifoAdmission } from '../../../src/systems/admission/admissionPolicy.ts';
+import { loadQueue, recordDispatch } from '../../../src/systems/admission/queues.ts';
+import {
+  getServiceLoad,
+  recordServiceRejection,
+  recordServiceSuccess,
+} from '../../../src/systems/admission/serviceLoad.ts';
+import { buildEndpoint, buildRequest, buildRoute, ZONE } from '../requests/entryFixture.ts';
+
+function createState() {
+  const state = createEntryState({ id: 'e', region: 'r', zone: ZONE, address: 'e' }, 'e');
+  state.configuration.current = { ...state.configuration.current, routes: [buildRoute()] };
+  return state;
+}
+
+function buildQueue(patch: Partial<QueueRow> = {}): QueueRow {
+  return { ...loadQueue(createState(), buildRequest('q')), ...patch };
+}
+
+function buildLoad(patch: Partial<ServiceLoadRow> = {}): ServiceLoadRow {
+  return { ...getServiceLoad(createState(), 'kit'), roundTripMs: 100, ...patch };
+}
+
+describe('deadline admission', () => {
+  const admission = DeadlineAdmission.create();
+  const request = buildRequest('q');
+  const load = buildLoad();
+
+  describe('a request whose wait would pass its deadline', () => {
+    it('is not queued to expire there', () => {
+      const queue = buildQueue({ intervalMs: 10 });
+      const refusal = admission.findRefusal({ queue, length: 180, request, load, now: 0 });
+      expect(refusal?.kind).toBe('deadline_exceeded_before_run');
+    });
+
+    it('is not refused while there is time to run it', () => {
+      const queue = buildQueue({ intervalMs: 10 });
+      expect(admission.findRefusal({ queue, length: 179, request, load, now: 0 })).toBeUndefined();
+    });
+  });
+
+  describe('an estimate from a long outage', () => {
+    it('does not keep refusing after the outage: an empty queue admits', () => {
+      const queue = buildQueue({ intervalMs: 60_000 });
+      expect(admission.findRefusal({ queue, length: 0, request, load, now: 0 })).toBeUndefined();
+      expect(admission.findRefusal({ queue, length: 1, request, load, now: 0 })).toBeDefined();
+    });
+
+    it('does not stay when requests no longer wait', () => {
+      const state = createState();
+      const queue = loadQueue(state, request);
+      state.queues.update(queue.id, { intervalMs: 60_000 });
+      for (let count = 0; count < 40; count += 1) {
+        const served = state.queues.get(queue.id)!;
+        recordDispatch(state, { queue: served, head: request, length: 1 }, false, count);
+      }
+      expect(state.queues.get(queue.id)!.intervalMs).toBeLessThan(10);
+    });
+  });
+
+  describe('a service whose answers take longer than the deadline', () => {
+    it('does not make every request too late', () => {
+      const slow = buildLoad({ roundTripMs: 5_000 });
+      expect(admission.isTooLate(request, slow, 0)).toBe(false);
+      expect(admission.isTooLate(request, slow, 1_000)).toBe(true);
+    });
+  });
+
+  describe('a changed configuration', () => {
+    it('does not leave the old bound and weight in force', () => {
+      const state = createState();
+      loadQueue(state, request);
+      const routes = [buildRoute({ maxQueue: 3, weight: 5 })];
+      state.configuration.current = { ...state.configuration.current, revision: 1, routes };
+      expect(loadQueue(state, request)).toMatchObject({ maxQueue: 3, weight: 5 });
+    });
+  });
+});
+
+describe('adaptive concurrency limit', () => {
+  describe('rejections of agents', () => {
+    it('do not lower the limit more than once for one burst', () => {
+      const state = createState();
+      state.endpoints.set(buildEndpoint('n0', { inFlight: 20 }));
+      for (let count = 0; count < 10; count += 1) recordServiceRejection(state, 'kit', 5);
+      expect(getServiceLoad(state, 'kit').limit).toBe(18);
+    });
+
+    it('do not keep the limit low after they have ended', () => {
+      const state = createState();
+      recordServiceRejection(state, 'kit', 0);
+      for (let count = 0; count < 200; count += 1) recordServiceSuccess(state, 'kit', 100);
+      expect(getServiceLoad(state, 'kit').limit).toBeGreaterThan(15);
+    });
+  });
+});
+
+describe('FIFO admission', () => {
+  it('does not serve a newer request of another route before the oldest', () => {
+    const old = { queue: buildQueue(), head: buildRequest('old', { receivedMs: 1 }), length: 1 };
+    const late = { queue: buildQueue(), head: buildRequest('new', { receivedMs: 2 }), length: 1 };
+    expect(FifoAdmission.create().chooseQueue([late, old])).toBe(old);
+  });
+});
--- /dev/null
+++ b/test/systems/routing/endpointHealth.test.ts
@@ -0,0 +1,166 @@
+import { describe, expect, it } from 'vitest';
+import type { EntryState } from '../../../src/model/entryState.ts';
+import { createEntryState } from '../../../src/model/entryState.ts';
+import type { AttemptReply } from '../../../src/model/request.ts';
+import { getServiceLoad } from '../../../src/systems/admission/serviceLoad.ts';
+import {
+  getHealth,
+  recordFailure,
+  recordReply,
+} from '../../../src/systems/routing/endpointHealth.ts';
+import { collectViews } from '../../../src/systems/routing/endpointView.ts';
+import { buildEndpoint, ZONE } from '../requests/entryFixture.ts';
+
+function createState(endpoints: number): EntryState {
+  const state = createEntryState({ id: 'e', region: 'r', zone: ZONE, address: 'e' }, 'e');
+  for (let index = 0; index < endpoints; index += 1)
+    state.endpoints.set(buildEndpoint(`n${index}`, { roundTripMs: 100 }));
+  state.serviceLoads.set({ ...getServiceLoad(state, 'kit'), roundTripMs: 100 });
+  return state;
+}
+
+function receive(
+  state: EntryState,
+  nowMs: number,
+  outcome: AttemptReply['outcome'],
+  durationMs = 100,
+  load?: AttemptReply['load'],
+): void {
+  const attempt = {
+    id: 'a',
+    requestId: 'q',
+    endpointId: 'n0',
+    agentBootId: 'n0',
+    phase: 'sent' as const,
+    sentMs: nowMs - durationMs,
+    sends: 1,
+  };
+  recordReply(state, nowMs, attempt, { attemptId: 'a', outcome, load });
+}
+
+function buildResponse(status: number): AttemptReply['outcome'] {
+  return { kind: 'response', response: { status, headers: [], body: new Uint8Array() } };
+}
+
+function buildRejection(kind: 'endpoint_busy' | 'endpoint_draining'): AttemptReply['outcome'] {
+  return { kind: 'rejected', failure: { kind, message: '' } };
+}
+
+function failTimes(state: EntryState, endpointId: string, times: number, nowMs = 0): void {
+  for (let count = 0; count < times; count += 1) recordFailure(state, nowMs, endpointId);
+}
+
+describe('endpoint health', () => {
+  describe('a fast-failing endpoint', () => {
+    it('does not keep its traffic after five failures in a row', () => {
+      const state = createState(4);
+      for (let count = 0; count < 4; count += 1) receive(state, 10, buildResponse(503), 2);
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(0);
+      receive(state, 10, buildResponse(503), 2);
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(2_010);
+    });
+
+    it('is not ejected for failures with an answer in between', () => {
+      const state = createState(4);
+      failTimes(state, 'n0', 4);
+      receive(state, 0, buildResponse(200));
+      failTimes(state, 'n0', 4);
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(0);
+    });
+
+    it('does not come back at once after a failed trial: the time doubles up to a bound', () => {
+      const state = createState(4);
+      failTimes(state, 'n0', 5);
+      const lengths: number[] = [];
+      for (let trial = 0; trial < 4; trial += 1) {
+        const atMs = state.endpoints.get('n0')!.ejectedUntilMs;
+        recordFailure(state, atMs, 'n0');
+        lengths.push(state.endpoints.get('n0')!.ejectedUntilMs - atMs);
+      }
+      expect(lengths).toEqual([4_000, 8_000, 15_000, 15_000]);
+    });
+
+    it('does not stay out after a good trial', () => {
+      const state = createState(4);
+      failTimes(state, 'n0', 5);
+      receive(state, 2_000, buildResponse(200));
+      expect(state.endpoints.get('n0')).toMatchObject({ ejectedUntilMs: 0, failuresInRow: 0 });
+    });
+
+    it('is not re-admitted by an answer to an attempt from before the ejection', () => {
+      const state = createState(4);
+      failTimes(state, 'n0', 5);
+      receive(state, 500, buildResponse(200));
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(2_000);
+    });
+  });
+
+  describe('a slow endpoint', () => {
+    it('does not keep its traffic although it answers every request', () => {
+      const state = createState(4);
+      for (let count = 0; count < 8; count += 1) receive(state, 0, buildResponse(200), 1_000);
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBeGreaterThan(0);
+    });
+
+    it('is not re-admitted by a slow trial', () => {
+      const state = createState(4);
+      state.endpoints.update('n0', { ejectedUntilMs: 2_000 });
+      receive(state, 2_000, buildResponse(200), 1_000);
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBeGreaterThan(2_000);
+    });
+  });
+
+  describe('a fault of the whole service', () => {
+    it('does not eject more than half of the endpoints', () => {
+      const state = createState(5);
+      for (let index = 0; index < 5; index += 1) failTimes(state, `n${index}`, 20);
+      const ejected = state.endpoints.list().filter((endpoint) => endpoint.ejectedUntilMs > 0);
+      expect(ejected).toHaveLength(2);
+    });
+
+    it('does not eject the only endpoint', () => {
+      const state = createState(1);
+      failTimes(state, 'n0', 20);
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(0);
+    });
+  });
+
+  describe('load signals', () => {
+    it('does not forget the load of other entries', () => {
+      const state = createState(2);
+      state.endpoints.update('n0', { inFlight: 2 });
+      for (let count = 0; count < 30; count += 1)
+        receive(state, 0, buildResponse(200), 100, { running: 8, waiting: 2, latencyMs: 100 });
+      expect(collectViews(state, 'kit', 0)[0]!.outstanding).toBeCloseTo(10, 1);
+    });
+
+    it('does not send to an agent that has just had no room, and does not avoid it for good', () => {
+      const state = createState(2);
+      receive(state, 0, buildRejection('endpoint_busy'));
+      expect(collectViews(state, 'kit', 0)[0]!.outstanding).toBe(16);
+      expect(collectViews(state, 'kit', 1_000)[0]!.outstanding).toBe(0);
+    });
+
+    it('does not count a rejection for lack of room as a failure', () => {
+      const state = createState(2);
+      for (let count = 0; count < 9; count += 1) receive(state, 0, buildRejection('endpoint_busy'));
+      expect(state.endpoints.get('n0')).toMatchObject({ failuresInRow: 0, ejectedUntilMs: 0 });
+    });
+
+    it('does not keep using an endpoint whose agent says that it is leaving', () => {
+      const state = createState(2);
+      receive(state, 0, buildRejection('endpoint_draining'));
+      expect(collectViews(state, 'kit', 0).map((view) => view.row.id)).toEqual(['n1']);
+    });
+  });
+
+  describe('a silent endpoint', () => {
+    it('is not trusted for the whole deadline of its first attempts', () => {
+      const state = createState(2);
+      state.endpoints.update('n0', { inFlight: 3 });
+      state.endpointHealth.set({ ...getHealth(state, 'n0'), silentSinceMs: 1 });
+      expect(collectViews(state, 'kit', 300)[0]!.isSuspect).toBe(false);
+      expect(collectViews(state, 'kit', 500)[0]!.isSuspect).toBe(true);
+    });
+  });
+});
