--- a/bench/serviceModel.ts
+++ b/bench/serviceModel.ts
@@ -32,6 +32,7 @@
 
 /** Log-normal service time in milliseconds. */
 export function takeServiceMs(random: SeededRandom, fault: EndpointFault | undefined): number {
+  if (fault === 'silent') return Number.POSITIVE_INFINITY;
   if (fault === 'failing' || fault === 'refusing') return 2;
   const angle = 2 * Math.PI * random.takeUnit();
   const normal = Math.sqrt(-2 * Math.log(1 - random.takeUnit())) * Math.cos(angle);
--- a/src/systems/admission/admissionPolicy.ts
+++ b/src/systems/admission/admissionPolicy.ts
@@ -31,9 +31,6 @@
 
   /** Whether a queued request can no longer be answered in time. */
   abstract isTooLate(request: RequestRow, load: ServiceLoadRow, now: number): boolean;
-
-  /** Attempts that this entry may have in progress at the service. */
-  abstract getLimit(load: ServiceLoadRow): number;
 }
 
 /** The refusal of a request that arrives at a queue at its bound. */
@@ -67,8 +64,4 @@
   override isTooLate(request: RequestRow, _load: ServiceLoadRow, now: number): boolean {
     return request.deadlineMs <= now;
   }
-
-  override getLimit(): number {
-    return Number.POSITIVE_INFINITY;
-  }
 }
--- a/src/systems/admission/deadlineAdmission.ts
+++ b/src/systems/admission/deadlineAdmission.ts
@@ -10,22 +10,17 @@
 /** Time kept for the attempt itself: an average attempt and its usual spread. */
 const SERVICE_TIME_RESERVE = 2;
 
-export interface DeadlineAdmissionOptions {
-  /** Whether the limit learnt from rejections bounds the attempts in progress. */
-  readonly isLimitAdaptive: boolean;
-}
-
 /**
  * Refuses a request as soon as its expected wait passes its deadline, serves urgent queues first
  * without starving ordinary ones, and shares between routes of one class by weight.
  */
 export class DeadlineAdmission extends AdmissionPolicy {
-  private constructor(private readonly options: DeadlineAdmissionOptions) {
+  private constructor() {
     super();
   }
 
-  static create(options: DeadlineAdmissionOptions = { isLimitAdaptive: false }): DeadlineAdmission {
-    return new DeadlineAdmission(options);
+  static create(): DeadlineAdmission {
+    return new DeadlineAdmission();
   }
 
   override findRefusal(query: ArrivalQuery): Failure | undefined {
@@ -57,10 +52,6 @@
     );
     return now + reserveMs >= request.deadlineMs;
   }
-
-  override getLimit(load: ServiceLoadRow): number {
-    return this.options.isLimitAdaptive && load.limit > 0 ? load.limit : Number.POSITIVE_INFINITY;
-  }
 }
 
 function findLeastServed(views: readonly QueueView[]): QueueView | undefined {
--- a/src/systems/admission/queues.ts
+++ b/src/systems/admission/queues.ts
@@ -15,6 +15,7 @@
   const known = state.queues.get(id);
   const { revision, routes } = state.configuration.current;
   if (known?.revision === revision) return known;
+  removeStaleQueues(state);
   const route = routes.find((candidate) => candidate.name === request.route);
   const queue: QueueRow = {
     id,
@@ -95,3 +96,12 @@
     isBacklogged,
   });
 }
+
+/** Removes empty queues of routes that are no longer configured. Runs when a revision is new. */
+export function removeStaleQueues(state: EntryState): void {
+  const names = new Set(state.configuration.current.routes.map((route) => route.name));
+  for (const queue of state.queues.list()) {
+    if (!names.has(queue.route) && state.queuedRequests.count(queue.id) === 0)
+      state.queues.remove(queue.id);
+  }
+}
--- a/src/systems/requests/dispatchSystem.ts
+++ b/src/systems/requests/dispatchSystem.ts
@@ -13,7 +13,7 @@
   recordDispatch,
 } from '../admission/queues.ts';
 import { getServiceLoad } from '../admission/serviceLoad.ts';
-import { recordSent } from '../routing/endpointHealth.ts';
+import { recordSent, removeStaleHealth } from '../routing/endpointHealth.ts';
 import type { EndpointView } from '../routing/endpointView.ts';
 import { collectViews } from '../routing/endpointView.ts';
 import type { RoutingPolicy } from '../routing/routingPolicy.ts';
@@ -44,6 +44,7 @@
   }
 
   override run(state: EntryState, tick: Tick): void {
+    removeStaleHealth(state);
     // Served before and after admission, so that the queue lengths are those after free slots are used.
     this.serveAll(state, tick);
     if (state.newRequests.count('new') === 0) return;
@@ -78,10 +79,7 @@
       else if (this.admission.isTooLate(next.head, load, tick.now))
         this.refuse(state, next.head, createTooLate(next));
       else {
-        const endpoint =
-          inFlight < this.admission.getLimit(load)
-            ? this.chooseEndpoint(state, tick, next.head, endpoints)
-            : undefined;
+        const endpoint = this.chooseEndpoint(state, tick, next.head, endpoints);
         if (endpoint === undefined) {
           this.scheduleWake(tick, next, endpoints, inFlight);
           return;
--- a/src/systems/routing/endpointHealth.ts
+++ b/src/systems/routing/endpointHealth.ts
@@ -1,7 +1,7 @@
 import type { EntryState } from '../../model/entryState.ts';
 import type { EndpointHealthRow, EndpointRow, LoadSignal } from '../../model/endpoint.ts';
 import type { AttemptReply, AttemptRow } from '../../model/request.ts';
-import { recordServiceRejection, recordServiceSuccess } from '../admission/serviceLoad.ts';
+import { recordServiceSuccess } from '../admission/serviceLoad.ts';
 
 const FAILURES_TO_EJECT = 5;
 const FIRST_EJECTION_MS = 2_000;
@@ -13,6 +13,7 @@
 const SLOW_MIN_SAMPLES = 8;
 const ROUND_TRIP_SMOOTHING = 0.2;
 const LOAD_SMOOTHING = 0.3;
+const STALE_HEALTH_ROWS = 16;
 /** Answers in a row after which an earlier ejection no longer lengthens the next one. */
 const STABLE_SAMPLES = 100;
 
@@ -29,6 +30,13 @@
   );
 }
 
+/** Removes what was learnt about endpoints that have gone, once such rows outnumber the others. */
+export function removeStaleHealth(state: EntryState): void {
+  if (state.endpointHealth.size <= 2 * state.endpoints.size + STALE_HEALTH_ROWS) return;
+  for (const { id } of state.endpointHealth.list())
+    if (!state.endpoints.has(id)) state.endpointHealth.remove(id);
+}
+
 /** Notes that an attempt has been sent, so that missing answers are noticed before the deadline. */
 export function recordSent(state: EntryState, nowMs: number, endpointId: string): void {
   const endpoint = state.endpoints.update(endpointId, {
@@ -81,7 +89,6 @@
 export function recordRejection(state: EntryState, nowMs: number, endpoint: EndpointRow): void {
   const othersLoad = Math.max(0, 2 * endpoint.slots - endpoint.inFlight);
   state.endpointHealth.set({ ...getHealth(state, endpoint.id), othersLoad, loadMs: nowMs });
-  recordServiceRejection(state, endpoint.service, nowMs);
 }
 
 export function recordSuccess(
--- a/test/systems/routing/endpointHealth.test.ts
+++ b/test/systems/routing/endpointHealth.test.ts
@@ -7,6 +7,7 @@
   getHealth,
   recordFailure,
   recordReply,
+  removeStaleHealth,
 } from '../../../src/systems/routing/endpointHealth.ts';
 import { collectViews } from '../../../src/systems/routing/endpointView.ts';
 import { buildEndpoint, ZONE } from '../requests/entryFixture.ts';
@@ -154,6 +155,16 @@
     });
   });
 
+  describe('endpoints that come and go', () => {
+    it('does not keep what was learnt about endpoints that have gone', () => {
+      const state = createState(2);
+      for (let index = 0; index < 50; index += 1)
+        state.endpointHealth.set(getHealth(state, `n${index}`));
+      removeStaleHealth(state);
+      expect(state.endpointHealth.list().map((row) => row.id)).toEqual(['n0', 'n1']);
+    });
+  });
+
   describe('a silent endpoint', () => {
     it('is not trusted for the whole deadline of its first attempts', () => {
       const state = createState(2);
