Eject silent endpoints before the deadlines of their attempts pass

Cause: a silent endpoint was ejected only after five attempts had run into their deadlines, and not at all when an entry gives attempts up at the deadline. A request whose first attempt may have run and whose last one was rejected could be refused as "not run" from the queue.

Change: no answer for 8 usual round trips, at least 250 ms, while attempts are in progress ejects the endpoint; a silent trial counts as failed. A queued request that may have run is refused with outcome_unknown whatever its last failure says.

--- a/src/systems/requests/dispatchSystem.ts
+++ b/src/systems/requests/dispatchSystem.ts
@@ -13,7 +13,7 @@
   recordDispatch,
 } from '../admission/queues.ts';
 import { getServiceLoad } from '../admission/serviceLoad.ts';
-import { recordSent, removeStaleHealth } from '../routing/endpointHealth.ts';
+import { recordSent, recordSilences, removeStaleHealth } from '../routing/endpointHealth.ts';
 import type { EndpointView } from '../routing/endpointView.ts';
 import { collectViews } from '../routing/endpointView.ts';
 import type { RoutingPolicy } from '../routing/routingPolicy.ts';
@@ -68,6 +68,7 @@
   }
 
   private serve(state: EntryState, tick: Tick, service: string, queues: QueueView[]): void {
+    recordSilences(state, tick.now, service);
     const endpoints = collectViews(state, service, tick.now);
     let inFlight = endpoints.reduce((total, view) => total + view.row.inFlight, 0);
     let waiting = queues;
@@ -131,9 +132,10 @@
   }
 
   private refuse(state: EntryState, request: RequestRow, failure: Failure): void {
+    // The last failure may say "not run" although an earlier attempt may have run.
     const isProven = !request.mayHaveRun;
-    const unproven = request.lastFailure ?? createFailure('outcome_unknown', failure.message);
-    closeWithFailure(state, request.id, isProven ? failure : unproven);
+    const trueFailure = isProven ? failure : createFailure('outcome_unknown', failure.message);
+    closeWithFailure(state, request.id, trueFailure);
   }
 
   private send(state: EntryState, tick: Tick, request: RequestRow, view: EndpointView): void {
--- a/src/systems/routing/endpointHealth.ts
+++ b/src/systems/routing/endpointHealth.ts
@@ -1,7 +1,7 @@
 import type { EntryState } from '../../model/entryState.ts';
 import type { EndpointHealthRow, EndpointRow, LoadSignal } from '../../model/endpoint.ts';
 import type { AttemptReply, AttemptRow } from '../../model/request.ts';
-import { recordServiceSuccess } from '../admission/serviceLoad.ts';
+import { getServiceLoad, recordServiceSuccess } from '../admission/serviceLoad.ts';
 
 const FAILURES_TO_EJECT = 5;
 const FIRST_EJECTION_MS = 2_000;
@@ -11,6 +11,8 @@
 const MAX_EJECTED_SHARE = 0.5;
 const SLOW_FACTOR = 3;
 const SLOW_MIN_SAMPLES = 8;
+const SILENT_ROUND_TRIPS = 8;
+const SILENT_MIN_MS = 250;
 const ROUND_TRIP_SMOOTHING = 0.2;
 const LOAD_SMOOTHING = 0.3;
 const STALE_HEALTH_ROWS = 16;
@@ -130,6 +132,23 @@
     startEjection(state, nowMs, endpoint, `${failuresInRow} attempts failed in a row`);
 }
 
+/**
+ * Ejects endpoints that have answered nothing for far longer than the service takes, so that the
+ * ejection does not wait for the deadlines of their attempts.
+ */
+export function recordSilences(state: EntryState, nowMs: number, service: string): void {
+  const { roundTripMs } = getServiceLoad(state, service);
+  if (roundTripMs === 0) return;
+  const boundMs = Math.max(SILENT_MIN_MS, SILENT_ROUND_TRIPS * roundTripMs);
+  for (const endpoint of state.endpointsByService.list(service)) {
+    const health = getHealth(state, endpoint.id);
+    const isSilent = health.silentSinceMs > 0 && nowMs - health.silentSinceMs >= boundMs;
+    if (!isSilent || endpoint.inFlight === 0 || endpoint.ejectedUntilMs > nowMs) continue;
+    state.endpointHealth.set({ ...health, silentSinceMs: nowMs });
+    startEjection(state, nowMs, endpoint, 'no answers');
+  }
+}
+
 function startEjection(
   state: EntryState,
   nowMs: number,
--- a/test/systems/requests/dispatchSystem.test.ts
+++ b/test/systems/requests/dispatchSystem.test.ts
@@ -36,6 +36,17 @@
       expect(fixture.listRefusals()).toEqual(['q outcome_unknown']);
     });
 
+    it('are not taken from the last of several attempts', () => {
+      const fixture = createFixture();
+      addFullEndpoint(fixture);
+      const lastFailure = { kind: 'endpoint_busy', message: '' } as const;
+      fixture.state.requests.set(
+        buildRequest('q', { mayHaveRun: true, attempts: 2, deadlineMs: 0, lastFailure }),
+      );
+      fixture.run();
+      expect(fixture.listRefusals()).toEqual(['q outcome_unknown']);
+    });
+
     it('are not missing when no endpoint of the service exists', () => {
       const fixture = createFixture();
       fixture.state.requests.set(buildRequest('q'));
--- a/test/systems/routing/endpointHealth.test.ts
+++ b/test/systems/routing/endpointHealth.test.ts
@@ -7,6 +7,8 @@
   getHealth,
   recordFailure,
   recordReply,
+  recordSent,
+  recordSilences,
   removeStaleHealth,
 } from '../../../src/systems/routing/endpointHealth.ts';
 import { collectViews } from '../../../src/systems/routing/endpointView.ts';
@@ -173,5 +175,28 @@
       expect(collectViews(state, 'kit', 300)[0]!.isSuspect).toBe(false);
       expect(collectViews(state, 'kit', 500)[0]!.isSuspect).toBe(true);
     });
+
+    it('is not kept in use until the deadlines of its attempts, and a silent trial counts', () => {
+      const state = createState(4);
+      recordSent(state, 100, 'n0');
+      recordSilences(state, 899, 'kit');
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(0);
+      recordSilences(state, 900, 'kit');
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(2_900);
+      state.endpoints.update('n0', { inFlight: 0 });
+      recordSent(state, 3_000, 'n0');
+      recordSilences(state, 3_799, 'kit');
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(2_900);
+      recordSilences(state, 3_800, 'kit');
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(7_800);
+    });
+
+    it('is not suspected because its attempts were given up before an answer was due', () => {
+      const state = createState(4);
+      recordSent(state, 100, 'n0');
+      state.endpoints.update('n0', { inFlight: 0 });
+      recordSilences(state, 5_000, 'kit');
+      expect(state.endpoints.get('n0')!.ejectedUntilMs).toBe(0);
+    });
   });
 });
