--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,9 @@
 import { cac } from 'cac';
 import { runConfigurationBench } from './configuration.ts';
 import { isMainThread } from 'node:worker_threads';
+import { runHedgingBench } from './hedging.ts';
+import { runOverloadBench } from './overload.ts';
+import { runRoutingBench } from './routing.ts';
 import { runOverheadBench } from './overhead.ts';
 import type { BenchReport } from './report.ts';
 import { formatReport } from './report.ts';
@@ -9,6 +12,9 @@
 const BENCHES: Readonly<Record<string, (seed: number) => BenchReport | Promise<BenchReport>>> = {
   configuration: runConfigurationBench,
   overhead: runOverheadBench,
+  routing: runRoutingBench,
+  overload: runOverloadBench,
+  hedging: runHedgingBench,
 };
 
 const DEFAULT_SEED = 1;
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -6,8 +6,8 @@
   readonly chosen: number;
   /** `chosen` divided by `baseline`. */
   readonly ratio: number | null;
-  /** Bound of the figure; null when the figure has none. */
-  readonly target: number | null;
+  /** Bound of the figure, as a number or in words; null when the figure has none. */
+  readonly target: number | string | null;
   readonly isMet: boolean;
 }
 
@@ -20,6 +20,18 @@
   readonly notes: readonly string[];
 }
 
+/** A row that compares a baseline with the chosen variant; the caller judges the target. */
+export function createBenchRow(
+  metric: string,
+  baseline: number,
+  chosen: number,
+  target = '',
+  isMet = true,
+): BenchRow {
+  const ratio = baseline === 0 ? null : chosen / baseline;
+  return { metric, baseline, chosen, ratio, target: target === '' ? null : target, isMet };
+}
+
 /** A row whose figure must not exceed the target. */
 export function createUpperBoundRow(
   metric: string,
@@ -37,7 +49,8 @@
   };
 }
 
-function formatNumber(value: number | null): string {
+function formatCell(value: number | string | null): string {
+  if (typeof value === 'string') return value;
   return value === null ? '-' : String(Math.round(value * 1_000) / 1_000);
 }
 
@@ -46,10 +59,10 @@
   const header = ['metric', 'baseline', 'chosen', 'ratio', 'target', 'met'];
   const cells = report.rows.map((row) => [
     row.metric,
-    formatNumber(row.baseline),
-    formatNumber(row.chosen),
-    formatNumber(row.ratio),
-    formatNumber(row.target),
+    formatCell(row.baseline),
+    formatCell(row.chosen),
+    formatCell(row.ratio),
+    formatCell(row.target),
     row.isMet ? 'yes' : 'NO',
   ]);
   const widths = header.map((title, column) =>
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -3,6 +3,8 @@
 import { Mailbox } from '../base/common/mailbox.ts';
 import type { TableIndex } from '../base/common/table.ts';
 import { Table } from '../base/common/table.ts';
+import type { QueueRow, ServiceLoadRow } from './admission.ts';
+import { formatQueueId } from './admission.ts';
 import type { PendingCallRow } from './call.ts';
 import type { Configuration } from './configuration.ts';
 import type { ConfigWriteRow } from './configWrite.ts';
@@ -11,7 +13,7 @@
 import type { DecisionRow } from './decision.ts';
 import type { EntryArrival, EntryEffect } from './effects.ts';
 import type { EntryInfo, ExchangeReply } from './exchange.ts';
-import type { EndpointRow } from './endpoint.ts';
+import type { EndpointHealthRow, EndpointRow } from './endpoint.ts';
 import type {
   KeyCopyRow,
   KeyCoverRow,
@@ -113,6 +115,14 @@
   readonly requestsByPhase: TableIndex<RequestRow>;
   /** No request has an earlier deadline than this; the rows are checked again then. */
   requestCheckMs: number;
+  /** Queued requests that admission has not decided on, under the key `new`. */
+  readonly newRequests: TableIndex<RequestRow>;
+  /** Admitted queued requests by queue id, oldest first. */
+  readonly queuedRequests: TableIndex<RequestRow>;
+  readonly queues: Table<QueueRow>;
+  readonly serviceLoads: Table<ServiceLoadRow>;
+  readonly endpointHealth: Table<EndpointHealthRow>;
+  readonly endpointsByService: TableIndex<EndpointRow>;
   readonly attempts: Table<AttemptRow>;
   readonly attemptsByPhase: TableIndex<AttemptRow>;
   readonly retryBudgets: Table<RetryBudgetRow>;
@@ -146,6 +156,7 @@
 ): EntryState {
   const requests = Table.create<RequestRow>('requests');
   const attempts = Table.create<AttemptRow>('attempts');
+  const endpoints = Table.create<EndpointRow>('endpoints');
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
@@ -168,10 +179,22 @@
     peerSyncs: Table.create('peerSyncs'),
     entries: Table.create('entries'),
     heldExchanges: Table.create('heldExchanges'),
-    endpoints: Table.create('endpoints'),
+    endpoints,
     requests,
     requestsByPhase: requests.addIndex((row) => row.phase),
     requestCheckMs: Number.POSITIVE_INFINITY,
+    newRequests: requests.addIndex((row) =>
+      row.phase === 'queued' && row.admittedMs === undefined ? 'new' : undefined,
+    ),
+    queuedRequests: requests.addIndex((row) =>
+      row.phase === 'queued' && row.admittedMs !== undefined
+        ? formatQueueId(row.route, row.priority)
+        : undefined,
+    ),
+    queues: Table.create('queues'),
+    serviceLoads: Table.create('serviceLoads'),
+    endpointHealth: Table.create('endpointHealth'),
+    endpointsByService: endpoints.addIndex((row) => row.service),
     attempts,
     attemptsByPhase: attempts.addIndex((row) => row.phase),
     retryBudgets: Table.create('retryBudgets'),
--- /dev/null
+++ b/src/systems/admission/serviceLoad.ts
@@ -0,0 +1,33 @@
+import type { ServiceLoadRow } from '../../model/admission.ts';
+import type { EntryState } from '../../model/entryState.ts';
+
+const ROUND_TRIP_SMOOTHING = 0.02;
+
+export function getServiceLoad(state: EntryState, service: string): ServiceLoadRow {
+  const known = state.serviceLoads.get(service);
+  if (known !== undefined) return known;
+  const row: ServiceLoadRow = {
+    id: service,
+    roundTripMs: 0,
+    virtualTime: 0,
+    urgentInRow: 0,
+  };
+  state.serviceLoads.set(row);
+  return row;
+}
+
+/** Learns the usual round trip of the service. */
+export function recordServiceSuccess(
+  state: EntryState,
+  service: string,
+  durationMs: number,
+): ServiceLoadRow {
+  const load = getServiceLoad(state, service);
+  const roundTripMs =
+    load.roundTripMs === 0
+      ? durationMs
+      : load.roundTripMs + ROUND_TRIP_SMOOTHING * (durationMs - load.roundTripMs);
+  const next = { ...load, roundTripMs };
+  state.serviceLoads.set(next);
+  return next;
+}
--- a/src/systems/entrySystems.ts
+++ b/src/systems/entrySystems.ts
@@ -20,12 +20,24 @@
 import type { RetryPolicy } from './requests/retryPolicy.ts';
 import { BudgetedRetry } from './requests/retryPolicy.ts';
 import { RetrySystem } from './requests/retrySystem.ts';
-import { RandomRouting } from './routing/routingPolicy.ts';
+
+import { DeadlineAdmission } from './admission/deadlineAdmission.ts';
+import type { RoutingPolicy } from './routing/routingPolicy.ts';
+import type { AdmissionPolicy } from './admission/admissionPolicy.ts';
+import { LoadAwareRouting } from './routing/loadAwareRouting.ts';
+
+/** The policies of an entry; benches replace one of them by its baseline. */
+export interface EntryPolicies {
+  readonly routing: RoutingPolicy;
+  readonly admission: AdmissionPolicy;
+  readonly retry: RetryPolicy;
+}
 
 /** The systems of an entry in the order in which a turn runs them. */
-export function createEntrySystems(
-  retryPolicy: RetryPolicy = BudgetedRetry.create(),
-): System<EntryState>[] {
+export function createEntrySystems(policies: Partial<EntryPolicies> = {}): System<EntryState>[] {
+  const routing = policies.routing ?? LoadAwareRouting.create();
+  const admission = policies.admission ?? DeadlineAdmission.create();
+  const retryPolicy = policies.retry ?? BudgetedRetry.create();
   return [
     ConfigurationReadSystem.create(),
     ConfigurationWriteSystem.create(),
@@ -41,7 +53,7 @@
     KeyHolderSystem.create(),
     KeyReplySystem.create(),
     RetrySystem.create(),
-    DispatchSystem.create(RandomRouting.create()),
+    DispatchSystem.create(routing, admission),
     OperatorSystem.create(),
     DeregistrationSystem.create(),
     EntryDrainSystem.create(),
--- a/src/systems/requests/attemptReplySystem.ts
+++ b/src/systems/requests/attemptReplySystem.ts
@@ -6,6 +6,7 @@
 import { closeWithResponse, removeAttempt } from './refuse.ts';
 import { scheduleRetry, scheduleRetryOrClose } from './retry.ts';
 import type { RetryPolicy } from './retryPolicy.ts';
+import { recordReply } from '../routing/endpointHealth.ts';
 
 /**
  * Matches answers of agents to attempts; answers the callers or schedules retries.
@@ -34,6 +35,7 @@
       return;
     }
     const attempt = removeAttempt(state, attemptId);
+    if (attempt !== undefined) recordReply(state, tick.now, attempt, reply);
     const request = attempt === undefined ? undefined : state.requests.get(attempt.requestId);
     if (attempt === undefined || request === undefined) {
       state.counters.add('late_answers');
--- a/src/systems/requests/resendSystem.ts
+++ b/src/systems/requests/resendSystem.ts
@@ -3,6 +3,7 @@
 import { System } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
 import type { AttemptRow, RequestRow } from '../../model/request.ts';
+import { recordFailure } from '../routing/endpointHealth.ts';
 import { buildAttemptMessage } from './attemptMessage.ts';
 import { removeAttempt } from './refuse.ts';
 import { scheduleRetryOrClose } from './retry.ts';
@@ -75,6 +76,7 @@
     message: string,
   ): void {
     removeAttempt(state, attempt.id);
+    recordFailure(state, tick.now, attempt.endpointId);
     const next = state.requests.update(request.id, {
       mayHaveRun: true,
       hasRunBefore: true,
