--- a/src/model/agentState.ts
+++ b/src/model/agentState.ts
@@ -7,6 +7,7 @@
 import type { EndpointAnnouncement } from './endpoint.ts';
 import type { AgentConfig, EntryInfo } from './exchange.ts';
 import type { AttemptMessage, AttemptReply } from './request.ts';
+import type { WorkerReport } from './worker.ts';
 import type { WorkerStatus } from './workerCall.ts';
 
 /** An endpoint beside this agent. */
@@ -43,6 +44,17 @@
   readonly nextSendMs: number;
 }
 
+/** What an exchange in progress was built from. */
+export interface ExchangeSampleRow {
+  /** Call id of the exchange. */
+  readonly id: string;
+  readonly workerBootId: string;
+  /** Worker's clock in the status that the exchange carries. */
+  readonly workerClockMs: number;
+  readonly sentMs: number;
+  readonly rejectedStarts: WorkerReport['rejectedStarts'];
+}
+
 /** Who this process is and in which phase of its life. */
 export interface AgentSelf {
   readonly id: string;
@@ -70,7 +82,20 @@
   readonly endpoints: Table<LocalEndpointRow>;
   readonly attempts: Table<LocalAttemptRow>;
   /** Last status of the worker beside this agent, and the agent's time when it asked for it. */
-  worker: { readonly status: WorkerStatus; readonly askedMs: number } | undefined;
+  worker:
+    | {
+        readonly status: WorkerStatus;
+        readonly askedMs: number;
+        readonly receivedMs?: number;
+        /** Whether an exchange has carried the usage samples of this status. */
+        readonly samplesReported?: boolean;
+      }
+    | undefined;
+  /** Highest epoch of the shard's owner that this agent has adopted. */
+  ownerEpoch: number;
+  /** Starts that were rejected and not yet reported. */
+  rejectedStarts: WorkerReport['rejectedStarts'];
+  readonly exchangeSamples: Table<ExchangeSampleRow>;
 }
 
 export function createAgentState(identity: Omit<AgentSelf, 'phase'>): AgentState {
@@ -86,5 +111,8 @@
     endpoints: Table.create('endpoints'),
     attempts: Table.create('attempts'),
     worker: undefined,
+    ownerEpoch: 0,
+    rejectedStarts: [],
+    exchangeSamples: Table.create('exchangeSamples'),
   };
 }
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -1,6 +1,7 @@
 import { Counters } from '../base/common/counters.ts';
 import type { LoopState } from '../base/common/loop.ts';
 import { Mailbox } from '../base/common/mailbox.ts';
+import type { TableIndex } from '../base/common/table.ts';
 import { Table } from '../base/common/table.ts';
 import type { PendingCallRow } from './call.ts';
 import type { Configuration } from './configuration.ts';
@@ -9,7 +10,14 @@
 import type { EntryArrival, EntryEffect } from './effects.ts';
 import type { EntryInfo, ExchangeReply } from './exchange.ts';
 import type { EndpointRow } from './endpoint.ts';
-import type { DutyRow, PendingChangeRow } from './ledger.ts';
+import type {
+  DutyClaimRow,
+  DutyRow,
+  JobCallRow,
+  LedgerRow,
+  PendingChangeRow,
+  TaskHomeRow,
+} from './ledger.ts';
 import type { RunRow, ThrottleRow } from './run.ts';
 import type { TaskRow } from './task.ts';
 import type { UsageSample, WorkerReport, WorkerRow } from './worker.ts';
@@ -83,14 +91,26 @@
   readonly duties: Table<DutyRow>;
   /** Tasks as the ledger has them: every row is known to be in the store. */
   readonly tasks: Table<TaskRow>;
+  /** Assigned tasks by worker id. */
+  readonly tasksByWorker: TableIndex<TaskRow>;
+  readonly dutyClaims: Table<DutyClaimRow>;
+  readonly ledgers: Table<LedgerRow>;
+  readonly taskHomes: Table<TaskHomeRow>;
+  /** Task homes by shard and hash bucket, `shard/17`. */
+  readonly taskHomesByBucket: TableIndex<TaskHomeRow>;
+  readonly jobCalls: Table<JobCallRow>;
   readonly pendingChanges: Table<PendingChangeRow>;
   readonly workers: Table<WorkerRow>;
   readonly runs: Table<RunRow>;
+  readonly runsByWorker: TableIndex<RunRow>;
   readonly throttles: Table<ThrottleRow>;
   readonly usageSamples: Table<UsageSampleRow>;
 }
 
 export function createEntryState(info: EntryInfo, bootId: string): EntryState {
+  const tasks = Table.create<TaskRow>('tasks');
+  const runs = Table.create<RunRow>('runs');
+  const taskHomes = Table.create<TaskHomeRow>('taskHomes');
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
@@ -107,10 +127,19 @@
     attempts: Table.create('attempts'),
     ownerAnswers: Table.create('ownerAnswers'),
     duties: Table.create('duties'),
-    tasks: Table.create('tasks'),
+    tasks,
+    tasksByWorker: tasks.addIndex((task) =>
+      task.phase === 'assigned' ? task.workerId : undefined,
+    ),
+    dutyClaims: Table.create('dutyClaims'),
+    ledgers: Table.create('ledgers'),
+    taskHomes,
+    taskHomesByBucket: taskHomes.addIndex((home) => `${home.shard}/${home.bucket}`),
+    jobCalls: Table.create('jobCalls'),
     pendingChanges: Table.create('pendingChanges'),
     workers: Table.create('workers'),
-    runs: Table.create('runs'),
+    runs,
+    runsByWorker: runs.addIndex((run) => run.workerId),
     throttles: Table.create('throttles'),
     usageSamples: Table.create('usageSamples'),
   };
--- a/src/model/run.ts
+++ b/src/model/run.ts
@@ -14,6 +14,8 @@
   readonly leaseUntilMs: number;
   /** Time at which the owner first knew of it. */
   readonly sinceMs: number;
+  /** Time at which a checkpoint of this run was last queued for the ledger. */
+  readonly checkpointQueuedMs?: number;
 }
 
 /** Share of full speed that the owner wants for a task. Absent means full speed. */
--- a/src/model/task.ts
+++ b/src/model/task.ts
@@ -80,6 +80,15 @@
 });
 export type TaskRow = z.infer<typeof taskSchema>;
 
+/** A copy of the row without some optional fields; rows in the store never hold undefined values. */
+export function removeTaskFields(
+  task: TaskRow,
+  fields: readonly ('workerId' | 'zone' | 'stopReason')[],
+): TaskRow {
+  const kept = Object.entries(task).filter(([name]) => !fields.some((field) => field === name));
+  return Object.fromEntries(kept) as TaskRow;
+}
+
 export function isTaskOpen(task: TaskRow): boolean {
   return task.phase === 'queued' || task.phase === 'assigned';
 }
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -65,6 +65,11 @@
   agentId: z.string(),
   /** Owner's time of the last exchange. */
   lastExchangeMs: z.number(),
+  /** Boot and number of the last exchange that was taken; older ones change nothing. */
+  agentBootId: z.optional(z.string()),
+  lastSeq: z.optional(z.int()),
+  /** Boot of the agent before; its late exchanges change nothing. */
+  retiredAgentBootId: z.optional(z.string()),
   leaving: z.boolean(),
   /** Consecutive starts that failed here while the same tasks were not known to fail elsewhere. */
   failedStarts: z.int(),
--- /dev/null
+++ b/src/standins/memoryWorker.ts
@@ -0,0 +1,270 @@
+import type { Clock } from '../base/common/clock.ts';
+import type { Resources } from '../model/resources.ts';
+import { addResources, hasRoom, NO_RESOURCES, removeResources } from '../model/resources.ts';
+import { formatRunId } from '../model/run.ts';
+import type { RunPhase, UsageSample } from '../model/worker.ts';
+import type { WorkerCall, WorkerReply, WorkerStatus } from '../model/workerCall.ts';
+
+export interface MemoryWorkerOptions {
+  readonly id: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  readonly clock: Clock;
+  /** Reading of the worker's own clock when `clock` reads 0; differs between instances. */
+  readonly clockOffsetMs?: number;
+  /** Work of a task in milliseconds alone at full speed. */
+  readonly workMs?: (taskKind: string, command: readonly string[]) => number;
+}
+
+interface Run {
+  readonly taskId: string;
+  readonly incarnation: number;
+  readonly taskKind: string;
+  readonly demand: Resources;
+  readonly workMs: number;
+  phase: RunPhase;
+  doneMs: number;
+  checkpoint: string | undefined;
+  throttle: number;
+  leaseUntil: number;
+  advancedMs: number;
+  message: string | undefined;
+}
+
+type StartCall = Extract<WorkerCall, { op: 'start' }>;
+
+const DEFAULT_WORK_MS = 1_000;
+/** Work after which a running task writes a checkpoint by itself. */
+const CHECKPOINT_MS = 1_000;
+const DONE: WorkerReply = { kind: 'done' };
+
+function isLive(run: Run): boolean {
+  return run.phase === 'running' || run.phase === 'suspended';
+}
+
+/** State of the platform's worker: runs under leases that it enforces on its own clock. */
+export class MemoryWorker {
+  /** While set, each start is accepted and fails at once. */
+  failsStarts = false;
+  /** While set, the worker answers nothing; its runs and leases go on. */
+  isSilent = false;
+  /** Observed time per unit of work of every run relative to running alone. */
+  slowdown = 1;
+  /** Every start that was carried out, in order, on the outside clock. */
+  readonly starts: { taskId: string; incarnation: number; atMs: number; checkpoint?: string }[] =
+    [];
+  /** Calls refused, by reason. */
+  readonly refusals = new Map<string, number>();
+
+  private readonly runs = new Map<string, Run>();
+  /** Greatest incarnation of each task that was ever stopped or started here, in this boot. */
+  private readonly newest = new Map<string, number>();
+  private boot = 1;
+  private clockOffsetMs: number;
+
+  private constructor(readonly options: MemoryWorkerOptions) {
+    this.clockOffsetMs = options.clockOffsetMs ?? 0;
+  }
+
+  static create(options: MemoryWorkerOptions): MemoryWorker {
+    return new MemoryWorker(options);
+  }
+
+  get clockMs(): number {
+    return this.options.clock.now + this.clockOffsetMs;
+  }
+
+  /** Loses every run; the clock starts at 0 as after a boot. */
+  reset(): void {
+    this.runs.clear();
+    this.newest.clear();
+    this.boot += 1;
+    this.clockOffsetMs = -this.options.clock.now;
+  }
+
+  /** Carries out one call. Undefined means no answer. */
+  handle(call: WorkerCall): WorkerReply | undefined {
+    this.update();
+    if (this.isSilent) return undefined;
+    switch (call.op) {
+      case 'status':
+        return { kind: 'status', status: this.getStatus() };
+      case 'start':
+        return this.start(call);
+      case 'renew':
+        for (const { taskId, incarnation } of call.runs)
+          this.renew(taskId, incarnation, call.leaseUntil);
+        return DONE;
+      case 'checkpoint':
+        return this.change(call.taskId, call.incarnation, markCheckpoint);
+      case 'throttle':
+        return this.change(call.taskId, call.incarnation, (run) => {
+          run.throttle = call.share;
+        });
+      case 'stop':
+        return this.stop(call.taskId, call.incarnation, call.withCheckpoint);
+      case 'forget':
+        return this.forget(call.taskId, call.incarnation);
+    }
+  }
+
+  /** Live runs with the amount of work that they have done. */
+  listLive(): { taskId: string; incarnation: number; phase: RunPhase; demand: Resources }[] {
+    this.update();
+    return [...this.runs.values()].filter(isLive).map((run) => ({ ...run }));
+  }
+
+  /** Resources taken by running and suspended runs. */
+  computeUsed(): Resources {
+    return this.listLive()
+      .map((run) => run.demand)
+      .reduce(addResources, NO_RESOURCES);
+  }
+
+  /** Brings every run up to the present time of the worker's clock. */
+  update(): void {
+    const now = this.clockMs;
+    for (const run of this.runs.values()) {
+      if (run.phase !== 'running') continue;
+      const until = Math.min(now, run.leaseUntil);
+      const gained = Math.max(0, ((until - run.advancedMs) * run.throttle) / this.slowdown);
+      run.doneMs = Math.min(run.workMs, run.doneMs + gained);
+      run.advancedMs = now;
+      if (run.doneMs >= run.workMs) run.phase = 'finished';
+      else if (now >= run.leaseUntil) run.phase = 'suspended';
+      if (run.doneMs - Number(run.checkpoint ?? 0) >= CHECKPOINT_MS) markCheckpoint(run);
+    }
+  }
+
+  private getStatus(): WorkerStatus {
+    const { id, rack, capacity } = this.options;
+    const runs = [...this.runs.values()];
+    return {
+      workerId: id,
+      bootId: `${id}-boot-${this.boot}`,
+      rack,
+      capacity,
+      clockMs: this.clockMs,
+      runs: runs.map(({ taskId, incarnation, phase, checkpoint, throttle, message }) => ({
+        taskId,
+        incarnation,
+        phase,
+        throttle,
+        ...(checkpoint === undefined ? {} : { checkpoint }),
+        ...(message === undefined ? {} : { message }),
+      })),
+      samples: runs.filter((run) => run.phase === 'running').map((run) => this.buildSample(run)),
+    };
+  }
+
+  private buildSample(run: Run): UsageSample {
+    const { taskId, incarnation, demand } = run;
+    return {
+      taskId,
+      incarnation,
+      ageMs: 0,
+      cores: demand.cores * run.throttle,
+      memoryMb: demand.memoryMb,
+      slowdown: this.slowdown,
+    };
+  }
+
+  private start(call: StartCall): WorkerReply {
+    const { taskId, incarnation } = call;
+    if (this.runs.has(formatRunId(taskId, incarnation))) return DONE;
+    if ((this.newest.get(taskId) ?? 0) >= incarnation) return this.refuse('old_incarnation');
+    if (this.clockMs > Math.min(call.startBefore, call.leaseUntil)) return this.refuse('too_late');
+    for (const run of this.runs.values()) {
+      if (run.taskId === taskId && isLive(run)) run.phase = 'stopped';
+    }
+    const free = removeResources(this.options.capacity, this.computeUsed());
+    if (!hasRoom(free, call.demand)) return this.refuse('no_room');
+    this.newest.set(taskId, incarnation);
+    this.starts.push({
+      taskId,
+      incarnation,
+      atMs: this.options.clock.now,
+      ...(call.checkpoint === undefined ? {} : { checkpoint: call.checkpoint }),
+    });
+    this.runs.set(formatRunId(taskId, incarnation), this.createRun(call));
+    return DONE;
+  }
+
+  private createRun(call: StartCall): Run {
+    const { workMs } = this.options;
+    return {
+      taskId: call.taskId,
+      incarnation: call.incarnation,
+      taskKind: call.taskKind,
+      demand: call.demand,
+      workMs: workMs?.(call.taskKind, call.command) ?? DEFAULT_WORK_MS,
+      phase: this.failsStarts ? 'failed' : 'running',
+      doneMs: Number(call.checkpoint ?? 0),
+      checkpoint: call.checkpoint,
+      throttle: 1,
+      leaseUntil: call.leaseUntil,
+      advancedMs: this.clockMs,
+      message: this.failsStarts ? 'the program did not start' : undefined,
+    };
+  }
+
+  /** A suspended run goes on; a lease never becomes shorter and never comes back to an ended run. */
+  private renew(taskId: string, incarnation: number, leaseUntil: number): void {
+    const run = this.runs.get(formatRunId(taskId, incarnation));
+    if (run === undefined || !isLive(run) || leaseUntil <= this.clockMs) return;
+    run.leaseUntil = Math.max(run.leaseUntil, leaseUntil);
+    run.advancedMs = this.clockMs;
+    run.phase = 'running';
+  }
+
+  private change(taskId: string, incarnation: number, apply: (run: Run) => void): WorkerReply {
+    const run = this.runs.get(formatRunId(taskId, incarnation));
+    if (run === undefined || !isLive(run)) return this.refuse('no_such_run');
+    apply(run);
+    return DONE;
+  }
+
+  /** The stop of an unknown run is kept as well, so that a start that is still on its way is refused. */
+  private stop(taskId: string, incarnation: number, withCheckpoint: boolean): WorkerReply {
+    const id = formatRunId(taskId, incarnation);
+    const run = this.runs.get(id);
+    this.newest.set(taskId, Math.max(incarnation, this.newest.get(taskId) ?? 0));
+    if (run === undefined) {
+      this.runs.set(id, {
+        taskId,
+        incarnation,
+        taskKind: '',
+        demand: NO_RESOURCES,
+        workMs: 0,
+        phase: 'stopped',
+        doneMs: 0,
+        checkpoint: undefined,
+        throttle: 1,
+        leaseUntil: 0,
+        advancedMs: 0,
+        message: undefined,
+      });
+    } else if (isLive(run)) {
+      if (withCheckpoint) markCheckpoint(run);
+      run.phase = 'stopped';
+    }
+    return DONE;
+  }
+
+  private forget(taskId: string, incarnation: number): WorkerReply {
+    const id = formatRunId(taskId, incarnation);
+    const run = this.runs.get(id);
+    if (run !== undefined && isLive(run)) return this.refuse('still_running');
+    this.runs.delete(id);
+    return DONE;
+  }
+
+  private refuse(reason: string): WorkerReply {
+    this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
+    return { kind: 'refused', reason };
+  }
+}
+
+function markCheckpoint(run: Run): void {
+  run.checkpoint = String(Math.floor(run.doneMs));
+}
--- /dev/null
+++ b/src/systems/duties/dropDuty.ts
@@ -0,0 +1,40 @@
+import type { EntryState } from '../../model/entryState.ts';
+import { recordDecision } from '../decisions.ts';
+import { findWorkerShard } from './shards.ts';
+
+/** Forgets the ledger, workers and runs of a shard. Nothing of it may be answered or commanded after this. */
+export function dropDuty(state: EntryState, shard: string, nowMs: number, reason: string): void {
+  const duty = state.duties.get(shard);
+  for (const home of state.taskHomes.list()) {
+    if (home.shard !== shard) continue;
+    state.tasks.remove(home.id);
+    state.taskHomes.remove(home.id);
+    state.throttles.remove(home.id);
+  }
+  for (const run of state.runs.list()) {
+    if (!state.tasks.has(run.taskId)) state.runs.remove(run.id);
+  }
+  for (const change of state.pendingChanges.list()) {
+    if (change.shard === shard) state.pendingChanges.remove(change.id);
+  }
+  for (const worker of state.workers.list()) {
+    const home = findWorkerShard(
+      state.configuration.current,
+      worker.id,
+      worker.region,
+      worker.zone,
+    );
+    if (home === shard || home === undefined) state.workers.remove(worker.id);
+  }
+  state.ledgers.remove(shard);
+  if (duty === undefined) return;
+  state.duties.update(shard, { phase: 'watching', inheritedUntilMs: 0 });
+  state.counters.add('duty_drops', { reason });
+  recordDecision(state, nowMs, shard, 'drop-duty', reason);
+  state.outbox.append({
+    kind: 'log',
+    level: 'warn',
+    event: 'duty_dropped',
+    fields: { shard, epoch: duty.epoch, reason },
+  });
+}
--- /dev/null
+++ b/src/systems/duties/dutySteps.ts
@@ -0,0 +1,241 @@
+import { formatFaults, parseValue } from '../../base/common/parse.ts';
+import type { Tick } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { DutyClaimRow, DutyRecord } from '../../model/ledger.ts';
+import { dutyHeldSchema, dutyRecordSchema } from '../../model/ledger.ts';
+import type { StoreReply } from '../../model/store.ts';
+import { recordDecision } from '../decisions.ts';
+import { LEASE_MARGIN_MS, TASK_LEASE_MS } from '../leases/leaseTimes.ts';
+import { dropDuty } from './dropDuty.ts';
+import { buildRecord, sendStep } from './dutyCalls.ts';
+
+const RETRY_DELAY_MS = 500;
+
+/** Whether this entry has the duty, with or without the ledger read. */
+export function isOwner(state: EntryState, shard: string): boolean {
+  const phase = state.duties.get(shard)?.phase;
+  return phase === 'holding' || phase === 'recovering';
+}
+
+/** Returns to watching. The held key, when it was written, goes with its lease. */
+export function stopClaim(state: EntryState, claim: DutyClaimRow, nowMs: number, reason: string) {
+  if (claim.leaseId !== undefined) {
+    const callId = `duty/${claim.id}/abandon/${nowMs}`;
+    const call = { op: 'revokeLease', leaseId: claim.leaseId } as const;
+    state.outbox.append({ kind: 'callStore', callId, call, timeoutMs: 1_000 });
+  }
+  state.dutyClaims.set({
+    ...claim,
+    step: 'idle',
+    callId: undefined,
+    leaseId: undefined,
+    renewCallId: undefined,
+    isLeaseLost: false,
+    vacantSinceMs: undefined,
+  });
+  if (isOwner(state, claim.id) || state.duties.get(claim.id)?.phase === 'releasing')
+    dropDuty(state, claim.id, nowMs, reason);
+  else state.duties.update(claim.id, { phase: 'watching' });
+}
+
+/** Reads a duty record; a damaged one is logged and undefined, so that nobody takes over on a guess. */
+export function readRecord(
+  state: EntryState,
+  shard: string,
+  value: unknown,
+): DutyRecord | undefined {
+  return parseValue(dutyRecordSchema, value).caseOf({
+    Left: (faults) => {
+      state.counters.add('damaged_store_values', { key: 'duties' });
+      const fields = { shard, faults: formatFaults(faults) };
+      state.outbox.append({ kind: 'log', level: 'error', event: 'duty_record_damaged', fields });
+      return undefined;
+    },
+    Right: (record) => record,
+  });
+}
+
+/** Sends the next call of a claim under a new call id. */
+export function startStep(
+  state: EntryState,
+  tick: Tick,
+  claim: DutyClaimRow,
+  step: DutyClaimRow['step'],
+  isReadBack = false,
+): void {
+  const callId = `duty/${claim.id}/${step}/${tick.random.takeId()}`;
+  sendStep(state, claim, tick.now, callId, step, isReadBack);
+}
+
+/** Handles the answer to the present step of a claim. */
+export function handleStepReply(
+  state: EntryState,
+  tick: Tick,
+  claim: DutyClaimRow,
+  reply: StoreReply,
+): void {
+  if (reply.kind === 'unavailable') {
+    state.dutyClaims.set({ ...claim, callId: undefined, retryAtMs: tick.now + RETRY_DELAY_MS });
+    return;
+  }
+  switch (claim.step) {
+    case 'granting':
+      if (reply.kind === 'lease') {
+        const next = { ...claim, leaseId: reply.leaseId, renewSentMs: claim.sentMs };
+        startStep(state, tick, next, 'holding-key');
+      }
+      return;
+    case 'holding-key':
+      handleHeldReply(state, tick, claim, reply);
+      return;
+    case 'writing-record':
+      handleRecordReply(state, tick, claim, reply);
+      return;
+    case 'releasing-record':
+      handleReleaseReply(state, tick, claim, reply);
+      return;
+    case 'deleting':
+      stopClaim(state, { ...claim, leaseId: undefined }, tick.now, 'released');
+      return;
+    default:
+  }
+}
+
+/** Repeats a step after its answer was lost: a write is read back first. */
+export function resumeStep(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+  const isWrite = ['holding-key', 'writing-record', 'releasing-record'].includes(claim.step);
+  startStep(state, tick, claim, claim.step, isWrite);
+}
+
+function handleHeldReply(
+  state: EntryState,
+  tick: Tick,
+  claim: DutyClaimRow,
+  reply: StoreReply,
+): void {
+  if (reply.kind === 'written') {
+    continueClaim(state, tick, claim);
+    return;
+  }
+  if (reply.kind === 'leaseLost') {
+    startStep(state, tick, claim, 'granting');
+    return;
+  }
+  if (reply.kind === 'entry') {
+    const held = parseValue(dutyHeldSchema, reply.entry.value).toMaybe().extract();
+    if (held?.token === claim.token) {
+      continueClaim(state, tick, claim);
+      return;
+    }
+    if (reply.entry.version === 0) {
+      startStep(state, tick, claim, 'holding-key');
+      return;
+    }
+  }
+  // An owner whose own lease has run out may find its old key still listed under the same token.
+  if (reply.kind === 'conflict' && !claim.isReadBack) {
+    startStep(state, tick, claim, 'holding-key', true);
+    return;
+  }
+  stopClaim(state, claim, tick.now, 'held-by-another');
+}
+
+/** The key is held: an owner checks that the record is still its own, a candidate writes it. */
+function continueClaim(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+  startStep(state, tick, claim, 'writing-record', isOwner(state, claim.id));
+}
+
+function handleRecordReply(
+  state: EntryState,
+  tick: Tick,
+  claim: DutyClaimRow,
+  reply: StoreReply,
+): void {
+  if (reply.kind === 'written') {
+    takeDuty(state, tick, claim, reply.version, buildRecord(state, claim));
+    return;
+  }
+  if (reply.kind === 'conflict') {
+    startStep(state, tick, claim, 'writing-record', true);
+    return;
+  }
+  if (reply.kind !== 'entry') return;
+  if (reply.entry.version === claim.recordVersion && !isOwner(state, claim.id)) {
+    startStep(state, tick, claim, 'writing-record');
+    return;
+  }
+  const record = readRecord(state, claim.id, reply.entry.value);
+  if (record?.token === claim.token) {
+    takeDuty(state, tick, claim, reply.entry.version, record);
+    return;
+  }
+  stopClaim(state, claim, tick.now, 'record-of-another');
+}
+
+function takeDuty(
+  state: EntryState,
+  tick: Tick,
+  claim: DutyClaimRow,
+  version: number,
+  record: DutyRecord,
+): void {
+  const previous = claim.record;
+  state.dutyClaims.set({
+    ...claim,
+    step: 'held',
+    callId: undefined,
+    record,
+    recordVersion: version,
+    isLeaseLost: false,
+    vacantSinceMs: undefined,
+  });
+  const confirmed = {
+    confirmedMs: claim.sentMs,
+    ownerId: record.ownerId,
+    ownerAddress: record.ownerAddress,
+  };
+  if (isOwner(state, claim.id)) {
+    state.duties.update(claim.id, confirmed);
+    return;
+  }
+  state.duties.update(claim.id, {
+    ...confirmed,
+    phase: 'recovering',
+    epoch: record.epoch,
+    takenMs: tick.now,
+    inheritedUntilMs: computeInheritedUntil(previous, tick.now),
+  });
+  state.counters.add('duty_takeovers');
+  recordDecision(state, tick.now, claim.id, 'take-duty', `epoch ${record.epoch}`);
+  const fields = { shard: claim.id, epoch: record.epoch };
+  state.outbox.append({ kind: 'log', level: 'info', event: 'duty_taken', fields });
+}
+
+/** End of the time for which the previous owner's leases may still be in force at silent workers. */
+function computeInheritedUntil(previous: DutyRecord | undefined, nowMs: number): number {
+  if (previous === undefined) return nowMs;
+  const graceMs = previous.released ? 0 : previous.graceMs;
+  return nowMs + graceMs + TASK_LEASE_MS + LEASE_MARGIN_MS;
+}
+
+function handleReleaseReply(
+  state: EntryState,
+  tick: Tick,
+  claim: DutyClaimRow,
+  reply: StoreReply,
+): void {
+  if (reply.kind === 'written') {
+    startStep(state, tick, claim, 'deleting');
+    return;
+  }
+  if (reply.kind === 'conflict') {
+    startStep(state, tick, claim, 'releasing-record', true);
+    return;
+  }
+  if (reply.kind !== 'entry') return;
+  if (reply.entry.version === claim.recordVersion) {
+    startStep(state, tick, claim, 'releasing-record');
+    return;
+  }
+  startStep(state, tick, claim, 'deleting');
+}
--- /dev/null
+++ b/src/systems/duties/dutySystem.ts
@@ -0,0 +1,266 @@
+import { sortByRendezvous } from '../../base/common/rendezvous.ts';
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { DutyClaimRow } from '../../model/ledger.ts';
+import type { StoreEntry } from '../../model/store.ts';
+import { GRACE_MS } from '../leases/leaseTimes.ts';
+import { DUTY_CALL_TIMEOUT_MS, formatHeldKey, formatRecordKey } from './dutyCalls.ts';
+import {
+  handleStepReply,
+  isOwner,
+  readRecord,
+  resumeStep,
+  startStep,
+  stopClaim,
+} from './dutySteps.ts';
+import { listAllShards, listShards } from './shards.ts';
+
+const READ_PERIOD_MS = 1_000;
+const RENEW_PERIOD_MS = 2_000;
+const RANK_DELAY_MS = 500;
+/** A call without any answer is given up this long after its own timeout. */
+const ANSWER_SLACK_MS = 500;
+const LIST_CALL = 'duty.list';
+const KEY_PREFIX = 'duties';
+
+export interface DutyOptions {
+  /** Grace period G of this entry as an owner, in milliseconds. */
+  readonly graceMs?: number;
+}
+
+/**
+ * Takes, keeps and releases the duties of the region's shards and follows the duties of all shards.
+ * Reads `storeReply`, the configuration, `entries`. Writes `duties`, `dutyClaims`, `calls`.
+ * Runs each turn before the ledger. One range read a second covers the keys of all shards.
+ */
+export class DutySystem extends System<EntryState> {
+  override readonly name = 'duty';
+
+  private constructor(private readonly graceMs: number) {
+    super();
+  }
+
+  static create(options: DutyOptions = {}): DutySystem {
+    return new DutySystem(options.graceMs ?? GRACE_MS);
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    this.addRows(state);
+    for (const { callId, reply } of state.inbox.list('storeReply')) {
+      const list = state.calls.get(LIST_CALL);
+      if (list?.subject === callId) {
+        state.calls.remove(LIST_CALL);
+        if (reply.kind === 'entries') this.applyList(state, tick, reply.entries, list.sentMs);
+        continue;
+      }
+      for (const claim of state.dutyClaims.list()) {
+        if (claim.callId === callId) handleStepReply(state, tick, claim, reply);
+        else if (claim.renewCallId === callId) this.handleRenewal(state, claim, reply.kind);
+      }
+    }
+    if (state.self.phase !== 'serving' && state.self.phase !== 'leaving') return;
+    this.sendList(state, tick);
+    const own = new Set(listShards(state));
+    for (const claim of state.dutyClaims.list()) this.advance(state, tick, claim, own);
+  }
+
+  private addRows(state: EntryState): void {
+    for (const id of listAllShards(state)) {
+      if (state.duties.has(id)) continue;
+      state.duties.set({
+        id,
+        phase: 'watching',
+        epoch: 0,
+        ownerId: undefined,
+        ownerAddress: undefined,
+        confirmedMs: 0,
+        takenMs: 0,
+        inheritedUntilMs: 0,
+      });
+      state.dutyClaims.set({
+        id,
+        step: 'idle',
+        token: '',
+        graceMs: this.graceMs,
+        leaseId: undefined,
+        record: undefined,
+        recordVersion: 0,
+        vacantSinceMs: undefined,
+        callId: undefined,
+        isReadBack: false,
+        sentMs: 0,
+        retryAtMs: 0,
+        renewCallId: undefined,
+        renewSentMs: 0,
+        isLeaseLost: false,
+      });
+    }
+  }
+
+  private sendList(state: EntryState, tick: Tick): void {
+    const pending = state.calls.get(LIST_CALL);
+    const lastMs = pending?.sentMs ?? state.calls.get(`${LIST_CALL}.last`)?.sentMs;
+    const periodMs =
+      pending === undefined ? READ_PERIOD_MS : DUTY_CALL_TIMEOUT_MS + ANSWER_SLACK_MS;
+    if (lastMs !== undefined && tick.now - lastMs < periodMs) {
+      tick.wakeAt(lastMs + periodMs);
+      return;
+    }
+    const callId = `${LIST_CALL}/${tick.random.takeId()}`;
+    const call = { owner: this.name, purpose: 'list', subject: callId, sentMs: tick.now };
+    state.calls.set({ ...call, id: LIST_CALL });
+    state.calls.set({ ...call, id: `${LIST_CALL}.last` });
+    state.outbox.append({
+      kind: 'callStore',
+      callId,
+      call: { op: 'list', prefix: KEY_PREFIX },
+      timeoutMs: DUTY_CALL_TIMEOUT_MS,
+    });
+    tick.wakeAt(tick.now + READ_PERIOD_MS);
+  }
+
+  private applyList(
+    state: EntryState,
+    tick: Tick,
+    entries: readonly StoreEntry[],
+    sentMs: number,
+  ): void {
+    const byKey = new Map(entries.map((entry) => [entry.key, entry]));
+    for (const claim of state.dutyClaims.list()) {
+      const entry = byKey.get(formatRecordKey(claim.id));
+      const isVacant = !byKey.has(formatHeldKey(claim.id));
+      if (claim.step === 'idle') this.applyIdle(state, tick, claim, entry, isVacant);
+      else if (claim.step === 'held') this.applyHeld(state, tick, claim, entry, sentMs);
+    }
+  }
+
+  private applyIdle(
+    state: EntryState,
+    tick: Tick,
+    claim: DutyClaimRow,
+    entry: StoreEntry | undefined,
+    isVacant: boolean,
+  ): void {
+    const record = entry === undefined ? undefined : readRecord(state, claim.id, entry.value);
+    if (entry !== undefined && record === undefined) return;
+    if ((entry?.version ?? 0) < claim.recordVersion) return;
+    state.dutyClaims.update(claim.id, {
+      record,
+      recordVersion: entry?.version ?? 0,
+      vacantSinceMs: isVacant ? (claim.vacantSinceMs ?? tick.now) : undefined,
+    });
+    state.duties.update(claim.id, {
+      epoch: record?.epoch ?? 0,
+      ownerId: isVacant ? undefined : record?.ownerId,
+      ownerAddress: isVacant ? undefined : record?.ownerAddress,
+    });
+  }
+
+  /** A list that was sent before the record was written says nothing about the owner's epoch. */
+  private applyHeld(
+    state: EntryState,
+    tick: Tick,
+    claim: DutyClaimRow,
+    entry: StoreEntry | undefined,
+    sentMs: number,
+  ): void {
+    if (sentMs < claim.sentMs) return;
+    const record = entry === undefined ? undefined : readRecord(state, claim.id, entry.value);
+    if (record?.token === claim.token) {
+      const duty = state.duties.get(claim.id);
+      if (duty !== undefined && duty.confirmedMs < sentMs)
+        state.duties.update(claim.id, { confirmedMs: sentMs });
+      return;
+    }
+    const reason = record === undefined ? 'record-damaged' : 'record-of-another';
+    stopClaim(state, claim, tick.now, reason);
+  }
+
+  private handleRenewal(state: EntryState, claim: DutyClaimRow, kind: string): void {
+    state.dutyClaims.update(claim.id, {
+      renewCallId: undefined,
+      ...(kind === 'leaseLost' ? { isLeaseLost: true } : {}),
+    });
+    if (kind === 'lease' && claim.step === 'held')
+      state.duties.update(claim.id, { confirmedMs: claim.renewSentMs });
+  }
+
+  private advance(
+    state: EntryState,
+    tick: Tick,
+    claim: DutyClaimRow,
+    own: ReadonlySet<string>,
+  ): void {
+    if (claim.step === 'idle') {
+      if (own.has(claim.id) && state.self.phase === 'serving') this.compete(state, tick, claim);
+      return;
+    }
+    if (claim.step === 'held') {
+      this.keep(state, tick, claim);
+      return;
+    }
+    const dueMs =
+      claim.callId === undefined
+        ? claim.retryAtMs
+        : claim.sentMs + DUTY_CALL_TIMEOUT_MS + ANSWER_SLACK_MS;
+    if (tick.now >= dueMs) resumeStep(state, tick, claim);
+    else tick.wakeAt(dueMs);
+  }
+
+  private compete(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+    if (claim.vacantSinceMs === undefined) return;
+    const dueMs = claim.vacantSinceMs + this.getRank(state, claim) * RANK_DELAY_MS;
+    if (tick.now < dueMs) {
+      tick.wakeAt(dueMs);
+      return;
+    }
+    state.duties.update(claim.id, { phase: 'acquiring' });
+    const token = `${state.self.info.id}/${tick.random.takeId()}`;
+    startStep(state, tick, { ...claim, token, isLeaseLost: false }, 'granting');
+  }
+
+  /** Place in the order of candidates. The last owner goes last: it is the one that has just failed. */
+  private getRank(state: EntryState, claim: DutyClaimRow): number {
+    const { info } = state.self;
+    const peers = [...state.entries.values()].filter((entry) => entry.region === info.region);
+    const members = [...new Set([info.id, ...peers.map((entry) => entry.id)])];
+    const order = sortByRendezvous(claim.id, members);
+    const last = claim.record?.released === true ? undefined : claim.record?.ownerId;
+    const sorted = order.filter((id) => id !== last);
+    return info.id === last ? sorted.length : sorted.indexOf(info.id);
+  }
+
+  private keep(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+    if (state.self.phase === 'leaving') {
+      this.release(state, tick, claim);
+      return;
+    }
+    if (claim.isLeaseLost) {
+      startStep(state, tick, { ...claim, renewCallId: undefined }, 'granting');
+      return;
+    }
+    const dueMs =
+      claim.renewSentMs + (claim.renewCallId === undefined ? RENEW_PERIOD_MS : RENEW_PERIOD_MS * 2);
+    if (tick.now < dueMs) {
+      tick.wakeAt(dueMs);
+      return;
+    }
+    const callId = `duty/${claim.id}/renew/${tick.random.takeId()}`;
+    state.dutyClaims.update(claim.id, { renewCallId: callId, renewSentMs: tick.now });
+    state.outbox.append({
+      kind: 'callStore',
+      callId,
+      call: { op: 'renewLease', leaseId: claim.leaseId ?? '' },
+      timeoutMs: DUTY_CALL_TIMEOUT_MS,
+    });
+    tick.wakeAt(tick.now + RENEW_PERIOD_MS);
+  }
+
+  /** Renewals stop with the phase `releasing`; the record is written once no append is in progress. */
+  private release(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+    if (isOwner(state, claim.id)) state.duties.update(claim.id, { phase: 'releasing' });
+    if (state.ledgers.get(claim.id)?.append !== undefined) return;
+    startStep(state, tick, claim, 'releasing-record');
+  }
+}
--- /dev/null
+++ b/src/systems/jobs/jobId.ts
@@ -0,0 +1,19 @@
+import { hashText } from '../../base/common/rendezvous.ts';
+
+const HASH_WORDS = 4;
+const SEPARATOR = ':';
+
+/** Id of a job: its shard and a 128-bit hash of team and key, so that a repeated submission has the same id. */
+export function formatJobId(shard: string, team: string, idempotencyKey: string): string {
+  let hash = '';
+  for (let word = 0; word < HASH_WORDS; word += 1) {
+    hash += hashText(`${word}/${team}/${idempotencyKey}`).toString(16).padStart(8, '0');
+  }
+  return `${shard}${SEPARATOR}${hash}`;
+}
+
+/** Shard that a job id names; any entry can forward a call with it. */
+export function parseJobShard(jobId: string): string | undefined {
+  const end = jobId.lastIndexOf(SEPARATOR);
+  return end <= 0 ? undefined : jobId.slice(0, end);
+}
--- /dev/null
+++ b/src/systems/jobs/jobSystem.ts
@@ -0,0 +1,262 @@
+import type { Failure } from '../../base/common/errors.ts';
+import { createFailure } from '../../base/common/errors.ts';
+import { parseValue } from '../../base/common/parse.ts';
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { JobCall, JsonAnswer } from '../../model/effects.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { JobCallRow } from '../../model/ledger.ts';
+import { jobCallSchema } from '../../model/jobCall.ts';
+import type { PeerReply } from '../../model/peer.ts';
+import { findHeldDuty } from '../duties/shards.ts';
+import { parseJobShard } from './jobId.ts';
+import { answerOwnedCall, parseSubmission } from './ownerJobs.ts';
+
+/** A call is answered at the latest after this time. */
+const CALL_LIMIT_MS = 10_000;
+/** The owner gives up sooner, so that its reason reaches the entry that forwarded the call. */
+const OWNER_LIMIT_MS = 6_000;
+const PEER_TIMEOUT_MS = 8_000;
+const RETRY_DELAY_MS = 250;
+
+/**
+ * Takes job calls of callers and of other entries, carries them out at the owner of the shard and
+ * forwards them elsewhere. Reads `jobCall`, `peerCall`, `peerReply`, `duties`, `tasks`.
+ * Writes `jobCalls`, `pendingChanges`. Runs each turn after the ledger.
+ */
+export class JobSystem extends System<EntryState> {
+  override readonly name = 'job';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): JobSystem {
+    return new JobSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const { callId, call } of state.inbox.list('jobCall'))
+      this.receive(state, tick, callId, call, 'caller');
+    for (const { callId, call } of state.inbox.list('peerCall')) {
+      if (call.kind === 'job') this.receivePeer(state, tick, callId, call.call);
+    }
+    for (const { callId, reply } of state.inbox.list('peerReply')) {
+      const row = [...state.jobCalls.values()].find((candidate) => candidate.peerCallId === callId);
+      if (row !== undefined) this.handlePeerReply(state, tick, row, reply);
+    }
+    for (const row of state.jobCalls.list()) this.advance(state, tick, row);
+  }
+
+  private receivePeer(state: EntryState, tick: Tick, callId: string, value: unknown): void {
+    parseValue(jobCallSchema, value).caseOf({
+      Left: () => {
+        const failure = createFailure('bad_request', 'not a job call');
+        state.outbox.append({ kind: 'answerPeer', callId, reply: { kind: 'failure', failure } });
+      },
+      Right: (call) => {
+        this.receive(state, tick, callId, call, 'peer');
+      },
+    });
+  }
+
+  private receive(
+    state: EntryState,
+    tick: Tick,
+    id: string,
+    call: JobCall,
+    origin: JobCallRow['origin'],
+  ): void {
+    const add = (shard: string, jobId: string): void => {
+      state.jobCalls.set({
+        id,
+        origin,
+        shard,
+        jobId,
+        call,
+        receivedMs: tick.now,
+        phase: 'new',
+        peerCallId: undefined,
+        notBeforeMs: tick.now,
+        isInDoubt: false,
+      });
+    };
+    if (call.kind === 'submit') {
+      parseSubmission(state, call.submission).caseOf({
+        Left: (failure) => {
+          this.answer(state, { id, origin }, { kind: 'failure', failure });
+        },
+        Right: ({ shard, jobId }) => {
+          add(shard, jobId);
+        },
+      });
+      return;
+    }
+    const shard = parseJobShard(call.jobId);
+    if (shard === undefined || !state.duties.has(shard)) {
+      const failure = createFailure('job_unknown', `no job ${call.jobId}`);
+      this.answer(state, { id, origin }, { kind: 'failure', failure });
+      return;
+    }
+    add(shard, call.jobId);
+  }
+
+  private advance(state: EntryState, tick: Tick, row: JobCallRow): void {
+    if (row.phase === 'forwarded') {
+      this.checkLimit(state, tick, row, CALL_LIMIT_MS);
+      return;
+    }
+    if (findHeldDuty(state, row.shard) !== undefined) {
+      this.advanceOwned(state, tick, row);
+      return;
+    }
+    if (row.phase === 'pending') {
+      // The duty went while the change was on its way.
+      this.fail(state, row, this.describeLost(row));
+      return;
+    }
+    if (row.origin === 'peer') {
+      this.fail(state, row, createFailure('not_owner', `this entry does not own ${row.shard}`));
+      return;
+    }
+    this.forward(state, tick, row);
+  }
+
+  private describeLost(row: JobCallRow): Failure {
+    return row.call.kind === 'status'
+      ? createFailure('no_owner', `the owner of ${row.shard} is changing`)
+      : createFailure('outcome_unknown', `the owner of ${row.shard} changed during the write`);
+  }
+
+  private advanceOwned(state: EntryState, tick: Tick, row: JobCallRow): void {
+    const answer = answerOwnedCall(state, row, tick.now);
+    if (answer !== undefined) {
+      state.jobCalls.remove(row.id);
+      this.answer(state, row, answer);
+      return;
+    }
+    if (row.phase !== 'pending') state.jobCalls.update(row.id, { phase: 'pending' });
+    const untilMs = row.receivedMs + OWNER_LIMIT_MS;
+    if (tick.now < untilMs) {
+      tick.wakeAt(untilMs);
+      return;
+    }
+    this.handleUnconfirmed(state, row);
+  }
+
+  /** Takes a change back that was never sent; one that was sent may still take effect. */
+  private handleUnconfirmed(state: EntryState, row: JobCallRow): void {
+    const pending = state.pendingChanges.get(row.jobId);
+    const others = [...state.jobCalls.values()].filter((other) => other.jobId === row.jobId);
+    const isWithdrawn = row.call.kind === 'submit' && pending?.segment === undefined;
+    const isNeverQueued = row.call.kind === 'cancel' && !this.isCancelPending(state, row.jobId);
+    if (isWithdrawn && others.length === 1) state.pendingChanges.remove(row.jobId);
+    const isNotRun = (isWithdrawn && others.length === 1 && !row.isInDoubt) || isNeverQueued;
+    this.fail(
+      state,
+      row,
+      isNotRun
+        ? createFailure('store_unavailable', 'the store does not confirm writes')
+        : createFailure('outcome_unknown', 'the write was sent and has not been confirmed'),
+    );
+  }
+
+  private isCancelPending(state: EntryState, jobId: string): boolean {
+    const change = state.pendingChanges.get(jobId)?.change;
+    if (change?.kind !== 'put') return false;
+    return change.task.phase === 'cancelled' || change.task.stopReason === 'cancelled';
+  }
+
+  private forward(state: EntryState, tick: Tick, row: JobCallRow): void {
+    if (this.checkLimit(state, tick, row, CALL_LIMIT_MS)) return;
+    if (tick.now < row.notBeforeMs) {
+      tick.wakeAt(row.notBeforeMs);
+      return;
+    }
+    const address = state.duties.get(row.shard)?.ownerAddress;
+    if (address === undefined || address === state.self.info.address) {
+      state.jobCalls.update(row.id, { notBeforeMs: tick.now + RETRY_DELAY_MS });
+      tick.wakeAt(tick.now + RETRY_DELAY_MS);
+      return;
+    }
+    const peerCallId = `job/${tick.random.takeId()}`;
+    state.jobCalls.update(row.id, { phase: 'forwarded', peerCallId });
+    state.outbox.append({
+      kind: 'callPeer',
+      callId: peerCallId,
+      address,
+      call: { kind: 'job', shard: row.shard, call: row.call },
+      timeoutMs: Math.min(PEER_TIMEOUT_MS, row.receivedMs + CALL_LIMIT_MS - tick.now),
+    });
+    tick.wakeAt(row.receivedMs + CALL_LIMIT_MS);
+  }
+
+  /** Answers a call whose time is over: not run when no copy of it can have reached an owner. */
+  private checkLimit(state: EntryState, tick: Tick, row: JobCallRow, limitMs: number): boolean {
+    const untilMs = row.receivedMs + limitMs;
+    if (tick.now < untilMs) {
+      tick.wakeAt(untilMs);
+      return false;
+    }
+    const isInDoubt = (row.isInDoubt || row.phase === 'forwarded') && row.call.kind !== 'status';
+    this.fail(
+      state,
+      row,
+      isInDoubt
+        ? createFailure('outcome_unknown', `the owner of ${row.shard} has not answered`)
+        : createFailure('no_owner', `no owner of ${row.shard} can be reached`),
+    );
+    return true;
+  }
+
+  private handlePeerReply(
+    state: EntryState,
+    tick: Tick,
+    row: JobCallRow,
+    reply: PeerReply | undefined,
+  ): void {
+    if (reply?.kind === 'json') {
+      state.jobCalls.remove(row.id);
+      this.answer(state, row, { kind: 'value', value: reply.value });
+      return;
+    }
+    if (reply?.kind === 'failure' && reply.failure.kind !== 'not_owner') {
+      // A copy that was sent before may have been carried out although the last one was not.
+      const isUnsure = row.isInDoubt && reply.failure.kind === 'store_unavailable';
+      const failure = isUnsure
+        ? createFailure('outcome_unknown', reply.failure.message)
+        : reply.failure;
+      this.fail(state, row, failure);
+      return;
+    }
+    state.jobCalls.update(row.id, {
+      phase: 'backing-off',
+      peerCallId: undefined,
+      notBeforeMs: tick.now + RETRY_DELAY_MS,
+      isInDoubt: row.isInDoubt || reply === undefined,
+    });
+  }
+
+  private fail(state: EntryState, row: JobCallRow, failure: Failure): void {
+    state.jobCalls.remove(row.id);
+    this.answer(state, row, { kind: 'failure', failure });
+  }
+
+  private answer(
+    state: EntryState,
+    row: Pick<JobCallRow, 'id' | 'origin'>,
+    answer: JsonAnswer,
+  ): void {
+    if (answer.kind === 'failure')
+      state.counters.add('job_refusals', { reason: answer.failure.kind });
+    if (row.origin === 'caller') {
+      state.outbox.append({ kind: 'answerJob', callId: row.id, answer });
+      return;
+    }
+    const reply: PeerReply =
+      answer.kind === 'value'
+        ? { kind: 'json', value: answer.value }
+        : { kind: 'failure', failure: answer.failure };
+    state.outbox.append({ kind: 'answerPeer', callId: row.id, reply });
+  }
+}
--- /dev/null
+++ b/src/systems/leases/leaseSystem.ts
@@ -0,0 +1,221 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { ExchangeRequest } from '../../model/exchange.ts';
+import type { DutyRow } from '../../model/ledger.ts';
+import { formatRunId } from '../../model/run.ts';
+import type { WorkerReport, WorkerRow } from '../../model/worker.ts';
+import { findHeldDuty, findWorkerShard } from '../duties/shards.ts';
+import { queueTaskChange } from '../ledger/ledgerChanges.ts';
+import { LEASE_MARGIN_MS, TASK_LEASE_MS } from './leaseTimes.ts';
+import { buildOwnerAnswer, isCurrentRun } from './ownerAnswer.ts';
+import { queueRunOutcome, queueStop } from './runOutcomes.ts';
+import { recordRun } from './runRows.ts';
+
+/** Samples that no system has taken are dropped beyond this number, oldest first. */
+const MAX_SAMPLES = 50_000;
+
+/**
+ * Takes the reports of workers and answers with renewals and commands.
+ * Reads `exchange`, `tasks`, `duties`, `heldExchanges`. Writes `workers`, `runs`, `usageSamples`,
+ * `ownerAnswers`, `pendingChanges`. Runs each turn after the ledger and before exchanges are answered.
+ */
+export class LeaseSystem extends System<EntryState> {
+  override readonly name = 'lease';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): LeaseSystem {
+    return new LeaseSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    this.removeStaleAnswers(state);
+    this.answerHeld(state, tick);
+    for (const { callId, request } of state.inbox.list('exchange')) {
+      if (request.worker === undefined) continue;
+      const duty = this.findDuty(state, request.worker);
+      if (duty === undefined) continue;
+      if (request.epoch > duty.epoch) {
+        state.counters.add('exchanges_of_newer_epoch');
+        continue;
+      }
+      this.receive(state, tick, duty, callId, request, request.worker);
+    }
+  }
+
+  private findDuty(state: EntryState, report: WorkerReport): DutyRow | undefined {
+    const { current } = state.configuration;
+    const shard = findWorkerShard(current, report.workerId, report.region, report.zone);
+    return findHeldDuty(state, shard);
+  }
+
+  /** An answer of a duty that was lost meanwhile must not go out. */
+  private removeStaleAnswers(state: EntryState): void {
+    for (const answer of state.ownerAnswers.list()) {
+      const report = state.heldExchanges.get(answer.id)?.worker;
+      const duty = report === undefined ? undefined : this.findDuty(state, report);
+      if (duty?.epoch !== answer.owner.epoch) state.ownerAnswers.remove(answer.id);
+    }
+  }
+
+  /** A confirmed write can make a command due for a worker whose exchange is being held. */
+  private answerHeld(state: EntryState, tick: Tick): void {
+    const changed = [...state.ledgers.values()].some((ledger) => ledger.confirmedMs === tick.now);
+    if (!changed) return;
+    for (const held of state.heldExchanges.values()) {
+      const answer = state.ownerAnswers.get(held.id);
+      if (held.worker === undefined || answer === undefined || answer.isDue) continue;
+      const duty = this.findDuty(state, held.worker);
+      if (duty !== undefined)
+        state.ownerAnswers.set(buildOwnerAnswer(state, tick, duty, held.id, held.worker));
+    }
+  }
+
+  private receive(
+    state: EntryState,
+    tick: Tick,
+    duty: DutyRow,
+    callId: string,
+    request: ExchangeRequest,
+    report: WorkerReport,
+  ): void {
+    const previous = state.workers.get(report.workerId);
+    if (previous !== undefined && this.isLate(previous, request)) {
+      state.counters.add('late_exchanges');
+      return;
+    }
+    const worker = this.updateWorker(state, tick, previous, request, report);
+    for (const run of report.runs) recordRun(state, worker.id, run, tick.now);
+    if (request.epoch === duty.epoch) this.limitInherited(state, worker.id, tick.now);
+    if (previous !== undefined && previous.bootId !== report.workerBootId)
+      this.handleRestart(state, tick, duty, report);
+    this.removeForgotten(state, report);
+    this.queueOutcomes(state, tick, duty, worker, report);
+    this.handleRejections(state, tick, duty, report);
+    this.recordSamples(state, tick, report);
+    state.ownerAnswers.set(buildOwnerAnswer(state, tick, duty, callId, report));
+  }
+
+  private isLate(worker: WorkerRow, request: ExchangeRequest): boolean {
+    if (request.agentBootId === worker.retiredAgentBootId) return true;
+    return request.agentBootId === worker.agentBootId && request.seq <= (worker.lastSeq ?? 0);
+  }
+
+  private updateWorker(
+    state: EntryState,
+    tick: Tick,
+    previous: WorkerRow | undefined,
+    request: ExchangeRequest,
+    report: WorkerReport,
+  ): WorkerRow {
+    const isNewAgent = previous !== undefined && previous.agentBootId !== request.agentBootId;
+    const retired = isNewAgent ? previous.agentBootId : previous?.retiredAgentBootId;
+    const worker: WorkerRow = {
+      id: report.workerId,
+      bootId: report.workerBootId,
+      region: report.region,
+      zone: report.zone,
+      rack: report.rack,
+      capacity: report.capacity,
+      agentId: request.agentId,
+      lastExchangeMs: tick.now,
+      agentBootId: request.agentBootId,
+      lastSeq: request.seq,
+      ...(retired === undefined ? {} : { retiredAgentBootId: retired }),
+      leaving: report.leaving,
+      failedStarts: previous?.failedStarts ?? 0,
+      setAsideUntilMs: previous?.setAsideUntilMs ?? 0,
+    };
+    state.workers.set(worker);
+    return worker;
+  }
+
+  /** An agent that has adopted this epoch takes no renewal of an earlier owner any more. */
+  private limitInherited(state: EntryState, workerId: string, nowMs: number): void {
+    const latestMs = nowMs + TASK_LEASE_MS + LEASE_MARGIN_MS;
+    for (const task of state.tasksByWorker.list(workerId)) {
+      const run = state.runs.get(formatRunId(task.id, task.incarnation));
+      if (run !== undefined && run.leaseUntilMs > latestMs)
+        state.runs.update(run.id, { leaseUntilMs: latestMs });
+    }
+  }
+
+  /** Runs that were known under the boot before and are not reported any more have ended with it. */
+  private handleRestart(state: EntryState, tick: Tick, duty: DutyRow, report: WorkerReport): void {
+    state.counters.add('worker_restarts');
+    const reported = new Set(report.runs.map((run) => formatRunId(run.taskId, run.incarnation)));
+    for (const task of state.tasksByWorker.list(report.workerId)) {
+      const id = formatRunId(task.id, task.incarnation);
+      const run = state.runs.get(id);
+      if (run === undefined || run.phase === 'unconfirmed' || reported.has(id)) continue;
+      // Marked as expired, so that the next turn tries again when another change is pending now.
+      state.runs.update(id, { leaseUntilMs: tick.now });
+      queueStop(state, duty.id, task, run.checkpoint, tick.now, 'worker-restarted');
+    }
+  }
+
+  /** Drops the rows of runs that have ended, and of earlier incarnations that the worker has given up. */
+  private removeForgotten(state: EntryState, report: WorkerReport): void {
+    const reported = new Set(report.runs.map((run) => formatRunId(run.taskId, run.incarnation)));
+    for (const row of state.runsByWorker.list(report.workerId)) {
+      const task = state.tasks.get(row.taskId);
+      const isAssigned = task?.phase === 'assigned' && task.incarnation === row.incarnation;
+      if (!isAssigned && !reported.has(row.id)) state.runs.remove(row.id);
+    }
+    for (const run of report.runs) {
+      const task = state.tasks.get(run.taskId);
+      const isEnded = run.phase !== 'running' && run.phase !== 'suspended';
+      if (isEnded && task?.phase !== 'assigned')
+        state.runs.remove(formatRunId(run.taskId, run.incarnation));
+    }
+  }
+
+  private queueOutcomes(
+    state: EntryState,
+    tick: Tick,
+    duty: DutyRow,
+    worker: WorkerRow,
+    report: WorkerReport,
+  ): void {
+    for (const run of report.runs) {
+      const task = state.tasks.get(run.taskId);
+      if (!isCurrentRun(state, task, run.incarnation, worker.id)) continue;
+      const current = state.workers.get(worker.id) ?? worker;
+      queueRunOutcome(state, duty.id, task, run, current, tick.now);
+    }
+  }
+
+  /** A start that can never succeed here is taken back; the stop is confirmed by the worker like any other. */
+  private handleRejections(
+    state: EntryState,
+    tick: Tick,
+    duty: DutyRow,
+    report: WorkerReport,
+  ): void {
+    for (const { taskId, incarnation, reason } of report.rejectedStarts) {
+      state.counters.add('rejected_starts', { reason });
+      if (reason === 'stale_proof' || reason === 'stale_epoch') continue;
+      const task = state.tasks.get(taskId);
+      const run = state.runs.get(formatRunId(taskId, incarnation));
+      if (!isCurrentRun(state, task, incarnation, report.workerId)) continue;
+      if (run?.phase !== 'unconfirmed' || task.stopReason !== undefined) continue;
+      const next = { ...task, stopReason: 'worker-unhealthy' as const };
+      queueTaskChange(state, duty.id, next, tick.now, true);
+    }
+  }
+
+  private recordSamples(state: EntryState, tick: Tick, report: WorkerReport): void {
+    for (const [index, sample] of report.samples.entries()) {
+      const id = `${report.workerId}/${tick.now}/${index}`;
+      const takenMs = tick.now - sample.ageMs;
+      state.usageSamples.set({ ...sample, id, workerId: report.workerId, takenMs });
+    }
+    for (const oldest of state.usageSamples.values()) {
+      if (state.usageSamples.size <= MAX_SAMPLES) return;
+      state.usageSamples.remove(oldest.id);
+    }
+  }
+}
--- /dev/null
+++ b/src/systems/leases/ownerAnswer.ts
@@ -0,0 +1,154 @@
+import type { Tick } from '../../base/common/system.ts';
+import type { EntryState, OwnerAnswerRow } from '../../model/entryState.ts';
+import type { DutyRow } from '../../model/ledger.ts';
+import { formatRunId } from '../../model/run.ts';
+import type { TaskRow } from '../../model/task.ts';
+import type { RunReport, WorkerCommand, WorkerReport } from '../../model/worker.ts';
+import { hasPendingChange } from '../ledger/ledgerChanges.ts';
+import { LEASE_MARGIN_MS, START_PROOF_MS, TASK_LEASE_MS } from './leaseTimes.ts';
+
+/** Whether the owner may renew leases: its last confirmed contact with the store is recent enough. */
+export function canRenew(state: EntryState, duty: DutyRow, nowMs: number): boolean {
+  const graceMs = state.dutyClaims.get(duty.id)?.graceMs ?? 0;
+  return duty.phase === 'holding' && nowMs - duty.confirmedMs <= graceMs;
+}
+
+/** Age of the proof that the zone is in service; undefined when there is none that is new enough. */
+export function computeProofAge(
+  state: EntryState,
+  zone: string,
+  nowMs: number,
+): number | undefined {
+  const { confirmedSentMs, current } = state.configuration;
+  if (confirmedSentMs === undefined || current.zonesOut.includes(zone)) return undefined;
+  const ageMs = nowMs - confirmedSentMs;
+  return ageMs <= START_PROOF_MS ? ageMs : undefined;
+}
+
+/** Whether the ledger wants this incarnation on this worker, with no change on the way that ends it. */
+export function isCurrentRun(
+  state: EntryState,
+  task: TaskRow | undefined,
+  incarnation: number,
+  workerId: string,
+): task is TaskRow {
+  if (task?.phase !== 'assigned') return false;
+  if (task.incarnation !== incarnation || task.workerId !== workerId) return false;
+  const pending = state.pendingChanges.get(task.id)?.change;
+  if (pending === undefined) return true;
+  return (
+    pending.kind === 'put' &&
+    pending.task.phase === 'assigned' &&
+    pending.task.incarnation === incarnation
+  );
+}
+
+/** Builds the owner's part of the answer to an exchange of a worker. */
+export function buildOwnerAnswer(
+  state: EntryState,
+  tick: Tick,
+  duty: DutyRow,
+  callId: string,
+  report: WorkerReport,
+): OwnerAnswerRow {
+  const renewed: { taskId: string; incarnation: number }[] = [];
+  const commands: WorkerCommand[] = [];
+  const mayRenew = canRenew(state, duty, tick.now);
+  let hasSuspended = false;
+  for (const run of report.runs) {
+    const task = state.tasks.get(run.taskId);
+    const isCurrent = isCurrentRun(state, task, run.incarnation, report.workerId);
+    const isLive = run.phase === 'running' || run.phase === 'suspended';
+    if (isCurrent && isLive && mayRenew) {
+      renewed.push({ taskId: run.taskId, incarnation: run.incarnation });
+      hasSuspended ||= run.phase === 'suspended';
+      extendLease(state, run, tick.now);
+    }
+    const command = chooseRunCommand(state, task, run, report.workerId, isCurrent);
+    if (command !== undefined) commands.push(command);
+  }
+  commands.push(...listMissingRuns(state, tick, report, mayRenew));
+  return {
+    id: callId,
+    isDue: commands.length > 0 || hasSuspended,
+    owner: { epoch: duty.epoch, leaseMs: TASK_LEASE_MS, renewed, commands },
+  };
+}
+
+function extendLease(state: EntryState, run: RunReport, nowMs: number): void {
+  const row = state.runs.get(formatRunId(run.taskId, run.incarnation));
+  if (row === undefined) return;
+  const leaseUntilMs = Math.max(row.leaseUntilMs, nowMs + TASK_LEASE_MS + LEASE_MARGIN_MS);
+  state.runs.update(row.id, { leaseUntilMs });
+}
+
+function chooseRunCommand(
+  state: EntryState,
+  task: TaskRow | undefined,
+  run: RunReport,
+  workerId: string,
+  isCurrent: boolean,
+): WorkerCommand | undefined {
+  const { taskId, incarnation } = run;
+  const isLive = run.phase === 'running' || run.phase === 'suspended';
+  const isAssignedHere =
+    task?.phase === 'assigned' && task.incarnation === incarnation && task.workerId === workerId;
+  if (!isLive) {
+    // The record is needed until the ledger holds the end of the run.
+    return isAssignedHere ? undefined : { kind: 'forget', taskId, incarnation };
+  }
+  // While the end of the incarnation is being written, neither a renewal nor a stop is certain to be right.
+  if (!isCurrent)
+    return isAssignedHere
+      ? undefined
+      : { kind: 'stop', taskId, incarnation, withCheckpoint: false };
+  if (task?.stopReason !== undefined) {
+    const withCheckpoint = task.stopReason !== 'cancelled';
+    return { kind: 'stop', taskId, incarnation, withCheckpoint };
+  }
+  const share = state.throttles.get(taskId)?.share ?? 1;
+  return share === run.throttle ? undefined : { kind: 'throttle', taskId, incarnation, share };
+}
+
+/** Starts, or stops in advance, the incarnations that the ledger has assigned and the worker does not know. */
+function listMissingRuns(
+  state: EntryState,
+  tick: Tick,
+  report: WorkerReport,
+  mayRenew: boolean,
+): WorkerCommand[] {
+  const reported = new Set(report.runs.map((run) => formatRunId(run.taskId, run.incarnation)));
+  const commands: WorkerCommand[] = [];
+  const proofAgeMs = report.leaving ? undefined : computeProofAge(state, report.zone, tick.now);
+  for (const task of state.tasksByWorker.list(report.workerId)) {
+    const { id: taskId, incarnation } = task;
+    const run = state.runs.get(formatRunId(taskId, incarnation));
+    if (reported.has(formatRunId(taskId, incarnation)) || hasPendingChange(state, taskId)) continue;
+    if (run !== undefined && run.phase !== 'unconfirmed') continue;
+    if (task.stopReason !== undefined) {
+      commands.push({ kind: 'stop', taskId, incarnation, withCheckpoint: false });
+      continue;
+    }
+    // An expired lease is about to be turned into a new incarnation; the old one must not start any more.
+    if (run === undefined || run.leaseUntilMs <= tick.now) continue;
+    if (proofAgeMs === undefined || !mayRenew) continue;
+    const leaseUntilMs = Math.max(run.leaseUntilMs, tick.now + TASK_LEASE_MS + LEASE_MARGIN_MS);
+    state.runs.update(run.id, { leaseUntilMs });
+    commands.push(buildStart(task, proofAgeMs));
+  }
+  return commands;
+}
+
+function buildStart(task: TaskRow, proofAgeMs: number): WorkerCommand {
+  return {
+    kind: 'start',
+    taskId: task.id,
+    incarnation: task.incarnation,
+    taskKind: task.taskKind,
+    ...(task.service === undefined ? {} : { service: task.service }),
+    demand: task.demand,
+    command: task.command,
+    ...(task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint }),
+    proofAgeMs,
+  };
+}
--- /dev/null
+++ b/src/systems/leases/runOutcomes.ts
@@ -0,0 +1,124 @@
+import { createFailure } from '../../base/common/errors.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { TaskRow } from '../../model/task.ts';
+import { removeTaskFields } from '../../model/task.ts';
+import { formatRunId } from '../../model/run.ts';
+import type { RunReport, WorkerRow } from '../../model/worker.ts';
+import { recordDecision } from '../decisions.ts';
+import { hasPendingChange, queueTaskChange } from '../ledger/ledgerChanges.ts';
+
+/** A task whose runs fail on this many workers is failed itself. */
+const MAX_FAILED_WORKERS = 3;
+/** A checkpoint of a running task is written at most this often. */
+const CHECKPOINT_WRITE_MS = 60_000;
+
+/**
+ * Row of a task whose incarnation is proven stopped: the task waits for its next incarnation, or is
+ * closed when it was to end. The row stays `queued` at the same incarnation, so a second proof of the
+ * same stop finds nothing to do.
+ */
+export function buildStoppedTask(task: TaskRow, checkpoint: string | undefined): TaskRow {
+  const { stopReason } = task;
+  const kept = checkpoint ?? task.checkpoint;
+  const isClosed = stopReason === 'cancelled' || stopReason === 'retired';
+  return {
+    ...removeTaskFields(task, ['workerId', 'zone', 'stopReason']),
+    ...(kept === undefined ? {} : { checkpoint: kept }),
+    phase: isClosed ? 'cancelled' : 'queued',
+  };
+}
+
+/** Queues the return of a stopped incarnation's task. False while another change is pending. */
+export function queueStop(
+  state: EntryState,
+  shard: string,
+  task: TaskRow,
+  checkpoint: string | undefined,
+  nowMs: number,
+  reason: string,
+): boolean {
+  const next = buildStoppedTask(task, checkpoint);
+  const isUrgent = task.workClass !== 'ordinary';
+  if (!queueTaskChange(state, shard, next, nowMs, isUrgent)) return false;
+  state.counters.add('runs_stopped', { reason });
+  recordDecision(state, nowMs, task.id, next.phase === 'queued' ? 'requeue' : 'close', reason);
+  return true;
+}
+
+/** Turns the report of an assigned incarnation into a change of the ledger, once. */
+export function queueRunOutcome(
+  state: EntryState,
+  shard: string,
+  task: TaskRow,
+  report: RunReport,
+  worker: WorkerRow,
+  nowMs: number,
+): void {
+  if (hasPendingChange(state, task.id)) return;
+  switch (report.phase) {
+    case 'finished':
+      queueFinished(state, shard, task, report, worker, nowMs);
+      return;
+    case 'failed':
+      queueFailed(state, shard, task, report, worker, nowMs);
+      return;
+    case 'stopped':
+      queueStop(state, shard, task, report.checkpoint, nowMs, task.stopReason ?? 'worker-stopped');
+      return;
+    default:
+      queueCheckpoint(state, shard, task, report, nowMs);
+  }
+}
+
+function queueFinished(
+  state: EntryState,
+  shard: string,
+  task: TaskRow,
+  report: RunReport,
+  worker: WorkerRow,
+  nowMs: number,
+): void {
+  const rest = removeTaskFields(task, ['stopReason']);
+  const checkpoint = report.checkpoint === undefined ? {} : { checkpoint: report.checkpoint };
+  queueTaskChange(state, shard, { ...rest, ...checkpoint, phase: 'finished' }, nowMs, false);
+  state.workers.update(worker.id, { failedStarts: 0 });
+  state.counters.add('runs_finished');
+  recordDecision(state, nowMs, task.id, 'finish', `worker ${worker.id}`);
+}
+
+function queueFailed(
+  state: EntryState,
+  shard: string,
+  task: TaskRow,
+  report: RunReport,
+  worker: WorkerRow,
+  nowMs: number,
+): void {
+  const failedWorkers = [...new Set([...task.failedWorkers, worker.id])];
+  const message = report.message ?? 'the run failed';
+  state.workers.update(worker.id, { failedStarts: worker.failedStarts + 1 });
+  state.counters.add('runs_failed');
+  const stopped = buildStoppedTask({ ...task, failedWorkers }, report.checkpoint);
+  const isFailed = stopped.phase === 'queued' && failedWorkers.length >= MAX_FAILED_WORKERS;
+  const next: TaskRow = isFailed
+    ? { ...stopped, phase: 'failed', failure: createFailure('endpoint_failed', message) }
+    : stopped;
+  queueTaskChange(state, shard, next, nowMs, task.workClass !== 'ordinary');
+  recordDecision(state, nowMs, task.id, isFailed ? 'fail' : 'requeue', message);
+}
+
+/** Keeps the checkpoint in the ledger too, so that a new owner resumes from it. */
+function queueCheckpoint(
+  state: EntryState,
+  shard: string,
+  task: TaskRow,
+  report: RunReport,
+  nowMs: number,
+): void {
+  if (report.checkpoint === undefined || report.checkpoint === task.checkpoint) return;
+  const run = state.runs.get(formatRunId(task.id, task.incarnation));
+  if (run === undefined) return;
+  if (nowMs - (run.checkpointQueuedMs ?? run.sinceMs) < CHECKPOINT_WRITE_MS) return;
+  state.runs.update(run.id, { checkpointQueuedMs: nowMs });
+  queueTaskChange(state, shard, { ...task, checkpoint: report.checkpoint }, nowMs, false);
+}
--- /dev/null
+++ b/src/systems/leases/runRows.ts
@@ -0,0 +1,58 @@
+import type { EntryState } from '../../model/entryState.ts';
+import type { LedgerChange } from '../../model/ledger.ts';
+import { formatRunId } from '../../model/run.ts';
+import type { RunReport } from '../../model/worker.ts';
+
+/** Adds a row for each assigned incarnation that no worker has reported yet. */
+export function addAssignedRuns(
+  state: EntryState,
+  changes: readonly LedgerChange[],
+  nowMs: number,
+  leaseUntilMs: number,
+): void {
+  for (const change of changes) {
+    if (change.kind === 'remove') continue;
+    const { task } = change;
+    if (task.incarnation > 1) state.runs.remove(formatRunId(task.id, task.incarnation - 1));
+    const id = formatRunId(task.id, task.incarnation);
+    if (task.phase !== 'assigned' || task.workerId === undefined) {
+      state.runs.remove(id);
+      continue;
+    }
+    if (state.runs.has(id)) continue;
+    state.runs.set({
+      id,
+      taskId: task.id,
+      incarnation: task.incarnation,
+      workerId: task.workerId,
+      phase: 'unconfirmed',
+      checkpoint: task.checkpoint,
+      throttle: 1,
+      leaseUntilMs,
+      sinceMs: nowMs,
+    });
+  }
+}
+
+/** Records what a worker says about one of its runs. Returns whether the run was not known before. */
+export function recordRun(
+  state: EntryState,
+  workerId: string,
+  report: RunReport,
+  nowMs: number,
+): void {
+  const id = formatRunId(report.taskId, report.incarnation);
+  const previous = state.runs.get(id);
+  state.runs.set({
+    leaseUntilMs: nowMs,
+    sinceMs: nowMs,
+    ...previous,
+    id,
+    taskId: report.taskId,
+    incarnation: report.incarnation,
+    workerId,
+    phase: report.phase,
+    checkpoint: report.checkpoint ?? previous?.checkpoint,
+    throttle: report.throttle,
+  });
+}
--- a/src/systems/ledger/ledgerChanges.ts
+++ b/src/systems/ledger/ledgerChanges.ts
@@ -1,6 +1,9 @@
 import type { EntryState } from '../../model/entryState.ts';
 import type { LedgerChange } from '../../model/ledger.ts';
 import type { TaskRow } from '../../model/task.ts';
+import { isTaskOpen } from '../../model/task.ts';
+import { hashBucket } from './ledgerKeys.ts';
+import { estimateTaskBytes } from './ledgerSizes.ts';
 
 /** Whether a change of the task waits for the store. Such a task must not be decided on again. */
 export function hasPendingChange(state: EntryState, taskId: string): boolean {
@@ -39,6 +42,31 @@
   }
 }
 
+/** Applies confirmed changes of a shard and keeps account of where its rows belong and of their size. */
+export function applyShardChanges(
+  state: EntryState,
+  shard: string,
+  changes: readonly LedgerChange[],
+  nowMs: number,
+): void {
+  applyLedgerChanges(state, changes);
+  const bucketBytes = state.ledgers.get(shard)?.bucketBytes;
+  for (const change of changes) {
+    const id = change.kind === 'put' ? change.task.id : change.taskId;
+    const home = state.taskHomes.get(id);
+    const bucket = home?.bucket ?? hashBucket(id);
+    const bytes = change.kind === 'put' ? estimateTaskBytes(change.task) : 0;
+    if (bucketBytes !== undefined)
+      bucketBytes[bucket] = (bucketBytes[bucket] ?? 0) + bytes - (home?.bytes ?? 0);
+    if (change.kind === 'remove') {
+      state.taskHomes.remove(id);
+      continue;
+    }
+    const closedMs = isTaskOpen(change.task) ? undefined : (home?.closedMs ?? nowMs);
+    state.taskHomes.set({ id, shard, bucket, bytes, closedMs });
+  }
+}
+
 function queueChange(
   state: EntryState,
   shard: string,
--- /dev/null
+++ b/src/systems/ledger/ledgerKeys.ts
@@ -0,0 +1,30 @@
+import { hashText } from '../../base/common/rendezvous.ts';
+
+export const RING_SIZE = 64;
+/** Hash buckets of the task ids; a part covers every bucket with the same remainder. */
+export const BUCKETS = 128;
+export const MIN_PARTS = 4;
+
+export function formatSegmentPrefix(shard: string): string {
+  return `ledger/${shard}/j/`;
+}
+
+export function formatSegmentKey(shard: string, seq: number): string {
+  return `${formatSegmentPrefix(shard)}${seq % RING_SIZE}`;
+}
+
+export function formatLayoutKey(shard: string): string {
+  return `ledger/${shard}/layout`;
+}
+
+export function formatPartPrefix(shard: string, partCount: number): string {
+  return `ledger/${shard}/s/${partCount}/`;
+}
+
+export function formatPartKey(shard: string, partCount: number, part: number): string {
+  return `${formatPartPrefix(shard, partCount)}${part}`;
+}
+
+export function hashBucket(taskId: string): number {
+  return hashText(taskId) % BUCKETS;
+}
--- /dev/null
+++ b/src/systems/ledger/ledgerRecovery.ts
@@ -0,0 +1,271 @@
+import { formatFaults, parseValue } from '../../base/common/parse.ts';
+import type { Tick } from '../../base/common/system.ts';
+import type * as z from 'zod/mini';
+import type { EntryState } from '../../model/entryState.ts';
+import type { DutyRow, LedgerRow, Segment, SnapshotPart } from '../../model/ledger.ts';
+import { ledgerLayoutSchema, segmentSchema, snapshotPartSchema } from '../../model/ledger.ts';
+import type { StoreCall, StoreEntry, StoreReply } from '../../model/store.ts';
+import { applyShardChanges } from './ledgerChanges.ts';
+import {
+  BUCKETS,
+  formatLayoutKey,
+  formatPartKey,
+  formatPartPrefix,
+  formatSegmentKey,
+  formatSegmentPrefix,
+  hashBucket,
+  MIN_PARTS,
+  RING_SIZE,
+} from './ledgerKeys.ts';
+import { LEDGER_CALL_TIMEOUT_MS, startLayout } from './ledgerWrites.ts';
+
+const RETRY_DELAY_MS = 500;
+/** Time between reads of a ledger whose values are damaged; an operator has to repair them. */
+const DAMAGED_RETRY_MS = 5_000;
+const MAX_REREADS = 5;
+
+/** Begins to read the ledger of a shard whose duty this entry has just taken. */
+export function startRecovery(
+  state: EntryState,
+  tick: Tick,
+  duty: DutyRow,
+  rereads: number,
+  delayMs = 0,
+): void {
+  state.ledgers.set({
+    id: duty.id,
+    epoch: duty.epoch,
+    phase: 'reading-layout',
+    readCallId: undefined,
+    readSentMs: 0,
+    retryAtMs: tick.now + delayMs,
+    rereads,
+    segments: [],
+    nextSeq: 1,
+    versions: new Array<number>(RING_SIZE).fill(0),
+    append: undefined,
+    appendStartedMs: 0,
+    confirmedMs: 0,
+    snapshot: undefined,
+    sinceSnapshot: 0,
+    layoutVersion: 0,
+    parts: new Array(MIN_PARTS).fill({ uptoSeq: 0, version: 0 }),
+    nextParts: undefined,
+    bucketBytes: new Array<number>(BUCKETS).fill(0),
+    nextSequence: 1,
+  });
+}
+
+/** Sends the read of the present phase when it is due. */
+export function sendRecoveryRead(state: EntryState, tick: Tick, ledger: LedgerRow): void {
+  if (ledger.phase === 'fencing' || ledger.phase === 'ready') return;
+  const dueMs =
+    ledger.readCallId === undefined
+      ? ledger.retryAtMs
+      : ledger.readSentMs + LEDGER_CALL_TIMEOUT_MS + RETRY_DELAY_MS;
+  if (tick.now < dueMs) {
+    tick.wakeAt(dueMs);
+    return;
+  }
+  const callId = `ledger/${ledger.id}/${ledger.phase}/${tick.random.takeId()}`;
+  state.ledgers.update(ledger.id, { readCallId: callId, readSentMs: tick.now });
+  const call = buildReadCall(ledger);
+  state.outbox.append({ kind: 'callStore', callId, call, timeoutMs: LEDGER_CALL_TIMEOUT_MS });
+}
+
+/** Handles the answer to a recovery read. */
+export function handleRecoveryReply(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  reply: StoreReply,
+): void {
+  if (reply.kind === 'entry') readLayout(state, tick, ledger, reply.entry);
+  else if (reply.kind === 'entries' && ledger.phase === 'reading-segments')
+    readSegments(state, tick, ledger, reply.entries);
+  else if (reply.kind === 'entries') readParts(state, tick, ledger, reply.entries);
+  else
+    state.ledgers.update(ledger.id, {
+      readCallId: undefined,
+      retryAtMs: tick.now + RETRY_DELAY_MS,
+    });
+}
+
+function buildReadCall(ledger: LedgerRow): StoreCall {
+  if (ledger.phase === 'reading-layout') return { op: 'read', key: formatLayoutKey(ledger.id) };
+  if (ledger.phase === 'reading-segments')
+    return { op: 'list', prefix: formatSegmentPrefix(ledger.id) };
+  return { op: 'list', prefix: formatPartPrefix(ledger.id, ledger.parts.length) };
+}
+
+function readLayout(state: EntryState, tick: Tick, ledger: LedgerRow, entry: StoreEntry): void {
+  let partCount = MIN_PARTS;
+  if (entry.version !== 0) {
+    const layout = parseStored(state, tick, ledger, entry, ledgerLayoutSchema);
+    if (layout === undefined) return;
+    partCount = layout.partCount;
+  }
+  state.ledgers.update(ledger.id, {
+    phase: 'reading-segments',
+    readCallId: undefined,
+    retryAtMs: tick.now,
+    layoutVersion: entry.version,
+    parts: new Array(partCount).fill({ uptoSeq: 0, version: 0 }),
+  });
+}
+
+function readSegments(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  entries: readonly StoreEntry[],
+): void {
+  const segments: Segment[] = [];
+  const versions = [...ledger.versions];
+  for (const entry of entries) {
+    const segment = parseStored(state, tick, ledger, entry, segmentSchema);
+    if (segment === undefined) return;
+    if (formatSegmentKey(ledger.id, segment.seq) !== entry.key) {
+      refuseDamaged(state, tick, ledger, entry.key, 'segment number and key differ');
+      return;
+    }
+    segments.push(segment);
+    versions[segment.seq % RING_SIZE] = entry.version;
+  }
+  segments.sort((a, b) => a.seq - b.seq);
+  state.ledgers.update(ledger.id, {
+    phase: 'reading-parts',
+    readCallId: undefined,
+    retryAtMs: tick.now,
+    segments,
+    versions,
+    nextSeq: (segments.at(-1)?.seq ?? 0) + 1,
+  });
+}
+
+function readParts(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  entries: readonly StoreEntry[],
+): void {
+  const byKey = new Map(entries.map((entry) => [entry.key, entry]));
+  const parts: { part: SnapshotPart; version: number }[] = [];
+  for (let index = 0; index < ledger.parts.length; index += 1) {
+    const entry = byKey.get(formatPartKey(ledger.id, ledger.parts.length, index));
+    if (entry === undefined) {
+      parts.push({ part: { uptoSeq: 0, epoch: 0, token: '', tasks: [] }, version: 0 });
+      continue;
+    }
+    const part = parseStored(state, tick, ledger, entry, snapshotPartSchema);
+    if (part === undefined) return;
+    parts.push({ part, version: entry.version });
+  }
+  const oldest = Math.min(...parts.map(({ part }) => part.uptoSeq));
+  const newest = Math.max(...parts.map(({ part }) => part.uptoSeq));
+  if (!hasEverySegment(ledger, oldest, newest)) {
+    restartRecovery(state, tick, ledger);
+    return;
+  }
+  const duty = state.duties.get(ledger.id);
+  if (duty === undefined) return;
+  loadTasks(state, tick, ledger, parts);
+  const current = state.ledgers.update(ledger.id, {
+    phase: 'fencing',
+    readCallId: undefined,
+    segments: [],
+    parts: parts.map(({ part, version }) => ({ uptoSeq: part.uptoSeq, version })),
+  });
+  // The layout is written again first: a late layout write of an earlier owner can then no longer take
+  // effect and put parts in force that this owner does not refresh.
+  if (current !== undefined) startLayout(state, tick, current, current.parts.length as 4);
+}
+
+/** Every segment after the oldest part must be there; a gap means that the ring moved meanwhile. */
+function hasEverySegment(ledger: LedgerRow, oldest: number, newest: number): boolean {
+  if (newest >= ledger.nextSeq) return false;
+  const present = new Set(ledger.segments.map((segment) => segment.seq));
+  for (let seq = oldest + 1; seq < ledger.nextSeq; seq += 1) {
+    if (!present.has(seq)) return false;
+  }
+  return true;
+}
+
+/** Reads the whole ledger again, and reports damage when that does not help. */
+export function restartRecovery(state: EntryState, tick: Tick, ledger: LedgerRow): void {
+  const duty = state.duties.get(ledger.id);
+  if (duty === undefined) return;
+  removeTasks(state, ledger.id);
+  if (ledger.rereads >= MAX_REREADS)
+    refuseDamaged(state, tick, ledger, formatSegmentPrefix(ledger.id), 'segments are missing');
+  else startRecovery(state, tick, duty, ledger.rereads + 1);
+}
+
+function loadTasks(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  parts: readonly { part: SnapshotPart; version: number }[],
+): void {
+  const partOf = (taskId: string): number => hashPart(taskId, parts.length);
+  for (const { part } of parts) {
+    const puts = part.tasks.map((task) => ({ kind: 'put', task }) as const);
+    applyShardChanges(state, ledger.id, puts, tick.now);
+  }
+  for (const segment of ledger.segments) {
+    const changes = segment.changes.filter((change) => {
+      const id = change.kind === 'put' ? change.task.id : change.taskId;
+      return segment.seq > (parts[partOf(id)]?.part.uptoSeq ?? 0);
+    });
+    applyShardChanges(state, ledger.id, changes, tick.now);
+  }
+  let nextSequence = 1;
+  for (const home of state.taskHomes.values()) {
+    const sequence = home.shard === ledger.id ? (state.tasks.get(home.id)?.sequence ?? 0) : 0;
+    nextSequence = Math.max(nextSequence, sequence + 1);
+  }
+  state.ledgers.update(ledger.id, { nextSequence });
+}
+
+function hashPart(taskId: string, partCount: number): number {
+  return hashBucket(taskId) % partCount;
+}
+
+function removeTasks(state: EntryState, shard: string): void {
+  for (const home of state.taskHomes.list()) {
+    if (home.shard !== shard) continue;
+    state.tasks.remove(home.id);
+    state.taskHomes.remove(home.id);
+  }
+}
+
+function parseStored<Schema extends z.ZodMiniType>(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  entry: StoreEntry,
+  schema: Schema,
+): z.output<Schema> | undefined {
+  return parseValue(schema, entry.value).caseOf<z.output<Schema> | undefined>({
+    Left: (faults) => {
+      refuseDamaged(state, tick, ledger, entry.key, formatFaults(faults));
+      return undefined;
+    },
+    Right: (value) => value,
+  });
+}
+
+/** Names the damaged key and stays in recovery: nothing is placed or answered from a damaged ledger. */
+function refuseDamaged(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  key: string,
+  faults: string,
+): void {
+  state.counters.add('damaged_store_values', { key: 'ledger' });
+  const fields = { shard: ledger.id, key, faults };
+  state.outbox.append({ kind: 'log', level: 'error', event: 'ledger_damaged', fields });
+  const duty = state.duties.get(ledger.id);
+  if (duty !== undefined) startRecovery(state, tick, duty, 0, DAMAGED_RETRY_MS);
+}
--- /dev/null
+++ b/src/systems/ledger/ledgerSystem.ts
@@ -0,0 +1,326 @@
+import { parseValue } from '../../base/common/parse.ts';
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { LedgerRow, LedgerWrite, PartState } from '../../model/ledger.ts';
+import { ledgerLayoutSchema, segmentSchema, snapshotPartSchema } from '../../model/ledger.ts';
+import type { StoreReply } from '../../model/store.ts';
+import { stopClaim } from '../duties/dutySteps.ts';
+import { LEASE_MARGIN_MS, TASK_LEASE_MS } from '../leases/leaseTimes.ts';
+import { addAssignedRuns } from '../leases/runRows.ts';
+import { applyShardChanges, queueTaskRemoval } from './ledgerChanges.ts';
+import { BUCKETS, RING_SIZE } from './ledgerKeys.ts';
+import {
+  handleRecoveryReply,
+  restartRecovery,
+  sendRecoveryRead,
+  startRecovery,
+} from './ledgerRecovery.ts';
+import { hasLargePart } from './ledgerSizes.ts';
+import {
+  LEDGER_CALL_TIMEOUT_MS,
+  sendWrite,
+  startAppend,
+  startLayout,
+  startPart,
+  takeBatch,
+} from './ledgerWrites.ts';
+
+const BATCH_PERIOD_MS = 100;
+const URGENT_PERIOD_MS = 20;
+const RETRY_DELAY_MS = 500;
+/** A finished job answers repeated submissions for this long. */
+const RETENTION_MS = 24 * 3_600_000;
+const RETENTION_CHECK_MS = 60_000;
+const RETENTION_CALL = 'ledger.retention';
+
+/**
+ * Writes the changes of owned shards to the store and reads their ledgers after a takeover.
+ * Reads `storeReply`, `duties`, `pendingChanges`. Writes `ledgers`, `tasks`, `taskHomes`, `duties`.
+ * Runs each turn after the duties and, because it applies what is confirmed, before every reader of tasks.
+ */
+export class LedgerSystem extends System<EntryState> {
+  override readonly name = 'ledger';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): LedgerSystem {
+    return new LedgerSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const { callId, reply } of state.inbox.list('storeReply')) {
+      for (const ledger of state.ledgers.list()) {
+        if (ledger.readCallId === callId) handleRecoveryReply(state, tick, ledger, reply);
+        else if (ledger.append?.callId === callId)
+          this.handleWriteReply(state, tick, ledger, ledger.append, reply);
+        else if (ledger.snapshot?.callId === callId)
+          this.handleWriteReply(state, tick, ledger, ledger.snapshot, reply);
+      }
+    }
+    for (const duty of state.duties.list()) {
+      if (duty.phase === 'recovering' && !state.ledgers.has(duty.id))
+        startRecovery(state, tick, duty, 0);
+      const ledger = state.ledgers.get(duty.id);
+      if (ledger === undefined) continue;
+      sendRecoveryRead(state, tick, ledger);
+      this.advanceWrites(state, tick, duty.id, duty.phase === 'holding');
+    }
+    this.removeOld(state, tick);
+  }
+
+  private handleWriteReply(
+    state: EntryState,
+    tick: Tick,
+    ledger: LedgerRow,
+    write: LedgerWrite,
+    reply: StoreReply,
+  ): void {
+    if (reply.kind === 'written') this.confirm(state, tick, ledger, write, reply.version);
+    else if (reply.kind === 'conflict')
+      this.setWrite(state, ledger, sendWrite(state, tick, ledger.id, write, true));
+    else if (reply.kind === 'entry') this.handleReadBack(state, tick, ledger, write, reply.entry);
+    else
+      this.setWrite(state, ledger, {
+        ...write,
+        callId: '',
+        retryAtMs: tick.now + RETRY_DELAY_MS,
+      });
+  }
+
+  /** Settles a write whose answer was lost, or that met another version. */
+  private handleReadBack(
+    state: EntryState,
+    tick: Tick,
+    ledger: LedgerRow,
+    write: LedgerWrite,
+    entry: { version: number; value: unknown },
+  ): void {
+    if (entry.version === write.expectedVersion) {
+      this.setWrite(state, ledger, sendWrite(state, tick, ledger.id, write));
+      return;
+    }
+    const stored = this.readMark(write, entry.value);
+    if (stored?.token === write.value.token) {
+      this.confirm(state, tick, ledger, write, entry.version);
+    } else if (stored === undefined || stored.epoch > ledger.epoch) {
+      this.stopOwner(state, tick, ledger, stored === undefined ? 'ledger-damaged' : 'fenced');
+    } else if (ledger.phase === 'fencing') {
+      // An owner before this one wrote the value after it was read.
+      restartRecovery(state, tick, ledger);
+    } else if (write.kind !== 'part') {
+      this.stopOwner(state, tick, ledger, 'fenced');
+    } else {
+      // A late write of an owner before this one. It is a true snapshot, but an older one.
+      const content = { ...write, expectedVersion: entry.version };
+      this.setWrite(state, ledger, sendWrite(state, tick, ledger.id, content));
+    }
+  }
+
+  private readMark(
+    write: LedgerWrite,
+    value: unknown,
+  ): { token: string; epoch: number } | undefined {
+    switch (write.kind) {
+      case 'append':
+        return parseValue(segmentSchema, value).toMaybe().extract();
+      case 'part':
+        return parseValue(snapshotPartSchema, value).toMaybe().extract();
+      case 'layout':
+        return parseValue(ledgerLayoutSchema, value).toMaybe().extract();
+    }
+  }
+
+  private stopOwner(state: EntryState, tick: Tick, ledger: LedgerRow, reason: string): void {
+    const claim = state.dutyClaims.get(ledger.id);
+    if (claim !== undefined) stopClaim(state, claim, tick.now, reason);
+  }
+
+  private setWrite(state: EntryState, ledger: LedgerRow, write: LedgerWrite): void {
+    state.ledgers.update(
+      ledger.id,
+      write.kind === 'append' ? { append: write } : { snapshot: write },
+    );
+  }
+
+  private confirm(
+    state: EntryState,
+    tick: Tick,
+    ledger: LedgerRow,
+    write: LedgerWrite,
+    version: number,
+  ): void {
+    const duty = state.duties.get(ledger.id);
+    if (duty !== undefined && duty.confirmedMs < write.sentMs)
+      state.duties.update(ledger.id, { confirmedMs: write.sentMs });
+    if (write.kind === 'append') this.confirmAppend(state, tick, ledger, write, version);
+    else if (write.kind === 'part') this.confirmPart(state, ledger, write, version);
+    else {
+      const next = state.ledgers.update(ledger.id, {
+        snapshot: undefined,
+        layoutVersion: version,
+        parts: ledger.nextParts ?? ledger.parts,
+        nextParts: undefined,
+      });
+      if (next?.phase === 'fencing') startAppend(state, tick, next, []);
+    }
+  }
+
+  private confirmAppend(
+    state: EntryState,
+    tick: Tick,
+    ledger: LedgerRow,
+    write: LedgerWrite,
+    version: number,
+  ): void {
+    if (!('changes' in write.value)) return;
+    const { seq, changes } = write.value;
+    for (const change of changes)
+      state.pendingChanges.remove(change.kind === 'put' ? change.task.id : change.taskId);
+    applyShardChanges(state, ledger.id, changes, tick.now);
+    addAssignedRuns(state, changes, tick.now, tick.now + TASK_LEASE_MS + LEASE_MARGIN_MS);
+    const versions = [...ledger.versions];
+    versions[seq % RING_SIZE] = version;
+    state.ledgers.update(ledger.id, {
+      phase: 'ready',
+      append: undefined,
+      nextSeq: seq + 1,
+      versions,
+      confirmedMs: tick.now,
+      sinceSnapshot: ledger.sinceSnapshot + 1,
+    });
+    if (ledger.phase === 'fencing') this.startHolding(state, tick, ledger);
+  }
+
+  private startHolding(state: EntryState, tick: Tick, ledger: LedgerRow): void {
+    const duty = state.duties.update(ledger.id, { phase: 'holding' });
+    const tasks = [...state.tasks.values()].filter(
+      (task) => state.taskHomes.get(task.id)?.shard === ledger.id,
+    );
+    const puts = tasks.map((task) => ({ kind: 'put', task }) as const);
+    addAssignedRuns(state, puts, tick.now, duty?.inheritedUntilMs ?? tick.now);
+    const fields = { shard: ledger.id, epoch: ledger.epoch, seq: ledger.nextSeq };
+    state.outbox.append({ kind: 'log', level: 'info', event: 'ledger_recovered', fields });
+    state.counters.add('ledger_recoveries');
+    tick.wakeAt(tick.now);
+  }
+
+  private confirmPart(
+    state: EntryState,
+    ledger: LedgerRow,
+    write: LedgerWrite,
+    version: number,
+  ): void {
+    if (!('uptoSeq' in write.value)) return;
+    const part: PartState = { uptoSeq: write.value.uptoSeq, version };
+    if (write.partCount === ledger.parts.length) {
+      const parts = ledger.parts.map((old, index) => (index === write.part ? part : old));
+      state.ledgers.update(ledger.id, { snapshot: undefined, parts });
+      return;
+    }
+    const nextParts = [...(ledger.nextParts ?? []), part];
+    state.ledgers.update(ledger.id, { snapshot: undefined, nextParts });
+  }
+
+  private advanceWrites(state: EntryState, tick: Tick, shard: string, isHolding: boolean): void {
+    for (const kind of ['append', 'snapshot'] as const) {
+      const ledger = state.ledgers.get(shard);
+      const write = ledger?.[kind];
+      if (ledger !== undefined && write !== undefined) this.repeat(state, tick, ledger, write);
+    }
+    if (!isHolding) return;
+    this.writeSnapshots(state, tick, shard);
+    this.writeAppend(state, tick, shard);
+  }
+
+  private repeat(state: EntryState, tick: Tick, ledger: LedgerRow, write: LedgerWrite): void {
+    const dueMs = write.retryAtMs ?? write.sentMs + LEDGER_CALL_TIMEOUT_MS + RETRY_DELAY_MS;
+    if (tick.now < dueMs) tick.wakeAt(dueMs);
+    else this.setWrite(state, ledger, sendWrite(state, tick, ledger.id, write, true));
+  }
+
+  private writeAppend(state: EntryState, tick: Tick, shard: string): void {
+    const ledger = state.ledgers.get(shard);
+    if (ledger?.phase !== 'ready' || ledger.append !== undefined) return;
+    let hasWaiting = false;
+    let isUrgent = false;
+    for (const row of state.pendingChanges.values()) {
+      if (row.shard !== shard) continue;
+      hasWaiting = true;
+      isUrgent ||= row.isUrgent;
+    }
+    if (!hasWaiting) return;
+    const dueMs = ledger.appendStartedMs + (isUrgent ? URGENT_PERIOD_MS : BATCH_PERIOD_MS);
+    if (tick.now < dueMs) {
+      tick.wakeAt(dueMs);
+      return;
+    }
+    // A layout that is being written becomes the one that a recovery reads, so its parts count too.
+    const parts = [...ledger.parts, ...(ledger.nextParts ?? [])];
+    const oldest = Math.min(...parts.map((part) => part.uptoSeq));
+    if (oldest < ledger.nextSeq - RING_SIZE) {
+      state.counters.add('ledger_appends_held_back');
+      return;
+    }
+    const batch = takeBatch(state, shard, ledger.nextSeq);
+    startAppend(
+      state,
+      tick,
+      ledger,
+      batch.map((row) => row.change),
+    );
+  }
+
+  /** One part at a time, the oldest first, so that each is rewritten within half a turn of the ring. */
+  private writeSnapshots(state: EntryState, tick: Tick, shard: string): void {
+    const ledger = state.ledgers.get(shard);
+    if (ledger?.phase !== 'ready' || ledger.snapshot !== undefined) return;
+    const { parts, nextParts } = ledger;
+    const oldest = Math.min(...parts.map((part) => part.uptoSeq));
+    if (nextParts !== undefined) {
+      this.writeNextParts(state, tick, ledger, nextParts);
+      return;
+    }
+    const isHeldBack = oldest < ledger.nextSeq - RING_SIZE;
+    const period = Math.max(1, Math.floor(RING_SIZE / 2 / parts.length));
+    if (ledger.sinceSnapshot < period && !isHeldBack) return;
+    if (hasLargePart(ledger)) {
+      this.writeNextParts(state, tick, ledger, []);
+      return;
+    }
+    const part = parts.findIndex((candidate) => candidate.uptoSeq === oldest);
+    startPart(state, tick, ledger, part, parts.length, parts[part]?.version ?? 0);
+  }
+
+  /** Writes all parts of the doubled layout under keys of their own, and puts it in force at last. */
+  private writeNextParts(
+    state: EntryState,
+    tick: Tick,
+    ledger: LedgerRow,
+    nextParts: readonly PartState[],
+  ): void {
+    const partCount = Math.min(BUCKETS, ledger.parts.length * 2) as 8 | 16 | 32 | 64 | 128;
+    state.ledgers.update(ledger.id, { nextParts });
+    if (nextParts.length < partCount)
+      startPart(state, tick, ledger, nextParts.length, partCount, 0);
+    else startLayout(state, tick, ledger, partCount);
+  }
+
+  private removeOld(state: EntryState, tick: Tick): void {
+    const last = state.calls.get(RETENTION_CALL);
+    if (last !== undefined && tick.now - last.sentMs < RETENTION_CHECK_MS) return;
+    state.calls.set({
+      id: RETENTION_CALL,
+      owner: this.name,
+      purpose: 'retention',
+      subject: '',
+      sentMs: tick.now,
+    });
+    for (const home of state.taskHomes.values()) {
+      if (home.closedMs === undefined || tick.now - home.closedMs < RETENTION_MS) continue;
+      queueTaskRemoval(state, home.shard, home.id, tick.now);
+    }
+  }
+}
--- /dev/null
+++ b/src/systems/ledger/ledgerWrites.ts
@@ -0,0 +1,128 @@
+import type { Tick } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { LedgerRow, LedgerWrite, PendingChangeRow } from '../../model/ledger.ts';
+import type { TaskRow } from '../../model/task.ts';
+import {
+  BUCKETS,
+  formatLayoutKey,
+  formatPartKey,
+  formatSegmentKey,
+  RING_SIZE,
+} from './ledgerKeys.ts';
+import { estimateChangeBytes, MAX_SEGMENT_BYTES } from './ledgerSizes.ts';
+
+export const LEDGER_CALL_TIMEOUT_MS = 2_000;
+
+type WriteContent = Pick<
+  LedgerWrite,
+  'kind' | 'key' | 'value' | 'expectedVersion' | 'part' | 'partCount'
+>;
+
+/** Sends a write for the first time, or again after its answer was lost. */
+export function sendWrite(
+  state: EntryState,
+  tick: Tick,
+  shard: string,
+  content: WriteContent,
+  isReadBack = false,
+): LedgerWrite {
+  const callId = `ledger/${shard}/${content.kind}/${tick.random.takeId()}`;
+  const { key, value, expectedVersion } = content;
+  state.outbox.append({
+    kind: 'callStore',
+    callId,
+    call: isReadBack ? { op: 'read', key } : { op: 'write', key, expectedVersion, value },
+    timeoutMs: LEDGER_CALL_TIMEOUT_MS,
+  });
+  if (!isReadBack) state.counters.add('ledger_writes', { kind: content.kind });
+  return { ...content, callId, isReadBack, sentMs: tick.now, retryAtMs: undefined };
+}
+
+/** Takes as many waiting changes as fit into one segment, urgent ones first. */
+export function takeBatch(state: EntryState, shard: string, seq: number): PendingChangeRow[] {
+  const waiting = [...state.pendingChanges.values()].filter(
+    (row) => row.shard === shard && row.segment === undefined,
+  );
+  const sorted = [
+    ...waiting.filter((row) => row.isUrgent),
+    ...waiting.filter((row) => !row.isUrgent),
+  ];
+  const batch: PendingChangeRow[] = [];
+  let bytes = 0;
+  for (const row of sorted) {
+    bytes += estimateChangeBytes(row.change);
+    if (batch.length > 0 && bytes > MAX_SEGMENT_BYTES) break;
+    batch.push(row);
+    state.pendingChanges.update(row.id, { segment: seq });
+  }
+  return batch;
+}
+
+/** Starts the append of the next segment. */
+export function startAppend(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  changes: PendingChangeRow['change'][],
+): void {
+  const seq = ledger.nextSeq;
+  const append = sendWrite(state, tick, ledger.id, {
+    kind: 'append',
+    key: formatSegmentKey(ledger.id, seq),
+    value: { seq, epoch: ledger.epoch, token: tick.random.takeId(), changes },
+    expectedVersion: ledger.versions[seq % RING_SIZE] ?? 0,
+    part: 0,
+    partCount: 0,
+  });
+  state.ledgers.update(ledger.id, { append, appendStartedMs: tick.now });
+}
+
+/** Starts the write of one snapshot part as of the last confirmed segment. */
+export function startPart(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  part: number,
+  partCount: number,
+  expectedVersion: number,
+): void {
+  const tasks: TaskRow[] = [];
+  for (let bucket = part; bucket < BUCKETS; bucket += partCount) {
+    for (const home of state.taskHomesByBucket.list(`${ledger.id}/${bucket}`)) {
+      const task = state.tasks.get(home.id);
+      if (task !== undefined) tasks.push(task);
+    }
+  }
+  const snapshot = sendWrite(state, tick, ledger.id, {
+    kind: 'part',
+    key: formatPartKey(ledger.id, partCount, part),
+    value: {
+      uptoSeq: ledger.nextSeq - 1,
+      epoch: ledger.epoch,
+      token: tick.random.takeId(),
+      tasks,
+    },
+    expectedVersion,
+    part,
+    partCount,
+  });
+  state.ledgers.update(ledger.id, { snapshot, sinceSnapshot: 0 });
+}
+
+/** Starts the write that puts another number of parts in force. */
+export function startLayout(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  partCount: 4 | 8 | 16 | 32 | 64 | 128,
+): void {
+  const snapshot = sendWrite(state, tick, ledger.id, {
+    kind: 'layout',
+    key: formatLayoutKey(ledger.id),
+    value: { partCount, epoch: ledger.epoch, token: tick.random.takeId() },
+    expectedVersion: ledger.layoutVersion,
+    part: 0,
+    partCount,
+  });
+  state.ledgers.update(ledger.id, { snapshot });
+}
--- a/src/systems/membership/announceSystem.ts
+++ b/src/systems/membership/announceSystem.ts
@@ -3,6 +3,7 @@
 import type { AgentState } from '../../model/agentState.ts';
 import type { EndpointReport } from '../../model/endpoint.ts';
 import type { ExchangeReply } from '../../model/exchange.ts';
+import { buildWorkerReport } from '../worker/workerReport.ts';
 
 const EXCHANGE_WAIT_MS = 1_000;
 const EXCHANGE_TIMEOUT_MS = 3_000;
@@ -85,6 +86,7 @@
     const callId = `exchange/${address}/${seq}`;
     state.links.set({ ...link, seq, pendingCallId: callId, sentMs: tick.now });
     const { self } = state;
+    const worker = buildWorkerReport(state);
     state.outbox.append({
       kind: 'sendExchange',
       callId,
@@ -100,8 +102,9 @@
         waitMs: EXCHANGE_WAIT_MS,
         configRevision: state.config?.revision ?? -1,
         entriesDigest: 0,
-        epoch: 0,
+        epoch: state.ownerEpoch,
         endpoints: this.listReports(state),
+        ...(worker === undefined ? {} : { worker }),
       },
     });
   }
--- /dev/null
+++ b/src/systems/recovery/recoverySystem.ts
@@ -0,0 +1,54 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { RunRow } from '../../model/run.ts';
+import { findHeldDuty } from '../duties/shards.ts';
+import { canRenew } from '../leases/ownerAnswer.ts';
+import { queueStop } from '../leases/runOutcomes.ts';
+
+const SCAN_PERIOD_MS = 250;
+const SCAN_CALL = 'recovery.scan';
+
+/**
+ * Returns the tasks whose lease has expired on the owner's clock to the queue.
+ * Reads `runs`, `tasks`, `duties`. Writes `pendingChanges`, `runs`.
+ * Runs four times a second, after the leases, so that a renewal of the same turn counts first.
+ */
+export class RecoverySystem extends System<EntryState> {
+  override readonly name = 'recovery';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): RecoverySystem {
+    return new RecoverySystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    if (state.runs.size === 0) return;
+    const lastMs = state.calls.get(SCAN_CALL)?.sentMs;
+    if (lastMs !== undefined && tick.now - lastMs < SCAN_PERIOD_MS) {
+      tick.wakeAt(lastMs + SCAN_PERIOD_MS);
+      return;
+    }
+    const call = { owner: this.name, purpose: 'scan', subject: '', sentMs: tick.now };
+    state.calls.set({ ...call, id: SCAN_CALL });
+    tick.wakeAt(tick.now + SCAN_PERIOD_MS);
+    for (const run of state.runs.list()) {
+      if (run.leaseUntilMs <= tick.now) this.handleExpired(state, tick, run);
+    }
+  }
+
+  private handleExpired(state: EntryState, tick: Tick, run: RunRow): void {
+    const task = state.tasks.get(run.taskId);
+    if (task?.phase !== 'assigned' || task.incarnation !== run.incarnation) {
+      // Kept as committed demand of the worker until the worker stops reporting it.
+      if (!state.workers.has(run.workerId)) state.runs.remove(run.id);
+      return;
+    }
+    const duty = findHeldDuty(state, state.taskHomes.get(task.id)?.shard);
+    if (duty === undefined || !canRenew(state, duty, tick.now)) return;
+    queueStop(state, duty.id, task, run.checkpoint, tick.now, 'lease-expired');
+  }
+}
--- /dev/null
+++ b/src/systems/worker/workerSystem.ts
@@ -0,0 +1,243 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { AgentState, ExchangeSampleRow } from '../../model/agentState.ts';
+import type { ExchangeReply } from '../../model/exchange.ts';
+import type { WorkerCommand, WorkerReport } from '../../model/worker.ts';
+import type { WorkerCall, WorkerReply } from '../../model/workerCall.ts';
+import { START_LIMIT_MS } from '../leases/leaseTimes.ts';
+import { MAX_STATUS_AGE_MS } from './workerReport.ts';
+
+const CALL_TIMEOUT_MS = 1_000;
+/** A call without any answer is given up this long after its own timeout. */
+const ANSWER_SLACK_MS = 500;
+const STATUS_PERIOD_MS = 500;
+const STATUS_CALL = 'worker.status';
+/** Exchanges are given up long before this. */
+const SAMPLE_RETENTION_MS = 30_000;
+
+type StartCommand = Extract<WorkerCommand, { kind: 'start' }>;
+type OwnerPart = NonNullable<ExchangeReply['owner']>;
+type RejectedStart = WorkerReport['rejectedStarts'][number];
+
+/**
+ * Carries the owner's renewals and commands to the worker, and the worker's status to the owner.
+ * Reads `exchangeReply`, `workerReply`, and the exchanges that this turn sends. Writes `worker`,
+ * `ownerEpoch`, `rejectedStarts`, `exchangeSamples`, `calls`. Runs each turn after the announcements.
+ * It keeps nothing that the worker does not keep as well, so a restarted agent reads it back.
+ */
+export class WorkerSystem extends System<AgentState> {
+  override readonly name = 'worker';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): WorkerSystem {
+    return new WorkerSystem();
+  }
+
+  override run(state: AgentState, tick: Tick): void {
+    if (!state.self.hasWorker) return;
+    for (const { callId, reply } of state.inbox.list('workerReply'))
+      this.handleWorkerReply(state, tick, callId, reply);
+    this.removeSilent(state, tick);
+    for (const { callId, reply } of state.inbox.list('exchangeReply'))
+      this.handleExchangeReply(state, tick, callId, reply);
+    this.recordSamples(state, tick);
+    this.sendStatus(state, tick);
+  }
+
+  private handleWorkerReply(
+    state: AgentState,
+    tick: Tick,
+    callId: string,
+    reply: WorkerReply | undefined,
+  ): void {
+    const call = state.calls.remove(callId);
+    if (call?.owner !== this.name) return;
+    if (reply?.kind === 'status') {
+      // An answer that took longer than a later one must not bring back an older state.
+      if (call.sentMs < (state.worker?.askedMs ?? 0)) return;
+      state.worker = { status: reply.status, askedMs: call.sentMs, receivedMs: tick.now };
+      return;
+    }
+    if (call.purpose === 'start' && reply?.kind === 'refused') {
+      const [taskId = '', incarnation = '0'] = call.subject.split('#');
+      const reason = reply.reason === 'too_late' ? 'stale_proof' : 'no_room';
+      this.recordRejection(state, { taskId, incarnation: Number(incarnation), reason });
+    }
+  }
+
+  private recordRejection(state: AgentState, rejection: RejectedStart): void {
+    state.counters.add('rejected_starts', { reason: rejection.reason });
+    state.rejectedStarts = [...state.rejectedStarts, rejection];
+  }
+
+  /** Without a fresh status the report stops, so that the owner learns of a silent worker by its leases. */
+  private removeSilent(state: AgentState, tick: Tick): void {
+    for (const call of state.calls.list()) {
+      if (call.owner !== this.name) continue;
+      if (tick.now - call.sentMs >= CALL_TIMEOUT_MS + ANSWER_SLACK_MS) state.calls.remove(call.id);
+    }
+    if (state.worker !== undefined && tick.now - state.worker.askedMs > MAX_STATUS_AGE_MS)
+      state.worker = undefined;
+  }
+
+  /** Keeps the worker's clock reading of each exchange, from which the leases of its answer count. */
+  private recordSamples(state: AgentState, tick: Tick): void {
+    for (const effect of state.outbox.list('sendExchange')) {
+      if (effect.request.worker === undefined || state.worker === undefined) continue;
+      state.exchangeSamples.set({
+        id: effect.callId,
+        workerBootId: state.worker.status.bootId,
+        workerClockMs: state.worker.status.clockMs,
+        sentMs: tick.now,
+        rejectedStarts: effect.request.worker.rejectedStarts,
+      });
+      state.worker = { ...state.worker, samplesReported: true };
+    }
+    for (const sample of state.exchangeSamples.list()) {
+      if (tick.now - sample.sentMs < SAMPLE_RETENTION_MS) break;
+      state.exchangeSamples.remove(sample.id);
+    }
+  }
+
+  private handleExchangeReply(
+    state: AgentState,
+    tick: Tick,
+    callId: string,
+    reply: ExchangeReply | undefined,
+  ): void {
+    const sample = state.exchangeSamples.remove(callId);
+    if (sample === undefined || reply?.owner === undefined) return;
+    const { owner } = reply;
+    if (owner.epoch < state.ownerEpoch) {
+      state.counters.add('stale_epoch_replies');
+      return;
+    }
+    state.ownerEpoch = owner.epoch;
+    const reported = new Set(sample.rejectedStarts);
+    state.rejectedStarts = state.rejectedStarts.filter((rejection) => !reported.has(rejection));
+    // After a restart of the worker, clock readings and runs of the boot before mean nothing.
+    if (state.worker?.status.bootId !== sample.workerBootId) return;
+    this.sendRenewals(state, tick, sample, owner);
+    for (const command of owner.commands) this.sendCommand(state, tick, sample, owner, command);
+  }
+
+  private sendRenewals(
+    state: AgentState,
+    tick: Tick,
+    sample: ExchangeSampleRow,
+    owner: OwnerPart,
+  ): void {
+    if (owner.renewed.length === 0) return;
+    const leaseUntil = sample.workerClockMs + owner.leaseMs;
+    this.send(state, tick, 'renew', '', { op: 'renew', leaseUntil, runs: [...owner.renewed] });
+  }
+
+  private sendCommand(
+    state: AgentState,
+    tick: Tick,
+    sample: ExchangeSampleRow,
+    owner: OwnerPart,
+    command: WorkerCommand,
+  ): void {
+    const { taskId, incarnation } = command;
+    const subject = `${taskId}#${incarnation}`;
+    switch (command.kind) {
+      case 'start':
+        this.startRun(state, tick, sample, owner, command);
+        return;
+      case 'stop': {
+        const { withCheckpoint } = command;
+        const call = { op: 'stop', taskId, incarnation, withCheckpoint } as const;
+        this.send(state, tick, 'stop', subject, call);
+        return;
+      }
+      case 'throttle': {
+        const call = { op: 'throttle', taskId, incarnation, share: command.share } as const;
+        this.send(state, tick, 'throttle', subject, call);
+        return;
+      }
+      default:
+        this.send(state, tick, command.kind, subject, { op: command.kind, taskId, incarnation });
+    }
+  }
+
+  /** Starts a run only while the proof that its zone is in service is new enough. */
+  private startRun(
+    state: AgentState,
+    tick: Tick,
+    sample: ExchangeSampleRow,
+    owner: OwnerPart,
+    command: StartCommand,
+  ): void {
+    const { taskId, incarnation } = command;
+    const { worker, self } = state;
+    if (worker === undefined) return;
+    if (self.phase === 'leaving') {
+      this.recordRejection(state, { taskId, incarnation, reason: 'shutting_down' });
+      return;
+    }
+    const startByMs = sample.sentMs + START_LIMIT_MS - command.proofAgeMs;
+    const isOut = state.config?.zonesOut.includes(self.zone) === true;
+    if (isOut || tick.now > startByMs) {
+      this.recordRejection(state, { taskId, incarnation, reason: 'stale_proof' });
+      return;
+    }
+    // The status was written at or before its receipt, so this never gives the worker more time.
+    const startBefore = worker.status.clockMs + (startByMs - (worker.receivedMs ?? tick.now));
+    this.send(state, tick, 'start', `${taskId}#${incarnation}`, {
+      op: 'start',
+      taskId,
+      incarnation,
+      taskKind: command.taskKind,
+      demand: command.demand,
+      command: command.command,
+      ...(command.checkpoint === undefined ? {} : { checkpoint: command.checkpoint }),
+      startBefore,
+      leaseUntil: sample.workerClockMs + owner.leaseMs,
+    });
+  }
+
+  /** Asks at once after each answer of the owner, so that the next exchange reports its effect. */
+  private sendStatus(state: AgentState, tick: Tick): void {
+    const pending = state.calls.get(STATUS_CALL);
+    const hasCall = [...state.calls.values()].some(
+      (call) => call.owner === this.name && call.purpose === 'status',
+    );
+    if (hasCall) {
+      tick.wakeAt(tick.now + CALL_TIMEOUT_MS);
+      return;
+    }
+    const hasNews =
+      state.inbox.list('exchangeReply').length > 0 ||
+      state.inbox.list('workerReply').some(({ reply }) => reply?.kind !== 'status');
+    const lastMs = pending?.sentMs;
+    if (!hasNews && lastMs !== undefined && tick.now - lastMs < STATUS_PERIOD_MS) {
+      tick.wakeAt(lastMs + STATUS_PERIOD_MS);
+      return;
+    }
+    state.calls.set({
+      id: STATUS_CALL,
+      owner: 'worker.last',
+      purpose: 'last',
+      subject: '',
+      sentMs: tick.now,
+    });
+    this.send(state, tick, 'status', '', { op: 'status' });
+    tick.wakeAt(tick.now + STATUS_PERIOD_MS);
+  }
+
+  private send(
+    state: AgentState,
+    tick: Tick,
+    purpose: string,
+    subject: string,
+    call: WorkerCall,
+  ): void {
+    const id = `worker/${purpose}/${tick.random.takeId()}`;
+    state.calls.set({ id, owner: this.name, purpose, subject, sentMs: tick.now });
+    state.outbox.append({ kind: 'callWorker', callId: id, call, timeoutMs: CALL_TIMEOUT_MS });
+  }
+}
--- /dev/null
+++ b/test/support/simNetwork.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '../../src/base/common/clock.ts';
+
+const LINK_DELAY_MS = 4;
+
+/** Decides what happens to one message of the links; the default delivers it once. */
+export type LinkFault = () => { readonly copies: number; readonly delayMs: number };
+
+/** Delivers messages later on a manual clock, with switchable faults. */
+export class SimNetwork {
+  linkFault: LinkFault = () => ({ copies: 1, delayMs: 0 });
+  private readonly queue: { atMs: number; run: () => void }[] = [];
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): SimNetwork {
+    return new SimNetwork(clock);
+  }
+
+  /** Runs what is due now. Returns whether anything was. */
+  runDue(): boolean {
+    const due = this.queue.filter((event) => event.atMs <= this.clock.now);
+    for (const event of due) this.queue.splice(this.queue.indexOf(event), 1);
+    for (const event of due) event.run();
+    return due.length > 0;
+  }
+
+  schedule(delayMs: number, run: () => void): void {
+    this.queue.push({ atMs: this.clock.now + delayMs, run });
+  }
+
+  /** Sends over a link with its faults; the first answer counts, none within the timeout is undefined. */
+  send(
+    timeoutMs: number,
+    deliver: (answer: (reply: unknown) => void) => void,
+    receive: (reply: unknown) => void,
+  ): void {
+    let isClosed = false;
+    const close = (reply: unknown): void => {
+      if (isClosed) return;
+      isClosed = true;
+      receive(reply);
+    };
+    const fault = this.linkFault();
+    for (let copy = 0; copy < fault.copies; copy += 1) {
+      this.schedule(LINK_DELAY_MS + fault.delayMs * (copy + 1), () => {
+        deliver((reply) => {
+          const back = this.linkFault();
+          if (back.copies === 0) return;
+          this.schedule(LINK_DELAY_MS + back.delayMs, () => {
+            close(reply);
+          });
+        });
+      });
+    }
+    this.schedule(timeoutMs, () => {
+      close(undefined);
+    });
+  }
+}
--- /dev/null
+++ b/test/systems/jobs/jobCalls.test.ts
@@ -0,0 +1,110 @@
+import { describe, expect, it } from 'vitest';
+import {
+  getTask,
+  listLive,
+  LONG_WORK_MS,
+  startWorld,
+  submitJob,
+  waitRunning,
+} from '../../support/shardSteps.ts';
+import { SHARD } from '../../support/shardWorld.ts';
+
+describe('calls on jobs', () => {
+  describe('submission', () => {
+    it('does not make a second job of a repeated submission, at any entry', () => {
+      const { world } = startWorld();
+      const first = submitJob(world, world.entries[0]!, 'same');
+      const second = submitJob(world, world.entries[1]!, 'same');
+      expect(second).toBe(first);
+      expect(world.owner!.state.tasks.size).toBe(1);
+    });
+
+    it('does not make a second job when the owner changes between two submissions', () => {
+      const { world, owner } = startWorld();
+      const first = submitJob(world, owner, 'same', { priority: 'urgent' });
+      owner.isDead = true;
+      world.runUntil(() => world.owner !== undefined, 8_000, 'another owner');
+      expect(submitJob(world, world.owner!, 'same')).toBe(first);
+      expect(world.owner!.state.tasks.size).toBe(1);
+    });
+
+    it('does not say "not run" for a write that may have taken effect', () => {
+      const { world, owner } = startWorld();
+      world.losesAnswer = (call) => call.op === 'write' && call.key.includes('/j/');
+      const callId = world.submit(owner, 'doubt');
+      world.run(300);
+      world.isStoreDown = true;
+      world.run(12_000);
+      expect(world.getFailure(callId)).toBe('outcome_unknown');
+      world.losesAnswer = () => false;
+      world.isStoreDown = false;
+      world.run(5_000);
+      expect(world.owner!.state.tasks.size).toBe(1);
+    });
+
+    it('does not carry out later what it refused as "not run" while the store is down', () => {
+      const { world, owner } = startWorld();
+      world.isStoreDown = true;
+      const first = world.submit(owner, 'in-flight');
+      world.run(200);
+      const second = world.submit(owner, 'waiting');
+      world.run(12_000);
+      expect(world.getFailure(first)).toBe('outcome_unknown');
+      expect(world.getFailure(second)).toBe('store_unavailable');
+      world.isStoreDown = false;
+      world.run(20_000);
+      const waiting = world.submit(world.owner!, 'waiting');
+      world.run(1_000);
+      expect(world.getValue(waiting)).toMatchObject({ attempts: 0 });
+    });
+
+    it('does not keep callers waiting without an owner', () => {
+      const { world } = startWorld({ entries: 2 });
+      for (const entry of world.entries) if (world.isOwner(entry)) entry.isDead = true;
+      world.isStoreDown = true;
+      const alive = world.entries.find((entry) => !entry.isDead)!;
+      const callId = world.submit(alive, 'x');
+      world.run(11_000);
+      expect(['no_owner', 'outcome_unknown']).toContain(world.getFailure(callId));
+    });
+
+    it('does not accept faulty submissions or answer for unknown jobs', () => {
+      const { world, owner } = startWorld();
+      const faulty = world.submit(owner, 'x', { demand: { cores: -1 } });
+      const wrongPool = world.submit(owner, 'x', { pool: 'none' });
+      const huge = world.submit(owner, 'x', { command: ['x'.repeat(70_000)] });
+      const unknown = world.call(owner, { kind: 'status', jobId: `${SHARD}:00` });
+      const elsewhere = world.call(owner, { kind: 'cancel', jobId: 'nowhere:00' });
+      world.run(500);
+      expect(world.getFailure(faulty)).toBe('bad_request');
+      expect(world.getFailure(wrongPool)).toBe('bad_request');
+      expect(world.getFailure(huge)).toBe('body_too_large');
+      expect(world.getFailure(unknown)).toBe('job_unknown');
+      expect(world.getFailure(elsewhere)).toBe('job_unknown');
+    });
+  });
+
+  describe('cancellation', () => {
+    it('does not start a job that was cancelled in the queue', () => {
+      const { world, owner } = startWorld();
+      const jobId = submitJob(world, owner, 'big', {
+        demand: { cores: 99, memoryMb: 1, accelerators: 0 },
+      });
+      const cancel = world.call(world.entries[1]!, { kind: 'cancel', jobId });
+      world.run(1_000);
+      expect(world.getValue(cancel)).toMatchObject({ phase: 'cancelled' });
+      expect(world.listStarts()).toEqual([]);
+    });
+
+    it('does not leave a cancelled job running or bring it back', () => {
+      const { world, owner } = startWorld({ workMs: LONG_WORK_MS });
+      const jobId = submitJob(world, owner, 'a');
+      waitRunning(world, jobId);
+      world.call(owner, { kind: 'cancel', jobId });
+      world.run(5_000);
+      expect(getTask(world, jobId)?.phase).toBe('cancelled');
+      expect(listLive(world)).toEqual([]);
+      expect(world.listStarts()).toHaveLength(1);
+    });
+  });
+});
--- /dev/null
+++ b/test/systems/ledger/storeFaults.test.ts
@@ -0,0 +1,98 @@
+import { describe, expect, it } from 'vitest';
+import {
+  getTask,
+  listLive,
+  LONG_WORK_MS,
+  startWorld,
+  submitJob,
+  waitRunning,
+} from '../../support/shardSteps.ts';
+import { SHARD, ShardWorld } from '../../support/shardWorld.ts';
+import { WorldChecks } from '../../support/worldChecks.ts';
+
+describe('faults of the store', () => {
+  describe('store faults', () => {
+    it('does not run a task twice when the answer to any ledger or duty write is lost', () => {
+      const world = ShardWorld.create({ workMs: 3_000 });
+      let writes = 0;
+      world.losesAnswer = (call) => call.op === 'write' && (writes += 1) % 2 === 1;
+      world.runUntil(() => world.owner !== undefined, 30_000, 'an owner');
+      const jobId = submitJob(world, world.owner!, 'a');
+      const checks = WorldChecks.create(world);
+      const until = (): boolean => {
+        checks.check();
+        return getTask(world, jobId)?.phase === 'finished';
+      };
+      world.runUntil(until, 60_000, 'the end of the job');
+      expect(world.listStarts()).toHaveLength(1);
+      expect(world.owner!.state.duties.get(SHARD)?.epoch).toBe(1);
+    });
+
+    it('does not stop running tasks or start new ones while the store is down for minutes', () => {
+      const { world, owner, check } = startWorld({ workMs: LONG_WORK_MS });
+      const jobId = submitJob(world, owner, 'a');
+      waitRunning(world, jobId);
+      const waiting = submitJob(world, owner, 'big', {
+        demand: { cores: 8, memoryMb: 1, accelerators: 0 },
+      });
+      waitRunning(world, waiting);
+      const starts = world.listStarts().length;
+      world.isStoreDown = true;
+      world.run(180_000, check);
+      expect(listLive(world).map((run) => run.phase)).toEqual(['running', 'running']);
+      expect(world.listStarts()).toHaveLength(starts);
+      world.isStoreDown = false;
+      world.run(10_000, check);
+      expect(world.entries.filter((entry) => world.isOwner(entry))).toHaveLength(1);
+      expect(listLive(world).map((run) => run.incarnation)).toEqual([1, 1]);
+    });
+
+    it('does not renew for longer than the grace period, and loses no work by it', () => {
+      const { world, owner, check } = startWorld({ workMs: LONG_WORK_MS, graceMs: 20_000 });
+      const jobId = submitJob(world, owner, 'a');
+      waitRunning(world, jobId);
+      world.isStoreDown = true;
+      world.run(60_000, check);
+      expect(listLive(world).map((run) => run.phase)).toEqual(['suspended']);
+      world.isStoreDown = false;
+      world.run(15_000, check);
+      expect(listLive(world)).toMatchObject([{ taskId: jobId, incarnation: 1, phase: 'running' }]);
+    });
+
+    it('does not go on silently with a damaged segment or duty record', () => {
+      const { world, owner } = startWorld();
+      submitJob(world, owner, 'a');
+      const entry = world.store.handle({ op: 'list', prefix: `ledger/${SHARD}/j/` });
+      const segment = entry.kind === 'entries' ? entry.entries[0]! : undefined;
+      const { key, version: expectedVersion } = segment!;
+      world.store.handle({ op: 'write', key, expectedVersion, value: { seq: 'broken' } });
+      owner.isDead = true;
+      world.run(15_000);
+      expect(world.owner).toBeUndefined();
+      const log = world.logs.find(({ event }) => event === 'ledger_damaged');
+      expect(log?.fields).toMatchObject({ shard: SHARD, key });
+      expect(String(log?.fields.faults)).toContain('seq');
+    });
+
+    it('does not grow parts beyond the size of a store value or lose rows in the change of layout', () => {
+      const { world, owner } = startWorld({ workers: 0 });
+      const bytes = 12_000;
+      const count = 200;
+      for (let index = 0; index < count; index += 1) {
+        world.submit(owner, `job-${index}`, { command: ['x'.repeat(bytes)] });
+      }
+      world.run(3_000);
+      for (let index = 0; index < 80; index += 1) {
+        submitJob(world, owner, `small-${index}`, { priority: 'urgent' });
+      }
+      expect(owner.state.ledgers.get(SHARD)!.parts.length).toBeGreaterThan(4);
+      const sizes = world.storeCalls.map((call) =>
+        call.op === 'write' ? JSON.stringify(call.value).length : 0,
+      );
+      expect(Math.max(...sizes)).toBeLessThan(1_000_000);
+      owner.isDead = true;
+      world.runUntil(() => world.owner !== undefined, 8_500, 'another owner');
+      expect(world.owner!.state.tasks.size).toBe(count + 80);
+    });
+  });
+});
