--- a/src/systems/jobs/jobSystem.ts
+++ b/src/systems/jobs/jobSystem.ts
@@ -81,6 +81,13 @@
         isInDoubt: false,
       });
     };
+    if (state.self.phase === 'starting') {
+      // Without a configuration every pool would look unknown.
+      const kind = origin === 'peer' ? 'not_owner' : 'no_owner';
+      const failure = createFailure(kind, 'this entry has not read the configuration yet');
+      this.answer(state, { id, origin }, { kind: 'failure', failure });
+      return;
+    }
     if (call.kind === 'submit') {
       parseSubmission(state, call.submission).caseOf({
         Left: (failure) => {
--- a/test/systems/jobs/jobCalls.test.ts
+++ b/test/systems/jobs/jobCalls.test.ts
@@ -7,7 +7,7 @@
   submitJob,
   waitRunning,
 } from '../../support/shardSteps.ts';
-import { SHARD } from '../../support/shardWorld.ts';
+import { SHARD, ShardWorld } from '../../support/shardWorld.ts';
 
 describe('calls on jobs', () => {
   describe('submission', () => {
@@ -68,6 +68,14 @@
       expect(['no_owner', 'outcome_unknown']).toContain(world.getFailure(callId));
     });
 
+    it('does not call a pool unknown before the configuration has been read', () => {
+      const world = ShardWorld.create();
+      world.isStoreDown = true;
+      const callId = world.submit(world.entries[0]!, 'x');
+      world.run(100);
+      expect(world.getFailure(callId)).toBe('no_owner');
+    });
+
     it('does not accept faulty submissions or answer for unknown jobs', () => {
       const { world, owner } = startWorld();
       const faulty = world.submit(owner, 'x', { demand: { cores: -1 } });
--- a/test/systems/leases/workerFaults.test.ts
+++ b/test/systems/leases/workerFaults.test.ts
@@ -38,6 +38,8 @@
       const { world, owner, check } = startWorld({ workMs: LONG_WORK_MS });
       const jobId = submitJob(world, owner, 'a');
       waitRunning(world, jobId);
+      // Past the lease of the start, so that only the renewals keep the run alive.
+      world.run(30_000, check);
       const first = world.agents.find((agent) => agent.worker.starts.length > 0)!;
       first.isCut = true;
       const isMoved = (): boolean => {
@@ -56,6 +58,7 @@
       const { world, owner, check } = startWorld({ workMs: LONG_WORK_MS });
       const jobId = submitJob(world, owner, 'a');
       waitRunning(world, jobId);
+      world.run(30_000, check);
       const agent = world.agents.find((candidate) => candidate.worker.starts.length > 0)!;
       agent.isCut = true;
       world.run(12_000, check);
