--- a/src/systems/ledger/ledgerSizes.ts
+++ b/src/systems/ledger/ledgerSizes.ts
@@ -2,10 +2,11 @@
 import type { TaskRow } from '../../model/task.ts';
 import { BUCKETS } from './ledgerKeys.ts';
 
-/** The store takes values of up to 1 MB; the rest is room for the error of the estimate. */
-export const MAX_PART_BYTES = 700_000;
-/** The number of parts doubles when one of them is larger than this. */
-export const GROW_PART_BYTES = 400_000;
+/**
+ * The number of parts doubles when one of them is larger than this. The store takes values of up to
+ * 1 MB; the rest is room for the rows that arrive before the next check, at most 8 segments later.
+ */
+export const GROW_PART_BYTES = 600_000;
 /** Keeps a segment small, so that a recovery can read the whole ring in one call. */
 export const MAX_SEGMENT_BYTES = 200_000;
 /** A larger row would not fit into a segment together with others; submissions are checked against it. */
