--- a/src/model/ledger.ts
+++ b/src/model/ledger.ts
@@ -159,7 +159,7 @@
   /** Owner's time of the last confirmed append. */
   readonly confirmedMs: number;
   readonly snapshot: LedgerWrite | undefined;
-  /** Segments confirmed since the last snapshot write began. */
+  /** Segments confirmed since the last snapshot write was due; the rest of a period is carried over. */
   readonly sinceSnapshot: number;
   readonly layoutVersion: number;
   readonly parts: readonly PartState[];
--- a/src/systems/ledger/ledgerSystem.ts
+++ b/src/systems/ledger/ledgerSystem.ts
@@ -18,6 +18,7 @@
 } from './ledgerRecovery.ts';
 import { hasLargePart } from './ledgerSizes.ts';
 import {
+  computePartPeriod,
   LEDGER_CALL_TIMEOUT_MS,
   sendWrite,
   startAppend,
@@ -273,7 +274,7 @@
     );
   }
 
-  /** One part at a time, the oldest first, so that each is rewritten within half a turn of the ring. */
+  /** One part at a time, the oldest first, so that each is rewritten within three quarters of a turn of the ring. */
   private writeSnapshots(state: EntryState, tick: Tick, shard: string): void {
     const ledger = state.ledgers.get(shard);
     if (ledger?.phase !== 'ready' || ledger.snapshot !== undefined) return;
@@ -284,8 +285,7 @@
       return;
     }
     const isHeldBack = oldest < ledger.nextSeq - RING_SIZE;
-    const period = Math.max(1, Math.floor(RING_SIZE / 2 / parts.length));
-    if (ledger.sinceSnapshot < period && !isHeldBack) return;
+    if (ledger.sinceSnapshot < computePartPeriod(parts.length) && !isHeldBack) return;
     if (hasLargePart(ledger)) {
       this.writeNextParts(state, tick, ledger, []);
       return;
--- a/src/systems/ledger/ledgerWrites.ts
+++ b/src/systems/ledger/ledgerWrites.ts
@@ -13,6 +13,14 @@
 
 export const LEDGER_CALL_TIMEOUT_MS = 2_000;
 
+/** Segments in which every part is rewritten once; the rest of the ring is slack for lost answers. */
+const ROTATION_SEGMENTS = 48;
+
+/** Segments between two part writes; below 1 when there are more parts than segments in a rotation. */
+export function computePartPeriod(partCount: number): number {
+  return ROTATION_SEGMENTS / partCount;
+}
+
 type WriteContent = Pick<
   LedgerWrite,
   'kind' | 'key' | 'value' | 'expectedVersion' | 'part' | 'partCount'
@@ -106,7 +114,8 @@
     part,
     partCount,
   });
-  state.ledgers.update(ledger.id, { snapshot, sinceSnapshot: 0 });
+  const sinceSnapshot = Math.max(0, ledger.sinceSnapshot - computePartPeriod(partCount));
+  state.ledgers.update(ledger.id, { snapshot, sinceSnapshot });
 }
 
 /** Starts the write that puts another number of parts in force. */
