Test store writes that arrive after a change of owner

Cause: the fault runs lost answers but never delayed a write past its timeout, which is the case that the ring and the layout rewrite are there for.

Change: calls to the store can arrive up to 20 s late in the generated runs; a scenario applies late writes of a killed owner after the next one has taken over; finished jobs are shown to leave after 24 h; the link test checks that late exchanges were met.

--- a/src/systems/ledger/ledgerSizes.ts
+++ b/src/systems/ledger/ledgerSizes.ts
@@ -4,7 +4,7 @@
 
 /**
  * The number of parts doubles when one of them is larger than this. The store takes values of up to
- * 1 MB; the rest is room for the rows that arrive before the next check, at most 8 segments later.
+ * 1 MB; the rest is room for the rows that arrive before the next check, at most 12 segments later.
  */
 export const GROW_PART_BYTES = 600_000;
 /** Keeps a segment small, so that a recovery can read the whole ring in one call. */
--- a/test/support/shardSteps.ts
+++ b/test/support/shardSteps.ts
@@ -1,6 +1,6 @@
 import type { TaskRow } from '../../src/model/task.ts';
-import type { SimEntry } from './shardWorld.ts';
 import { ShardWorld } from './shardWorld.ts';
+import type { SimEntry } from './worldTypes.ts';
 import { WorldChecks } from './worldChecks.ts';
 
 /** Longer than any scenario. */
--- a/test/support/shardWorld.ts
+++ b/test/support/shardWorld.ts
@@ -31,6 +31,7 @@
 import { RecoverySystem } from '../../src/systems/recovery/recoverySystem.ts';
 import { WorkerSystem } from '../../src/systems/worker/workerSystem.ts';
 import type { LinkFault } from './simNetwork.ts';
+import type { SimAgent, SimEntry, WorldOptions } from './worldTypes.ts';
 import { SimNetwork } from './simNetwork.ts';
 
 export const REGION = 'kr-south';
@@ -39,32 +40,6 @@
 export const STEP_MS = 20;
 const STORE_DELAY_MS = 4;
 
-export interface SimEntry {
-  readonly id: string;
-  readonly address: string;
-  state: EntryState;
-  loop: Loop<EntryArrival, EntryEffect, EntryState>;
-  isPaused: boolean;
-  isDead: boolean;
-}
-
-export interface SimAgent {
-  readonly id: string;
-  readonly zone: string;
-  readonly worker: MemoryWorker;
-  state: AgentState;
-  loop: Loop<AgentArrival, AgentEffect, AgentState>;
-  isCut: boolean;
-}
-
-export interface WorldOptions {
-  readonly seed?: number;
-  readonly entries?: number;
-  readonly workers?: number;
-  readonly graceMs?: number;
-  readonly workMs?: number;
-}
-
 /** Entries, agents, workers and a store on one manual clock, with switches for faults. */
 export class ShardWorld {
   readonly clock = ManualClock.create(1_000);
@@ -77,6 +52,8 @@
   isStoreDown = false;
   /** Lets a call take effect and loses its answer, as often as it returns true. */
   losesAnswer: (call: StoreCall) => boolean = () => false;
+  /** Time that a call spends on its way to the store; longer than its timeout means that it is late. */
+  storeDelay: (call: StoreCall) => number = () => 0;
   private readonly random: SeededRandom;
   private readonly network = SimNetwork.create(this.clock);
   private nextId = 1;
@@ -311,13 +288,17 @@
         entry.loop.receive({ kind: 'storeReply', callId: effect.callId, reply });
       });
     };
-    this.network.schedule(STORE_DELAY_MS, () => {
+    const delayMs = this.storeDelay(effect.call);
+    const isLate = delayMs >= effect.timeoutMs;
+    if (isLate) answer(effect.timeoutMs, { kind: 'unavailable', message: 'timeout' });
+    this.network.schedule(STORE_DELAY_MS + delayMs, () => {
       if (this.isStoreDown) {
-        answer(effect.timeoutMs, { kind: 'unavailable', message: 'down' });
+        if (!isLate) answer(effect.timeoutMs, { kind: 'unavailable', message: 'down' });
         return;
       }
       this.storeCalls.push(effect.call);
       const reply = structuredClone(this.store.handle(structuredClone(effect.call)));
+      if (isLate) return;
       if (this.losesAnswer(effect.call))
         answer(effect.timeoutMs, { kind: 'unavailable', message: 'lost' });
       else answer(STORE_DELAY_MS, reply);
--- a/test/systems/leases/workerFaults.test.ts
+++ b/test/systems/leases/workerFaults.test.ts
@@ -123,6 +123,7 @@
       world.run(60_000, check);
       for (const id of ids) expect(getTask(world, id)).toMatchObject({ phase: 'finished' });
       expect(new Set(world.listStarts().map((start) => start.taskId)).size).toBe(6);
+      expect(owner.state.counters.get('late_exchanges')).toBeGreaterThan(0);
     });
   });
 });
--- a/test/systems/ledger/storeFaults.test.ts
+++ b/test/systems/ledger/storeFaults.test.ts
@@ -59,6 +59,34 @@
       expect(listLive(world)).toMatchObject([{ taskId: jobId, incarnation: 1, phase: 'running' }]);
     });
 
+    it('does not lose a confirmed change to a late write of an earlier owner', () => {
+      const { world, owner } = startWorld({ workers: 0 });
+      submitJob(world, owner, 'first');
+      world.storeDelay = (call) => (call.op === 'write' ? 9_500 : 0);
+      world.submit(owner, 'late');
+      world.run(400);
+      owner.isDead = true;
+      world.storeDelay = () => 0;
+      world.runUntil(() => world.owner !== undefined, 9_000, 'another owner');
+      const jobId = submitJob(world, world.owner!, 'second');
+      world.run(5_000);
+      world.owner!.isDead = true;
+      world.restartEntry(world.entries.indexOf(owner));
+      world.runUntil(() => world.owner !== undefined, 9_000, 'a third owner');
+      expect(getTask(world, jobId)?.phase).toBe('queued');
+      expect(world.owner!.state.tasks.size).toBe(2);
+    });
+
+    it('does not keep finished jobs for ever', () => {
+      const { world, owner } = startWorld({ entries: 1 });
+      const jobId = submitJob(world, owner, 'a');
+      world.run(10_000);
+      expect(getTask(world, jobId)?.phase).toBe('finished');
+      world.clock.add(24 * 3_600_000);
+      world.run(80_000);
+      expect(world.owner!.state.tasks.size).toBe(0);
+    });
+
     it('does not go on silently with a damaged segment or duty record', () => {
       const { world, owner } = startWorld();
       submitJob(world, owner, 'a');
--- a/test/systems/shardModel.test.ts
+++ b/test/systems/shardModel.test.ts
@@ -10,6 +10,8 @@
 const HEAL_MS = 300_000;
 /** Longer than two leases, so that a run lives on renewals and not on the lease of its start. */
 const WORK_MS = 40_000;
+/** Longer than a takeover, so that writes of an earlier owner arrive after it. */
+const MAX_STORE_DELAY_MS = 20_000;
 const RUNS_PER_SEED = 6;
 /** Recorded seeds, so that CI repeats the same runs. */
 const SEEDS = [1, 7, 1_204, 88_321];
@@ -19,6 +21,7 @@
   | { kind: 'cancel'; entry: number; job: number }
   | { kind: 'store'; down: boolean }
   | { kind: 'loseAnswers'; share: number }
+  | { kind: 'lateCalls'; share: number }
   | { kind: 'links'; share: number }
   | { kind: 'pause'; entry: number; paused: boolean }
   | { kind: 'killEntry'; entry: number }
@@ -45,6 +48,7 @@
   fc.record({ kind: fc.constant('cancel' as const), entry, job: fc.nat(20) }),
   fc.record({ kind: fc.constant('store' as const), down: fc.boolean() }),
   fc.record({ kind: fc.constant('loseAnswers' as const), share }),
+  fc.record({ kind: fc.constant('lateCalls' as const), share }),
   fc.record({ kind: fc.constant('links' as const), share }),
   fc.record({ kind: fc.constant('pause' as const), entry, paused: fc.boolean() }),
   fc.record({ kind: fc.constant('killEntry' as const), entry }),
@@ -118,6 +122,10 @@
       case 'loseAnswers':
         world.losesAnswer = () => this.random.takeUnit() < event.share;
         return;
+      case 'lateCalls':
+        world.storeDelay = () =>
+          this.random.takeUnit() < event.share ? this.random.takeInt(0, MAX_STORE_DELAY_MS) : 0;
+        return;
       case 'links':
         this.setLinks(event.share);
         return;
@@ -189,6 +197,7 @@
     const { world } = this;
     world.isStoreDown = false;
     world.losesAnswer = () => false;
+    world.storeDelay = () => 0;
     this.setLinks(0);
     world.setConfiguration([]);
     this.checks.setZonesOut([]);
