Merge duties, ledger, leases and jobs with membership

The agent's exchange carries the worker report and names the worker, so that the home entry can tell the owner of the worker's shard also when a zone has several shards.

--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -22,7 +22,14 @@
   KeyRow,
   KeySettlementRow,
 } from './key.ts';
-import type { DutyRow, PendingChangeRow } from './ledger.ts';
+import type {
+  DutyClaimRow,
+  DutyRow,
+  JobCallRow,
+  LedgerRow,
+  PendingChangeRow,
+  TaskHomeRow,
+} from './ledger.ts';
 import type { RunRow, ThrottleRow } from './run.ts';
 import type { TaskRow } from './task.ts';
 import type { UsageSample, WorkerReport, WorkerRow } from './worker.ts';
@@ -40,10 +47,13 @@
   readonly agentId: string;
   /** Region of the agent; the shard of its worker follows from it. */
   readonly region: string;
+  readonly zone: string;
   readonly answerByMs: number;
   readonly configRevision: number;
   readonly entriesDigest: number;
   readonly seq: number;
+  /** Worker beside the agent, once it is known. */
+  readonly workerId: string | undefined;
   /** Present on the link of a worker to the owner of its shard. */
   readonly worker: WorkerReport | undefined;
 }
@@ -137,9 +147,18 @@
   readonly duties: Table<DutyRow>;
   /** Tasks as the ledger has them: every row is known to be in the store. */
   readonly tasks: Table<TaskRow>;
+  /** Assigned tasks by worker id. */
+  readonly tasksByWorker: TableIndex<TaskRow>;
+  readonly dutyClaims: Table<DutyClaimRow>;
+  readonly ledgers: Table<LedgerRow>;
+  readonly taskHomes: Table<TaskHomeRow>;
+  /** Task homes by shard and hash bucket, `shard/17`. */
+  readonly taskHomesByBucket: TableIndex<TaskHomeRow>;
+  readonly jobCalls: Table<JobCallRow>;
   readonly pendingChanges: Table<PendingChangeRow>;
   readonly workers: Table<WorkerRow>;
   readonly runs: Table<RunRow>;
+  readonly runsByWorker: TableIndex<RunRow>;
   readonly throttles: Table<ThrottleRow>;
   readonly usageSamples: Table<UsageSampleRow>;
 }
@@ -157,6 +176,9 @@
   const requests = Table.create<RequestRow>('requests');
   const attempts = Table.create<AttemptRow>('attempts');
   const endpoints = Table.create<EndpointRow>('endpoints');
+  const tasks = Table.create<TaskRow>('tasks');
+  const runs = Table.create<RunRow>('runs');
+  const taskHomes = Table.create<TaskHomeRow>('taskHomes');
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
@@ -206,10 +228,19 @@
     keyCovers: Table.create('keyCovers'),
     ownerAnswers: Table.create('ownerAnswers'),
     duties: Table.create('duties'),
-    tasks: Table.create('tasks'),
+    tasks,
+    tasksByWorker: tasks.addIndex((task) =>
+      task.phase === 'assigned' ? task.workerId : undefined,
+    ),
+    dutyClaims: Table.create('dutyClaims'),
+    ledgers: Table.create('ledgers'),
+    taskHomes,
+    taskHomesByBucket: taskHomes.addIndex((home) => `${home.shard}/${home.bucket}`),
+    jobCalls: Table.create('jobCalls'),
     pendingChanges: Table.create('pendingChanges'),
     workers: Table.create('workers'),
-    runs: Table.create('runs'),
+    runs,
+    runsByWorker: runs.addIndex((run) => run.workerId),
     throttles: Table.create('throttles'),
     usageSamples: Table.create('usageSamples'),
   };
--- a/src/model/exchange.ts
+++ b/src/model/exchange.ts
@@ -31,6 +31,8 @@
   epoch: z.int(),
   /** Present on the link to the home entry. */
   endpoints: z.optional(z.array(endpointReportSchema)),
+  /** Worker beside the agent, once it is known; the reply names the owner of its shard. */
+  workerId: z.optional(z.string()),
   /** Present on the link to the owner of the worker's shard. */
   worker: z.optional(workerReportSchema),
 });
--- a/src/systems/agentSystems.ts
+++ b/src/systems/agentSystems.ts
@@ -4,6 +4,7 @@
 import { AgentDrainSystem } from './drain/agentDrainSystem.ts';
 import { AgentExchangeSystem } from './membership/agentExchangeSystem.ts';
 import { AnnounceSystem } from './membership/announceSystem.ts';
+import { WorkerSystem } from './worker/workerSystem.ts';
 
 /** The systems of an agent in the order in which a turn runs them. */
 export function createAgentSystems(): System<AgentState>[] {
@@ -11,6 +12,8 @@
     AnnounceSystem.create(),
     AttemptSystem.create(),
     AgentExchangeSystem.create(),
+    // Records the worker clock sample of each exchange that the system before it has queued.
+    WorkerSystem.create(),
     AgentDrainSystem.create(),
   ];
 }
--- a/src/systems/entrySystems.ts
+++ b/src/systems/entrySystems.ts
@@ -10,9 +10,15 @@
 import { KeyReplySystem } from './keys/keyReplySystem.ts';
 import { DeregistrationSystem } from './membership/deregistrationSystem.ts';
 import { EndpointSyncSystem } from './membership/endpointSyncSystem.ts';
-import { ExchangeSystem } from './membership/exchangeSystem.ts';
 import { RegistrationSystem } from './membership/registrationSystem.ts';
 import { OperatorSystem } from './operators/operatorSystem.ts';
+import { DutySystem } from './duties/dutySystem.ts';
+import { JobSystem } from './jobs/jobSystem.ts';
+import { LeaseSystem } from './leases/leaseSystem.ts';
+import { LedgerSystem } from './ledger/ledgerSystem.ts';
+import { ExchangeSystem } from './membership/exchangeSystem.ts';
+import { FirstFitPlacementSystem } from './placement/firstFitPlacementSystem.ts';
+import { RecoverySystem } from './recovery/recoverySystem.ts';
 import { AttemptReplySystem } from './requests/attemptReplySystem.ts';
 import { DispatchSystem } from './requests/dispatchSystem.ts';
 import { RequestIntakeSystem } from './requests/requestIntakeSystem.ts';
@@ -43,6 +49,12 @@
     ConfigurationWriteSystem.create(),
     PeerConfigurationSystem.create(),
     RegistrationSystem.create(),
+    DutySystem.create(),
+    LedgerSystem.create(),
+    LeaseSystem.create(),
+    RecoverySystem.create(),
+    JobSystem.create(),
+    FirstFitPlacementSystem.create(),
     ExchangeSystem.create(),
     EndpointSyncSystem.create(),
     AttemptReplySystem.create(retryPolicy),
--- a/src/systems/membership/agentExchangeSystem.ts
+++ b/src/systems/membership/agentExchangeSystem.ts
@@ -169,7 +169,7 @@
     isOwner: boolean,
   ): ExchangeRequest {
     const { self } = state;
-    const part = isOwner ? buildWorkerPart() : undefined;
+    const part = isOwner ? buildWorkerPart(state) : undefined;
     return {
       agentId: self.id,
       agentBootId: self.bootId,
@@ -183,6 +183,7 @@
       entriesDigest: hashEntryList(state.entries.values()),
       epoch: part?.epoch ?? 0,
       ...(isHome ? { endpoints: buildEndpointReports(state) } : {}),
+      ...(state.worker === undefined ? {} : { workerId: state.worker.status.workerId }),
       ...(part?.worker === undefined ? {} : { worker: part.worker }),
     };
   }
--- a/src/systems/membership/exchangeSystem.ts
+++ b/src/systems/membership/exchangeSystem.ts
@@ -3,6 +3,7 @@
 import type { EndpointReport } from '../../model/endpoint.ts';
 import type { EntryState, HeldExchangeRow } from '../../model/entryState.ts';
 import type { ExchangeRequest } from '../../model/exchange.ts';
+import { findWorkerShard } from '../duties/shards.ts';
 import { ENDPOINT_REMOVE_MS } from './endpointHealth.ts';
 import { mergeEndpoint, removeEndpoint } from './endpointMerge.ts';
 
@@ -86,10 +87,12 @@
       id: callId,
       agentId: request.agentId,
       region: request.region,
+      zone: request.zone,
       answerByMs: tick.now + Math.min(request.waitMs, MAX_HOLD_MS),
       configRevision: request.configRevision,
       entriesDigest: request.entriesDigest,
       seq: request.seq,
+      workerId: request.workerId,
       worker: request.worker,
     });
   }
@@ -116,13 +119,21 @@
     for (const report of reports) mergeEndpoint(state, report, tick.now);
   }
 
+  /** Address of the owner of the worker's shard. */
+  private findOwnerAddress(state: EntryState, held: HeldExchangeRow): string | undefined {
+    const { workerId, region, zone } = held;
+    if (workerId === undefined) return undefined;
+    const shard = findWorkerShard(state.configuration.current, workerId, region, zone);
+    return shard === undefined ? undefined : state.duties.get(shard)?.ownerAddress;
+  }
+
   private answer(state: EntryState, held: HeldExchangeRow): void {
     const { digest } = state.registration;
     state.heldExchanges.remove(held.id);
     const { revision, zonesOut } = state.configuration.current;
     const isNewer = revision > held.configRevision;
     const owner = state.ownerAnswers.remove(held.id)?.owner;
-    const ownerAddress = state.duties.get(held.region)?.ownerAddress;
+    const ownerAddress = this.findOwnerAddress(state, held);
     const entries = [...state.entries.values()].map(({ id, region, zone, address }) => ({
       id,
       region,
--- a/src/systems/membership/workerPart.ts
+++ b/src/systems/membership/workerPart.ts
@@ -1,12 +1,15 @@
+import type { AgentState } from '../../model/agentState.ts';
 import type { WorkerReport } from '../../model/worker.ts';
+import { buildWorkerReport } from '../worker/workerReport.ts';
 
 /** What an exchange with the owner of the worker's shard carries. */
 export interface WorkerPart {
+  /** Highest epoch that the agent has adopted. */
   readonly epoch: number;
   readonly worker: WorkerReport | undefined;
 }
 
-/** The worker's part of an exchange. There is none until the worker systems report. */
-export function buildWorkerPart(): WorkerPart {
-  return { epoch: 0, worker: undefined };
+/** The worker's part of an exchange. */
+export function buildWorkerPart(state: AgentState): WorkerPart {
+  return { epoch: state.ownerEpoch, worker: buildWorkerReport(state) };
 }
