Place, steer and evacuate tasks over the tables of the entry

Cause: queued tasks are not assigned, services have no replicas, and zones out of service keep their tasks.

Change: claims and committed demand per worker are kept incrementally from the ledger, the pending changes and the reported runs. First fit and interference-aware placement, preemption, replicas, worker health, the interference model with throttling and eviction, and ordered evacuation run as systems over these tables. Table gets change sets and an index iterator.

A measurement found that a kind's largest use raised every task of the kind to the same size; the correction now works on the ratio of use to declared size.

--- a/src/base/common/table.ts
+++ b/src/base/common/table.ts
@@ -31,6 +31,14 @@
     return found;
   }
 
+  /** Like {@link list}, one row at a time, for callers that stop early. */
+  *values(key: string): Generator<Row> {
+    for (const id of this.idsByKey.get(key) ?? []) {
+      const row = this.rows.get(id);
+      if (row !== undefined) yield row;
+    }
+  }
+
   count(key: string): number {
     return this.idsByKey.get(key)?.size ?? 0;
   }
@@ -65,6 +73,7 @@
 export class Table<Row extends TableRow> {
   private readonly rows = new Map<string, Row>();
   private readonly indexes: TableIndex<Row>[] = [];
+  private readonly changeSets: Set<string>[] = [];
 
   private constructor(readonly name: string) {}
 
@@ -99,6 +108,7 @@
     if (previous !== undefined) for (const index of this.indexes) index.remove(previous);
     this.rows.set(row.id, row);
     for (const index of this.indexes) index.add(row);
+    for (const changes of this.changeSets) changes.add(row.id);
   }
 
   /** Replaces some fields of a row and returns the new row, or undefined when there is no such row. */
@@ -115,6 +125,7 @@
     if (previous === undefined) return undefined;
     for (const index of this.indexes) index.remove(previous);
     this.rows.delete(id);
+    for (const changes of this.changeSets) changes.add(id);
     return previous;
   }
 
@@ -122,6 +133,16 @@
     for (const id of [...this.rows.keys()]) this.remove(id);
   }
 
+  /**
+   * A set that collects the ids of rows that are set or removed from now on, and at first all
+   * present ids. The reader clears what it has handled.
+   */
+  addChangeSet(): Set<string> {
+    const changes = new Set(this.rows.keys());
+    this.changeSets.push(changes);
+    return changes;
+  }
+
   addIndex(keyOf: (row: Row) => string | undefined): TableIndex<Row> {
     const index = TableIndex.create(keyOf, this.rows);
     this.indexes.push(index);
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -10,6 +10,8 @@
 import type { EntryInfo, ExchangeReply } from './exchange.ts';
 import type { EndpointRow } from './endpoint.ts';
 import type { DutyRow, PendingChangeRow } from './ledger.ts';
+import type { PlacementState } from './placement.ts';
+import { createPlacementState } from './placement.ts';
 import type { RunRow, ThrottleRow } from './run.ts';
 import type { TaskRow } from './task.ts';
 import type { UsageSample, WorkerReport, WorkerRow } from './worker.ts';
@@ -88,6 +90,7 @@
   readonly runs: Table<RunRow>;
   readonly throttles: Table<ThrottleRow>;
   readonly usageSamples: Table<UsageSampleRow>;
+  readonly placement: PlacementState;
 }
 
 export function createEntryState(info: EntryInfo, bootId: string): EntryState {
@@ -113,5 +116,6 @@
     runs: Table.create('runs'),
     throttles: Table.create('throttles'),
     usageSamples: Table.create('usageSamples'),
+    placement: createPlacementState(),
   };
 }
--- /dev/null
+++ b/src/systems/evacuation/evacuationPolicy.ts
@@ -0,0 +1,115 @@
+import type { EvacuationRow } from '../../model/placement.ts';
+import type { TaskRow } from '../../model/task.ts';
+import { estimateRunSeconds } from '../placement/sizeCorrection.ts';
+import type { PlacementTurn } from '../placement/placementTurn.ts';
+import { listUsableZones } from '../placement/placementTurn.ts';
+
+/** Chooses which batch tasks of a zone that was taken out of service stop now. */
+export abstract class EvacuationPolicy {
+  abstract readonly name: string;
+  /** Whether replicas wait until replacements run in other zones. */
+  abstract readonly replacesFirst: boolean;
+  abstract listStops(
+    turn: PlacementTurn,
+    evacuation: EvacuationRow,
+    tasks: readonly TaskRow[],
+  ): TaskRow[];
+}
+
+/** Plain restart: everything stops at once and is queued again without order. The baseline. */
+export class PlainRestart extends EvacuationPolicy {
+  override readonly name = 'plain-restart';
+  override readonly replacesFirst = false;
+
+  private constructor() {
+    super();
+  }
+
+  static create(): PlainRestart {
+    return new PlainRestart();
+  }
+
+  override listStops(
+    _turn: PlacementTurn,
+    _evacuation: EvacuationRow,
+    tasks: readonly TaskRow[],
+  ): TaskRow[] {
+    return tasks.filter((task) => task.stopReason === undefined);
+  }
+}
+
+/** At most one task in this many of the zone's tasks is being checkpointed at a time. */
+const ZONE_PARTS = 4;
+
+/** Moves tasks in order of deadline and value, those that other zones have room for first. */
+export class OrderedMove extends EvacuationPolicy {
+  override readonly name = 'ordered-move';
+  override readonly replacesFirst = true;
+
+  private constructor() {
+    super();
+  }
+
+  static create(): OrderedMove {
+    return new OrderedMove();
+  }
+
+  override listStops(
+    turn: PlacementTurn,
+    evacuation: EvacuationRow,
+    tasks: readonly TaskRow[],
+  ): TaskRow[] {
+    const waiting = tasks.filter((task) => task.stopReason === undefined);
+    const stopping = tasks.length - waiting.length;
+    const limit = Math.max(1, Math.floor(evacuation.initialTasks / ZONE_PARTS));
+    if (waiting.length === 0 || stopping >= limit) return [];
+    const ordered = waiting
+      .map((task) => ({ task, slackSeconds: computeSlackSeconds(turn, evacuation, task) }))
+      .sort(compareForMove)
+      .map(({ task }) => task);
+    return sortByRoom(turn, ordered).slice(0, limit - stopping);
+  }
+}
+
+/** Time to spare before the deadline; infinite without one, and when it can no longer be met. */
+function computeSlackSeconds(
+  turn: PlacementTurn,
+  evacuation: EvacuationRow,
+  task: TaskRow,
+): number {
+  if (task.deadlineSeconds === undefined) return Number.POSITIVE_INFINITY;
+  const elapsed = (turn.tick.now - evacuation.sinceMs) / 1_000;
+  const slack = task.deadlineSeconds - elapsed - estimateRunSeconds(turn.state, task);
+  return slack < 0 ? Number.POSITIVE_INFINITY : slack;
+}
+
+interface MoveCandidate {
+  readonly task: TaskRow;
+  readonly slackSeconds: number;
+}
+
+function compareForMove(a: MoveCandidate, b: MoveCandidate): number {
+  if (a.slackSeconds !== b.slackSeconds) return a.slackSeconds < b.slackSeconds ? -1 : 1;
+  return computeValuePerCore(b.task) - computeValuePerCore(a.task);
+}
+
+function computeValuePerCore(task: TaskRow): number {
+  return task.value / Math.max(0.1, task.demand.cores);
+}
+
+/** Puts the tasks that fit into the free cores of the other zones before those that do not. */
+function sortByRoom(turn: PlacementTurn, ordered: readonly TaskRow[]): TaskRow[] {
+  let freeCores = 0;
+  const zones = new Set([...turn.pools.values()].flatMap((pool) => listUsableZones(turn, pool)));
+  for (const commitment of turn.state.placement.commitments.values()) {
+    if (zones.has(commitment.zone)) freeCores += commitment.freeCores;
+  }
+  const fitting: TaskRow[] = [];
+  const others: TaskRow[] = [];
+  for (const task of ordered) {
+    const fits = task.demand.cores <= freeCores;
+    if (fits) freeCores -= task.demand.cores;
+    (fits ? fitting : others).push(task);
+  }
+  return [...fitting, ...others];
+}
--- /dev/null
+++ b/src/systems/interference/usageSystem.ts
@@ -0,0 +1,145 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState, UsageSampleRow } from '../../model/entryState.ts';
+import type { ResidentRow } from '../../model/placement.ts';
+import { formatRunId } from '../../model/run.ts';
+import type { TaskRow } from '../../model/task.ts';
+import { recordRunTime, recordUsage } from '../placement/sizeCorrection.ts';
+import type { Neighbour } from './interferenceModel.ts';
+import { computeLoadLevel, recordSlowdown } from './interferenceModel.ts';
+
+/** Samples older than this are dropped; the stays of that time are no longer kept. */
+const HISTORY_MS = 60_000;
+/** Bounds the work of one turn after a long gap. */
+const MAX_SAMPLES_PER_TURN = 200;
+/** Samples that may wait; beyond this the oldest are dropped, because newer ones say more. */
+const MAX_WAITING_SAMPLES = 1_000;
+/** Samples a turn that correct the pair estimates, which costs a walk over the neighbours. */
+const MAX_LEARNED_PER_TURN = 40;
+const SLOWDOWN_GAIN = 0.3;
+
+/**
+ * Learns sizes, run times and interference from usage samples.
+ * Reads `claims`, `runs`, `throttles`, `tasks`. Consumes `usageSamples`. Writes `residents`,
+ * `kindUsage`, `pairEstimates`, `steering`.
+ * Runs each turn; bounded by the number of samples a turn.
+ */
+export class UsageSystem extends System<EntryState> {
+  override readonly name = 'usage';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): UsageSystem {
+    return new UsageSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    updateResidents(state, tick.now);
+    let handled = 0;
+    let surplus = state.usageSamples.size - MAX_WAITING_SAMPLES;
+    if (surplus > 0) state.counters.add('usage_samples_dropped', {}, surplus);
+    for (const sample of state.usageSamples.values()) {
+      if (surplus > 0) {
+        surplus -= 1;
+        state.usageSamples.remove(sample.id);
+        continue;
+      }
+      if (handled >= MAX_SAMPLES_PER_TURN) {
+        tick.wakeAt(tick.now + 1);
+        break;
+      }
+      handled += 1;
+      state.usageSamples.remove(sample.id);
+      const task = state.tasks.get(sample.taskId);
+      if (task === undefined || sample.takenMs < tick.now - HISTORY_MS) continue;
+      recordUsage(state, task, sample.cores, sample.memoryMb);
+      if (task.workClass === 'latency-critical') recordFare(state, task.id, sample);
+      if (handled <= MAX_LEARNED_PER_TURN) recordSample(state, tick, task, sample);
+    }
+  }
+}
+
+/** Follows claims that appear, go or change speed. */
+function updateResidents(state: EntryState, nowMs: number): void {
+  const { placement } = state;
+  for (const id of placement.changedClaims) {
+    const claim = placement.claims.get(id);
+    const resident = placement.residents.get(id);
+    if (claim === undefined) {
+      if (resident?.toMs === Number.POSITIVE_INFINITY) endStay(state, resident, nowMs);
+      continue;
+    }
+    if (resident !== undefined) continue;
+    const { taskId, taskKind, workerId } = claim;
+    const cores = Math.max(1, state.workers.get(workerId)?.capacity.cores ?? 1);
+    const shares = [{ fromMs: nowMs, share: state.throttles.get(taskId)?.share ?? 1 }];
+    const size = claim.demand.cores / cores;
+    placement.residents.set({
+      ...{ id, workerId, taskId, taskKind, size, shares },
+      fromMs: nowMs,
+      toMs: Number.POSITIVE_INFINITY,
+    });
+  }
+  placement.changedClaims.clear();
+}
+
+function endStay(state: EntryState, resident: ResidentRow, nowMs: number): void {
+  state.placement.residents.set({ ...resident, toMs: nowMs });
+  for (const other of state.placement.residentsByWorker.list(resident.workerId)) {
+    if (other.toMs < nowMs - HISTORY_MS) state.placement.residents.remove(other.id);
+  }
+  const task = state.tasks.get(resident.taskId);
+  const hasRunWhole = task?.phase === 'finished' && task.incarnation === 1;
+  if (hasRunWhole) recordRunTime(state, task, (nowMs - resident.fromMs) / 1_000);
+}
+
+/** Sets the throttle of a task and keeps the change for the matching of late samples. */
+export function setThrottle(state: EntryState, taskId: string, share: number, nowMs: number): void {
+  if (share >= 1) state.throttles.remove(taskId);
+  else state.throttles.set({ id: taskId, share, sinceMs: nowMs });
+  for (const claim of state.placement.claimsByTask.list(taskId)) {
+    const resident = state.placement.residents.get(claim.id);
+    if (resident === undefined) continue;
+    const shares = [...resident.shares.slice(-7), { fromMs: nowMs, share }];
+    state.placement.residents.set({ ...resident, shares });
+  }
+}
+
+function recordSample(state: EntryState, tick: Tick, task: TaskRow, sample: UsageSampleRow): void {
+  const own = state.placement.residents.get(formatRunId(sample.taskId, sample.incarnation));
+  if (own === undefined || sample.takenMs < own.fromMs) return;
+  const neighbours: Neighbour[] = [];
+  let load = own.size;
+  for (const other of state.placement.residentsByWorker.values(own.workerId)) {
+    if (other.id === own.id) continue;
+    if (other.fromMs > sample.takenMs || other.toMs <= sample.takenMs) continue;
+    const pressure = other.size * getShareAt(other, sample.takenMs);
+    neighbours.push({ taskKind: other.taskKind, pressure });
+    load += pressure;
+  }
+  const level = computeLoadLevel(load);
+  recordSlowdown(state, task.taskKind, neighbours, level, sample.slowdown, tick.now);
+}
+
+function getShareAt(resident: ResidentRow, atMs: number): number {
+  let share = 1;
+  for (const change of resident.shares) {
+    if (change.fromMs <= atMs) share = change.share;
+  }
+  return share;
+}
+
+/** Smooths the slowdown of a protected task; one noisy sample must not start a measure. */
+function recordFare(state: EntryState, taskId: string, sample: UsageSampleRow): void {
+  const previous = state.placement.steering.get(taskId);
+  const slowdown = previous?.slowdown ?? 1;
+  state.placement.steering.set({
+    id: taskId,
+    slowdown: slowdown + SLOWDOWN_GAIN * (sample.slowdown - slowdown),
+    samples: (previous?.samples ?? 0) + 1,
+    isActive: previous?.isActive ?? false,
+    changedMs: previous?.changedMs ?? Number.NEGATIVE_INFINITY,
+  });
+}
--- /dev/null
+++ b/src/systems/placement/placementPolicy.ts
@@ -0,0 +1,152 @@
+import type { PoolConfig } from '../../model/configuration.ts';
+import type { Resources } from '../../model/resources.ts';
+import { computeRoomBucket } from '../../model/placement.ts';
+import type { TaskRow } from '../../model/task.ts';
+import type { WorkerRow } from '../../model/worker.ts';
+import { estimatePlacementCost } from '../interference/interferenceModel.ts';
+import { findBrokenBound } from './placementBounds.ts';
+import type { PlacementTurn } from './placementTurn.ts';
+import { getLargestWorker, getSpread, listUsableZones } from './placementTurn.ts';
+
+/** Chooses a worker for a task among those that no bound forbids. */
+export abstract class PlacementPolicy {
+  abstract readonly name: string;
+  abstract chooseWorker(
+    turn: PlacementTurn,
+    pool: PoolConfig,
+    task: TaskRow,
+    demand: Resources,
+  ): WorkerRow | undefined;
+}
+
+/** Takes the first worker with room, in table order. The baseline. */
+export class FirstFitPlacement extends PlacementPolicy {
+  override readonly name = 'first-fit';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): FirstFitPlacement {
+    return new FirstFitPlacement();
+  }
+
+  override chooseWorker(
+    turn: PlacementTurn,
+    pool: PoolConfig,
+    task: TaskRow,
+    demand: Resources,
+  ): WorkerRow | undefined {
+    for (const worker of turn.state.workers.values()) {
+      if (findBrokenBound(turn, pool, task, demand, worker) === undefined) return worker;
+    }
+    return undefined;
+  }
+}
+
+/** Candidates that are scored; more of them cost time and improve the choice little. */
+const MAX_CANDIDATES = 12;
+const MAX_PER_BUCKET = 2;
+/** Workers looked at per bucket when bounds other than room forbid most of them. */
+const MAX_PROBES_PER_BUCKET = 24;
+const SPREAD_WEIGHT = 0.2;
+const FIT_WEIGHT = 0.05;
+
+/** Scores a sample of workers by predicted interference, spread and fit. */
+export class InterferenceAwarePlacement extends PlacementPolicy {
+  override readonly name = 'interference-aware';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): InterferenceAwarePlacement {
+    return new InterferenceAwarePlacement();
+  }
+
+  override chooseWorker(
+    turn: PlacementTurn,
+    pool: PoolConfig,
+    task: TaskRow,
+    demand: Resources,
+  ): WorkerRow | undefined {
+    let best: WorkerRow | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const worker of listCandidates(turn, pool, task, demand)) {
+      const score = this.computeScore(turn, pool, task, demand, worker);
+      if (score >= bestScore) continue;
+      best = worker;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  private computeScore(
+    turn: PlacementTurn,
+    pool: PoolConfig,
+    task: TaskRow,
+    demand: Resources,
+    worker: WorkerRow,
+  ): number {
+    const free = turn.state.placement.commitments.get(worker.id)?.freeCores ?? 0;
+    const leftShare = (free - demand.cores) / Math.max(1, worker.capacity.cores);
+    let score =
+      FIT_WEIGHT * leftShare +
+      estimatePlacementCost(turn.state, turn.effects, task, demand, worker);
+    if (task.service !== undefined) {
+      const spread = getSpread(turn, pool, task.service);
+      const inZone = spread.byPlace.get(worker.zone) ?? 0;
+      const inRack = spread.byPlace.get(`${worker.zone}/${worker.rack}`) ?? 0;
+      score += (SPREAD_WEIGHT * (inZone + inRack)) / Math.max(1, spread.replicas);
+    }
+    return score;
+  }
+}
+
+/**
+ * A few workers that satisfy all bounds. Takes buckets of free cores from the tightest and from
+ * the emptiest end in turn, so that the sample holds busy and quiet workers.
+ */
+function listCandidates(
+  turn: PlacementTurn,
+  pool: PoolConfig,
+  task: TaskRow,
+  demand: Resources,
+): WorkerRow[] {
+  const found: WorkerRow[] = [];
+  const zones = listUsableZones(turn, pool);
+  const firstZone = zones.length < 2 ? 0 : turn.tick.random.takeInt(0, zones.length - 1);
+  let low = computeRoomBucket(demand.cores);
+  let high = computeRoomBucket(getLargestWorker(turn, pool).cores / pool.maxWorkerShare);
+  for (let step = 0; low <= high && found.length < MAX_CANDIDATES; step += 1) {
+    const bucket = step % 2 === 0 ? high : low;
+    if (step % 2 === 0) high -= 1;
+    else low += 1;
+    for (let offset = 0; offset < zones.length; offset += 1) {
+      const zone = zones[(firstZone + offset) % zones.length] ?? '';
+      addCandidates(turn, pool, task, demand, `${zone}|${bucket}`, found);
+    }
+  }
+  return found;
+}
+
+function addCandidates(
+  turn: PlacementTurn,
+  pool: PoolConfig,
+  task: TaskRow,
+  demand: Resources,
+  key: string,
+  found: WorkerRow[],
+): void {
+  let added = 0;
+  let probes = 0;
+  for (const commitment of turn.state.placement.commitmentsByRoom.values(key)) {
+    if (added >= MAX_PER_BUCKET || probes >= MAX_PROBES_PER_BUCKET) return;
+    probes += 1;
+    const worker = turn.state.workers.get(commitment.id);
+    if (worker === undefined) continue;
+    if (findBrokenBound(turn, pool, task, demand, worker) !== undefined) continue;
+    found.push(worker);
+    added += 1;
+  }
+}
--- /dev/null
+++ b/src/systems/placement/preemption.ts
@@ -0,0 +1,145 @@
+import type { PoolConfig } from '../../model/configuration.ts';
+import type { ClaimRow } from '../../model/placement.ts';
+import type { Resources } from '../../model/resources.ts';
+import { addResources, NO_RESOURCES } from '../../model/resources.ts';
+import type { TaskRow, WorkClass } from '../../model/task.ts';
+import type { WorkerRow } from '../../model/worker.ts';
+import { recordDecision } from '../decisions.ts';
+import { hasPendingChange, queueTaskChange } from '../ledger/ledgerChanges.ts';
+import { getLinks } from './commitmentSystem.ts';
+import { findBrokenRule, hasWorkerRoom } from './placementBounds.ts';
+import type { PlacementTurn } from './placementTurn.ts';
+import { getShardOf, listUsableZones } from './placementTurn.ts';
+
+/** Victims must have run this long, so that two tasks cannot keep displacing each other. */
+const MIN_RUN_MS = 10_000;
+/** A task that was stopped before is left alone for longer. */
+const MIN_RERUN_MS = 60_000;
+/** Time for the victims to checkpoint and stop; afterwards the task may look for others. */
+const RESERVATION_MS = 20_000;
+const MAX_WORKERS_TRIED = 48;
+const RESTART_SECONDS = 5;
+/** With a checkpoint at most this much work is at stake. */
+const CHECKPOINT_SECONDS = 60;
+const CLASS_RANK: Readonly<Record<WorkClass, number>> = {
+  ordinary: 0,
+  urgent: 1,
+  'latency-critical': 2,
+};
+/** Makes any victim of a higher class dearer than all victims of the class below. */
+const RANK_COST = 1e9;
+
+interface VictimSet {
+  readonly worker: WorkerRow;
+  readonly victims: readonly ClaimRow[];
+  readonly cost: number;
+}
+
+/**
+ * Stops the cheapest set of lower-class tasks that makes room for the task, and keeps the room for
+ * it. Returns whether the task now waits for reserved room.
+ */
+export function placeByPreemption(
+  turn: PlacementTurn,
+  pool: PoolConfig,
+  task: TaskRow,
+  demand: Resources,
+): boolean {
+  const { state, tick } = turn;
+  if (CLASS_RANK[task.workClass] === 0) return false;
+  if (state.placement.reservations.has(task.id)) return true;
+  const chosen = findVictimSet(turn, pool, task, demand);
+  if (chosen === undefined) return false;
+  const { worker } = chosen;
+  const untilMs = tick.now + RESERVATION_MS;
+  state.placement.reservations.set({ id: task.id, workerId: worker.id, demand, untilMs });
+  for (const victim of chosen.victims) {
+    const row = state.tasks.get(victim.taskId);
+    if (row === undefined) continue;
+    const next: TaskRow = { ...row, stopReason: 'preempted' };
+    queueTaskChange(state, getShardOf(turn, row), next, tick.now, true);
+    state.counters.add('evictions', { reason: 'preempted' });
+    recordDecision(state, tick.now, row.id, 'preempt', `${task.workClass} task ${task.id} waits`);
+  }
+  return true;
+}
+
+function findVictimSet(
+  turn: PlacementTurn,
+  pool: PoolConfig,
+  task: TaskRow,
+  demand: Resources,
+): VictimSet | undefined {
+  const { workersByZone } = getLinks(turn.state);
+  const zones = listUsableZones(turn, pool);
+  const perZone = Math.max(1, Math.floor(MAX_WORKERS_TRIED / Math.max(1, zones.length)));
+  let best: VictimSet | undefined;
+  for (const zone of zones) {
+    const workers = workersByZone.list(zone);
+    const first = turn.tick.random.takeInt(0, Math.max(0, workers.length - 1));
+    for (let step = 0; step < Math.min(perZone, workers.length); step += 1) {
+      const worker = workers[(first + step) % workers.length];
+      if (worker === undefined) continue;
+      if (findBrokenRule(turn, pool, task, worker) !== undefined) continue;
+      const set = buildVictimSet(turn, pool, task, demand, worker);
+      if (set !== undefined && set.cost < (best?.cost ?? Number.POSITIVE_INFINITY)) best = set;
+    }
+  }
+  return best;
+}
+
+/** Adds victims from the cheapest on until the task fits, then spares those that are not needed. */
+function buildVictimSet(
+  turn: PlacementTurn,
+  pool: PoolConfig,
+  task: TaskRow,
+  demand: Resources,
+  worker: WorkerRow,
+): VictimSet | undefined {
+  const ranked = turn.state.placement.claimsByWorker
+    .list(worker.id)
+    .filter((claim) => isVictim(turn, task, claim))
+    .map((claim) => ({ claim, cost: computeVictimCost(turn, claim) }))
+    .sort((a, b) => a.cost - b.cost);
+  let victims: typeof ranked = [];
+  const hasEnough = (set: typeof ranked): boolean => {
+    let freed = NO_RESOURCES;
+    let ofPool = 0;
+    for (const { claim } of set) {
+      freed = addResources(freed, claim.demand);
+      if (claim.pool === pool.name) ofPool += claim.demand.cores;
+    }
+    return hasWorkerRoom(turn, pool, task.id, demand, worker, freed, ofPool);
+  };
+  for (const candidate of ranked) {
+    victims.push(candidate);
+    if (hasEnough(victims)) break;
+  }
+  if (victims.length === 0 || !hasEnough(victims)) return undefined;
+  for (const candidate of [...victims].reverse()) {
+    const rest = victims.filter((other) => other !== candidate);
+    if (hasEnough(rest)) victims = rest;
+  }
+  const cost = victims.reduce((sum, victim) => sum + victim.cost, 0);
+  return { worker, victims: victims.map((victim) => victim.claim), cost };
+}
+
+function isVictim(turn: PlacementTurn, task: TaskRow, claim: ClaimRow): boolean {
+  if (!claim.isCurrent || claim.isStopping) return false;
+  if (CLASS_RANK[claim.workClass] >= CLASS_RANK[task.workClass]) return false;
+  if (!turn.pools.has(claim.pool) || hasPendingChange(turn.state, claim.taskId)) return false;
+  const row = turn.state.tasks.get(claim.taskId);
+  const fromMs = turn.state.placement.residents.get(claim.id)?.fromMs ?? turn.tick.now;
+  const minimumMs = (row?.incarnation ?? 1) > 1 ? MIN_RERUN_MS : MIN_RUN_MS;
+  return turn.tick.now - fromMs >= minimumMs;
+}
+
+/** Core-seconds that stopping the task is expected to cost, ordered by class first. */
+function computeVictimCost(turn: PlacementTurn, claim: ClaimRow): number {
+  const { state, tick } = turn;
+  const fromMs = state.placement.residents.get(claim.id)?.fromMs ?? tick.now;
+  const ranSeconds = (tick.now - fromMs) / 1_000;
+  const hasCheckpoint = state.runs.get(claim.id)?.checkpoint !== undefined;
+  const atStake = hasCheckpoint ? Math.min(ranSeconds, CHECKPOINT_SECONDS) : ranSeconds;
+  return CLASS_RANK[claim.workClass] * RANK_COST + claim.demand.cores * (atStake + RESTART_SECONDS);
+}
--- /dev/null
+++ b/src/systems/placement/sizeCorrection.ts
@@ -0,0 +1,100 @@
+import type { PoolConfig } from '../../model/configuration.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { Resources } from '../../model/resources.ts';
+import type { TaskRow } from '../../model/task.ts';
+import type { PlacementTurn } from './placementTurn.ts';
+import { getLargestWorker } from './placementTurn.ts';
+
+/** Samples needed before the observed size counts. */
+const MIN_SAMPLES = 5;
+const PEAK_DECAY = 0.98;
+const CORE_STEP = 0.25;
+
+/**
+ * Demand with which a task is placed. A size that was declared too small is raised to the observed
+ * peak, up to what the largest worker of the pool can give. A size that was declared too large is
+ * kept: lowering it would put more declared work on a worker than it has room for.
+ */
+export function computePlacedDemand(
+  turn: PlacementTurn,
+  pool: PoolConfig,
+  task: TaskRow,
+): Resources {
+  const { placement } = turn.state;
+  const usage = placement.kindUsage.get(`${task.team}/${task.taskKind}`);
+  if (usage === undefined || usage.samples < MIN_SAMPLES) return task.demand;
+  const { demand } = task;
+  const present = placement.sizeFactors.get(task.id);
+  const cores = roundUpCores((demand.cores * usage.coreRatio) / (present?.cores ?? 1));
+  const memoryMb = Math.ceil((demand.memoryMb * usage.memoryRatio) / (present?.memory ?? 1));
+  if (cores <= demand.cores && memoryMb <= demand.memoryMb) return demand;
+  const largest = getLargestWorker(turn, pool);
+  const limit = pool.quotas.find((quota) => quota.team === task.team)?.limit ?? largest;
+  const mostCores = Math.min(largest.cores, limit.cores);
+  const mostMemoryMb = Math.min(largest.memoryMb, limit.memoryMb);
+  return {
+    ...demand,
+    cores: Math.max(demand.cores, Math.min(mostCores, cores)),
+    memoryMb: Math.max(demand.memoryMb, Math.min(mostMemoryMb, memoryMb)),
+  };
+}
+
+/** Remembers how far the row's size is above the declared one, so that ratios stay comparable. */
+export function recordSizeFactor(state: EntryState, task: TaskRow, placed: Resources): void {
+  if (placed === task.demand) return;
+  const { sizeFactors } = state.placement;
+  const previous = sizeFactors.get(task.id);
+  sizeFactors.set({
+    id: task.id,
+    cores: ((previous?.cores ?? 1) * placed.cores) / Math.max(0.01, task.demand.cores),
+    memory: ((previous?.memory ?? 1) * placed.memoryMb) / Math.max(1, task.demand.memoryMb),
+  });
+}
+
+function roundUpCores(cores: number): number {
+  return Math.ceil(cores / CORE_STEP) * CORE_STEP;
+}
+
+/** Run time to expect, in seconds: the declared one corrected by what runs of the kind took. */
+export function estimateRunSeconds(state: EntryState, task: TaskRow): number {
+  const usage = state.placement.kindUsage.get(`${task.team}/${task.taskKind}`);
+  return task.expectedSeconds * (usage?.runTimeRatio ?? 1);
+}
+
+/** Records an observed use. Peaks fade slowly, so one outlier does not stay for ever. */
+export function recordUsage(
+  state: EntryState,
+  task: TaskRow,
+  cores: number,
+  memoryMb: number,
+): void {
+  const id = `${task.team}/${task.taskKind}`;
+  const { kindUsage, sizeFactors } = state.placement;
+  const previous = kindUsage.get(id);
+  const factors = sizeFactors.get(task.id);
+  const coreRatio = (cores / Math.max(0.01, task.demand.cores)) * (factors?.cores ?? 1);
+  const memoryRatio = (memoryMb / Math.max(1, task.demand.memoryMb)) * (factors?.memory ?? 1);
+  kindUsage.set({
+    id,
+    coreRatio: Math.max(coreRatio, (previous?.coreRatio ?? 0) * PEAK_DECAY),
+    memoryRatio: Math.max(memoryRatio, (previous?.memoryRatio ?? 0) * PEAK_DECAY),
+    samples: (previous?.samples ?? 0) + 1,
+    runTimeRatio: previous?.runTimeRatio ?? 1,
+  });
+}
+
+const RUN_TIME_GAIN = 0.2;
+
+export function recordRunTime(state: EntryState, task: TaskRow, seconds: number): void {
+  const id = `${task.team}/${task.taskKind}`;
+  const previous = state.placement.kindUsage.get(id);
+  const ratio = previous?.runTimeRatio ?? 1;
+  const observed = seconds / task.expectedSeconds;
+  state.placement.kindUsage.set({
+    id,
+    coreRatio: previous?.coreRatio ?? 0,
+    memoryRatio: previous?.memoryRatio ?? 0,
+    samples: previous?.samples ?? 0,
+    runTimeRatio: ratio + RUN_TIME_GAIN * (observed - ratio),
+  });
+}
--- /dev/null
+++ b/src/systems/placement/workerHealthSystem.ts
@@ -0,0 +1,138 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import { createFailure } from '../../base/common/errors.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { WorkerHealthRow } from '../../model/placement.ts';
+import type { RunRow } from '../../model/run.ts';
+import type { TaskRow } from '../../model/task.ts';
+import { recordDecision } from '../decisions.ts';
+import { queueTaskChange } from '../ledger/ledgerChanges.ts';
+import { getLinks } from './commitmentSystem.ts';
+import { createPlacementTurn, getShardOf } from './placementTurn.ts';
+
+const FAILED_STARTS_LIMIT = 3;
+const FIRST_BACKOFF_MS = 10_000;
+const MAX_BACKOFF_MS = 600_000;
+/** A run that fails within this time counts as a failed start. */
+const START_WINDOW_MS = 10_000;
+/** A run that lasts this long counts as a start that succeeded. */
+const SUCCESS_MS = 3_000;
+const FAILED_WORKERS_LIMIT = 3;
+
+/**
+ * Tells workers that fail everything from jobs that fail everywhere.
+ * Reads `runs`, `tasks`. Writes `health`, the health fields of `workers`, `pendingChanges`.
+ * Runs each turn over the runs that changed.
+ */
+export class WorkerHealthSystem extends System<EntryState> {
+  override readonly name = 'workerHealth';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): WorkerHealthSystem {
+    return new WorkerHealthSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    const { runsToJudge } = getLinks(state);
+    for (const id of runsToJudge) {
+      const run = state.runs.get(id);
+      if (run?.phase === 'failed') handleFailure(state, tick, run);
+      else if (run !== undefined && state.placement.health.has(run.workerId))
+        handleProgress(state, tick, run);
+    }
+    runsToJudge.clear();
+  }
+}
+
+function handleFailure(state: EntryState, tick: Tick, run: RunRow): void {
+  const task = state.tasks.get(run.taskId);
+  if (task?.phase !== 'assigned' || task.incarnation !== run.incarnation) return;
+  const isStartFailure = tick.now - run.sinceMs <= START_WINDOW_MS;
+  const failedBefore = task.failedWorkers.filter((id) => id !== run.workerId);
+  if (isStartFailure && failedBefore.length === 0) addFailedStart(state, tick, run);
+  // A task that fails on a second worker is the likely fault; the first worker is not to blame.
+  else for (const id of failedBefore) removeFailedStart(state, id, task.id);
+  if (failedBefore.length > 0) resetTrial(state, run.workerId, task.id);
+  queueAfterFailure(state, tick, task, run.workerId);
+}
+
+function handleProgress(state: EntryState, tick: Tick, run: RunRow): void {
+  const health = state.placement.health.get(run.workerId);
+  if (health === undefined || run.sinceMs <= health.lastFailureMs) return;
+  const hasStarted =
+    run.phase === 'finished' || (run.phase === 'running' && tick.now - run.sinceMs >= SUCCESS_MS);
+  if (!hasStarted) return;
+  state.placement.health.remove(run.workerId);
+  state.workers.update(run.workerId, { failedStarts: 0, setAsideUntilMs: 0 });
+}
+
+function addFailedStart(state: EntryState, tick: Tick, run: RunRow): void {
+  const previous: WorkerHealthRow = state.placement.health.get(run.workerId) ?? {
+    id: run.workerId,
+    failedTasks: [],
+    lastFailureMs: 0,
+    backoffMs: 0,
+    setAsideUntilMs: 0,
+    isOnTrial: false,
+    trialTaskId: undefined,
+  };
+  if (previous.failedTasks.includes(run.taskId)) return;
+  const failedTasks = [...previous.failedTasks, run.taskId];
+  const hasFailedTrial = previous.isOnTrial && previous.setAsideUntilMs <= tick.now;
+  let next: WorkerHealthRow = { ...previous, failedTasks, lastFailureMs: tick.now };
+  if (hasFailedTrial || (!previous.isOnTrial && failedTasks.length >= FAILED_STARTS_LIMIT)) {
+    const doubled = Math.min(MAX_BACKOFF_MS, previous.backoffMs * 2);
+    const backoffMs = Math.max(FIRST_BACKOFF_MS, doubled);
+    const setAsideUntilMs = tick.now + backoffMs;
+    next = { ...next, backoffMs, setAsideUntilMs, isOnTrial: true, trialTaskId: undefined };
+    state.counters.add('worker_quarantines');
+    const reason = `${failedTasks.length} starts failed in a row, set aside for ${backoffMs} ms`;
+    recordDecision(state, tick.now, run.workerId, 'quarantine', reason);
+    tick.wakeAt(setAsideUntilMs);
+  }
+  state.placement.health.set(next);
+  state.workers.update(run.workerId, {
+    failedStarts: failedTasks.length,
+    setAsideUntilMs: next.setAsideUntilMs,
+  });
+}
+
+function removeFailedStart(state: EntryState, workerId: string, taskId: string): void {
+  const health = state.placement.health.get(workerId);
+  if (health === undefined || health.isOnTrial) return;
+  const failedTasks = health.failedTasks.filter((id) => id !== taskId);
+  state.placement.health.update(workerId, { failedTasks });
+  state.workers.update(workerId, { failedStarts: failedTasks.length });
+}
+
+/** A trial with a task that had failed elsewhere proves nothing; another task may be tried. */
+function resetTrial(state: EntryState, workerId: string, taskId: string): void {
+  const health = state.placement.health.get(workerId);
+  if (health?.trialTaskId === taskId)
+    state.placement.health.update(workerId, { trialTaskId: undefined });
+}
+
+/** Queues the task again for another worker, or fails it when enough healthy workers failed it. */
+function queueAfterFailure(state: EntryState, tick: Tick, task: TaskRow, workerId: string): void {
+  const turn = createPlacementTurn(state, tick);
+  if (!turn.pools.has(task.pool)) return;
+  const failedWorkers = [...new Set([...task.failedWorkers, workerId])];
+  const healthy = failedWorkers.filter((id) => state.placement.health.get(id)?.isOnTrial !== true);
+  const shard = getShardOf(turn, task);
+  if (healthy.length < FAILED_WORKERS_LIMIT) {
+    const next: TaskRow = { ...task, phase: 'queued', failedWorkers };
+    delete next.workerId;
+    delete next.zone;
+    queueTaskChange(state, shard, next, tick.now, task.workClass !== 'ordinary');
+    return;
+  }
+  const reason = `failed on ${healthy.length} healthy workers: ${healthy.join(', ')}`;
+  const failure = createFailure('job_never_runs', reason);
+  const next: TaskRow = { ...task, phase: 'failed', failedWorkers, failure };
+  if (!queueTaskChange(state, shard, next, tick.now, false)) return;
+  state.counters.add('jobs_failed', { reason: 'failed_starts' });
+  recordDecision(state, tick.now, task.id, 'fail', reason);
+}
--- /dev/null
+++ b/test/systems/placement/workerHealthSystem.test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, it } from 'vitest';
+import { createDemand, createFixture } from './placementFixture.ts';
+
+describe('worker health', () => {
+  describe('a worker that fails everything', () => {
+    it('does not take more than three tasks before it is set aside', () => {
+      const model = createFixture();
+      model.failingWorkers.add('w0');
+      for (let at = 0; at < 40; at += 1)
+        model.submit({ id: `t${at}`, pool: 'batch', demand: createDemand(1) }, 1_000);
+      model.runFor(9_000);
+      const worker = model.state.workers.get('w0');
+      expect(worker?.setAsideUntilMs).toBeGreaterThan(model.clock.now);
+      expect(model.failedStarts).toBeLessThanOrEqual(5);
+      expect([...model.state.tasks.values()].filter((task) => task.phase === 'failed')).toEqual([]);
+    });
+
+    it('is not tried with more than one task after a quarantine, nor sooner each time', () => {
+      const model = createFixture({ workers: 2 });
+      model.failingWorkers.add('w0');
+      for (let at = 0; at < 60; at += 1)
+        model.submit({ id: `t${at}`, pool: 'batch', demand: createDemand(1) }, 1_000);
+      model.runFor(60_000);
+      expect(model.state.placement.health.get('w0')?.backoffMs).toBeGreaterThanOrEqual(40_000);
+      expect(model.failedStarts).toBeLessThanOrEqual(9);
+    });
+
+    it('does not stay set aside after a trial that succeeds', () => {
+      const model = createFixture({ workers: 2 });
+      model.failingWorkers.add('w0');
+      for (let at = 0; at < 60; at += 1)
+        model.submit({ id: `t${at}`, pool: 'batch', demand: createDemand(1) }, 1_000);
+      model.runFor(8_000);
+      expect(model.state.placement.health.get('w0')?.isOnTrial).toBe(true);
+      model.failingWorkers.clear();
+      model.runFor(40_000);
+      expect(model.state.placement.health.has('w0')).toBe(false);
+      expect(model.state.workers.get('w0')?.setAsideUntilMs).toBe(0);
+    });
+  });
+
+  describe('a job that fails everywhere', () => {
+    it('is not tried on more than three workers and blames none of them', () => {
+      const model = createFixture();
+      model.failingTasks.add('bad');
+      model.submit({ id: 'bad', pool: 'batch' }, 10);
+      model.runFor(20_000);
+      expect(model.state.tasks.get('bad')?.phase).toBe('failed');
+      expect(model.failedStarts).toBe(3);
+      expect([...model.state.placement.health.values()].filter((row) => row.isOnTrial)).toEqual([]);
+    });
+  });
+});
