Bound the samples and candidates of a turn and test the interference model

Cause: at 1,800 workers a turn scored up to 36 candidates per start, looked at all workers for the largest one and walked 5,000 services for steering.

The interference benchmark also runs at full load.

--- a/bench/interference.ts
+++ b/bench/interference.ts
@@ -10,7 +10,8 @@
 } from '../src/systems/placement/placementPolicy.ts';
 import type { BenchReport, BenchRow } from './report.ts';
 import { createBenchRow } from './report.ts';
-import { computeQuantile, SHARD, WorkerModel } from './workerModel.ts';
+import { computeQuantile } from './quantile.ts';
+import { SHARD, WorkerModel } from './workerModel.ts';
 
 interface Site {
   readonly name: string;
@@ -32,6 +33,12 @@
     ...{ cores: 30, memoryMb: 125_000, serviceCores: 3 },
   },
 ];
+/** Offered batch work as a share of all cores, inside and outside waves. */
+const LOADS = [
+  { name: 'half load', inWave: 0.6, between: 0.35 },
+  { name: 'full load', inWave: 1.1, between: 0.8 },
+];
+type Load = (typeof LOADS)[number];
 const WORKERS = 10;
 const REPLICAS = 10;
 const WARM_UP_MS = 300_000;
@@ -46,13 +53,16 @@
     'baseline: first fit; evicts the largest batch task beside a slow service',
     'latency is in units of the mean service time of a replica that runs alone',
   ];
-  const rows = SITES.flatMap((site) => {
-    const baseline = measureSite(seed, site, false);
-    const chosen = measureSite(seed, site, true);
-    const throttles = chosen.throttles;
-    notes.push(`${site.name}: ${throttles} throttles, ${chosen.finished} batch tasks finished`);
-    return listRows(site.name, baseline, chosen);
-  });
+  const rows = SITES.flatMap((site) =>
+    LOADS.flatMap((load) => {
+      const baseline = measureSite(seed, site, load, false);
+      const chosen = measureSite(seed, site, load, true);
+      const { throttles, finished } = chosen;
+      const label = `${site.name}, ${load.name}`;
+      notes.push(`${label}: ${throttles} throttles, ${finished} batch tasks finished`);
+      return listRows(label, baseline, chosen);
+    }),
+  );
   return { name: 'interference', seed, rows, notes };
 }
 
@@ -84,9 +94,9 @@
   readonly finished: number;
 }
 
-function measureSite(seed: number, site: Site, isAware: boolean): SiteFigures {
+function measureSite(seed: number, site: Site, load: Load, isAware: boolean): SiteFigures {
   const model = createSiteModel(seed, site, listSystems(isAware));
-  const waves = createWaves(model, site);
+  const waves = createWaves(model, site, load);
   model.runFor(WARM_UP_MS, waves);
   model.latencies.length = 0;
   const doneBefore = model.doneCores - model.lostCores;
@@ -157,7 +167,7 @@
 }
 
 /** A steady stream of quiet batch tasks, and waves of noisy ones for half of each period. */
-function createWaves(model: WorkerModel, site: Site): () => void {
+function createWaves(model: WorkerModel, site: Site, load: Load): () => void {
   let nextId = 0;
   let owed = 0;
   const totalCores = site.cores * WORKERS;
@@ -171,7 +181,7 @@
   };
   return () => {
     const isWave = (model.clock.now - START_MS) % WAVE_MS < WAVE_MS / 2;
-    owed += totalCores * (isWave ? 0.6 : 0.35) * 0.2;
+    owed += totalCores * (isWave ? load.inWave : load.between) * 0.2;
     while (owed > 0) {
       const draw = model.random.takeUnit();
       const isNoisy = isWave && draw < 0.5;
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -12,7 +12,8 @@
 } from '../src/systems/placement/placementPolicy.ts';
 import type { BenchReport } from './report.ts';
 import { createBenchRow } from './report.ts';
-import { computeQuantile, SHARD, WorkerModel } from './workerModel.ts';
+import { computeQuantile } from './quantile.ts';
+import { SHARD, WorkerModel } from './workerModel.ts';
 
 /** Workers, running tasks and task starts a second. */
 const SIZES = [
--- a/bench/workerModel.ts
+++ b/bench/workerModel.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from '../src/base/common/clock.ts';
 import { SeededRandom } from '../src/base/common/seededRandom.ts';
-import type { System, Tick } from '../src/base/common/system.ts';
+import type { Tick } from '../src/base/common/system.ts';
 import type { PoolConfig } from '../src/model/configuration.ts';
 import type { EntryState, UsageSampleRow } from '../src/model/entryState.ts';
 import { createEntryState } from '../src/model/entryState.ts';
@@ -8,6 +8,7 @@
 import { formatRunId } from '../src/model/run.ts';
 import type { TaskRow } from '../src/model/task.ts';
 import type { WorkerRow } from '../src/model/worker.ts';
+import type { ModelRun, WorkerModelOptions } from './workerModelOptions.ts';
 import { applyLedgerChanges, queueTaskChange } from '../src/systems/ledger/ledgerChanges.ts';
 
 export const SHARD = 'region-1';
@@ -20,35 +21,6 @@
 const SERVICE_USE = 0.4;
 const LATENCY_DRAWS = 4;
 
-/** What a run does, unknown to the policies. */
-export interface WorkerModelOptions {
-  readonly seed: number;
-  readonly stepMs: number;
-  /** Time between two advances of the work; a multiple of the step. */
-  readonly advanceMs: number;
-  readonly pools: PoolConfig[];
-  readonly workers: { id: string; zone: string; rack: string; cores: number; memoryMb: number }[];
-  readonly systems: readonly System<EntryState>[];
-  /** Slowdown of the first kind per unit of pressure of the second. */
-  readonly computeEffect: (victim: string, aggressor: string, nowMs: number) => number;
-  /** Time a stop with a checkpoint takes, for each task that stops on the worker at the same time. */
-  readonly checkpointMs: number;
-  /** Whether a stop takes a checkpoint first; otherwise work since the last periodic one is lost. */
-  readonly hasStopCheckpoint: boolean;
-  readonly periodicCheckpointMs: number;
-}
-
-interface ModelRun {
-  readonly id: string;
-  readonly taskId: string;
-  readonly workerId: string;
-  startsMs: number;
-  stopsMs: number;
-  slowdown: number;
-  nextSampleMs: number;
-  checkpointedMs: number;
-}
-
 /** Workers on a manual clock, the part of the owner that starts and stops runs, and the store's confirmations. */
 export class WorkerModel {
   readonly clock = ManualClock.create(1_000_000);
@@ -336,9 +308,3 @@
     }
   }
 }
-
-/** Value below which the given share of the values lies. */
-export function computeQuantile(values: readonly number[], share: number): number {
-  const sorted = Float64Array.from(values).sort();
-  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
-}
--- a/src/model/placement.ts
+++ b/src/model/placement.ts
@@ -76,6 +76,14 @@
   readonly trialTaskId: string | undefined;
 }
 
+/** What a pool may use of its largest worker, by cores. */
+export interface LargestWorkerRow {
+  /** Pool. */
+  readonly id: string;
+  readonly capacity: Resources;
+  readonly atMs: number;
+}
+
 /** Times of the last two starts on a worker. */
 export interface StartPaceRow {
   readonly id: string;
@@ -182,6 +190,7 @@
   readonly reservationsByWorker: TableIndex<ReservationRow>;
   readonly health: Table<WorkerHealthRow>;
   readonly startPaces: Table<StartPaceRow>;
+  readonly largestWorkers: Table<LargestWorkerRow>;
   readonly kindUsage: Table<KindUsageRow>;
   readonly sizeFactors: Table<SizeFactorRow>;
   readonly residents: Table<ResidentRow>;
@@ -197,6 +206,7 @@
   /** Time at which tasks that found no room are looked at again. */
   retryAtMs: number;
   replicaCheckAtMs: number;
+  steerAtMs: number;
 }
 
 const ROOM_STEP_CORES = 8;
@@ -231,6 +241,7 @@
     reservationsByWorker: reservations.addIndex((row) => row.workerId),
     health: Table.create('workerHealth'),
     startPaces: Table.create('startPaces'),
+    largestWorkers: Table.create('largestWorkers'),
     kindUsage: Table.create('kindUsage'),
     sizeFactors: Table.create('sizeFactors'),
     residents,
@@ -243,5 +254,6 @@
     nextReplica: 1,
     retryAtMs: 0,
     replicaCheckAtMs: 0,
+    steerAtMs: 0,
   };
 }
--- a/src/systems/interference/steeringSystem.ts
+++ b/src/systems/interference/steeringSystem.ts
@@ -26,7 +26,7 @@
  * Keeps latency-critical tasks fast: throttles the batch tasks beside them that hurt most, then
  * evicts the worst one. Placement comes first and is not done here.
  * Reads `steering`, `claims`, `pairEstimates`. Writes `steering`, `throttles`, `pendingChanges`.
- * Runs each turn after the samples are used; looks at protected tasks only.
+ * Runs once a second after the samples are used; looks at protected tasks only.
  */
 export class SteeringSystem extends System<EntryState> {
   override readonly name = 'steering';
@@ -40,6 +40,12 @@
   }
 
   override run(state: EntryState, tick: Tick): void {
+    const { placement } = state;
+    if (tick.now < placement.steerAtMs) {
+      tick.wakeAt(placement.steerAtMs);
+      return;
+    }
+    placement.steerAtMs = tick.now + PERIOD_MS;
     const turn = createPlacementTurn(state, tick);
     for (const row of state.placement.steering.values()) this.handleTask(turn, row);
     for (const throttle of state.throttles.values()) {
--- a/src/systems/interference/usageSystem.ts
+++ b/src/systems/interference/usageSystem.ts
@@ -11,11 +11,11 @@
 /** Samples older than this are dropped; the stays of that time are no longer kept. */
 const HISTORY_MS = 60_000;
 /** Bounds the work of one turn after a long gap. */
-const MAX_SAMPLES_PER_TURN = 200;
+const MAX_SAMPLES_PER_TURN = 150;
 /** Samples that may wait; beyond this the oldest are dropped, because newer ones say more. */
 const MAX_WAITING_SAMPLES = 1_000;
 /** Samples a turn that correct the pair estimates, which costs a walk over the neighbours. */
-const MAX_LEARNED_PER_TURN = 40;
+const MAX_LEARNED_PER_TURN = 20;
 const SLOWDOWN_GAIN = 0.3;
 
 /**
--- a/src/systems/placement/placementPolicy.ts
+++ b/src/systems/placement/placementPolicy.ts
@@ -46,7 +46,9 @@
 
 /** Candidates that are scored; more of them cost time and improve the choice little. */
 const MAX_CANDIDATES = 12;
-const MAX_PER_BUCKET = 2;
+/** Candidates taken from the workers with the same room, so that the sample holds several kinds. */
+const MAX_PER_BUCKET = 4;
+const MAX_PER_ZONE = 2;
 /** Workers looked at per bucket when bounds other than room forbid most of them. */
 const MAX_PROBES_PER_BUCKET = 24;
 const SPREAD_WEIGHT = 0.2;
@@ -122,7 +124,8 @@
     const bucket = step % 2 === 0 ? high : low;
     if (step % 2 === 0) high -= 1;
     else low += 1;
-    for (let offset = 0; offset < zones.length; offset += 1) {
+    const enough = Math.min(MAX_CANDIDATES, found.length + MAX_PER_BUCKET);
+    for (let offset = 0; offset < zones.length && found.length < enough; offset += 1) {
       const zone = zones[(firstZone + offset) % zones.length] ?? '';
       addCandidates(turn, pool, task, demand, `${zone}|${bucket}`, found);
     }
@@ -141,7 +144,7 @@
   let added = 0;
   let probes = 0;
   for (const commitment of turn.state.placement.commitmentsByRoom.values(key)) {
-    if (added >= MAX_PER_BUCKET || probes >= MAX_PROBES_PER_BUCKET) return;
+    if (added >= MAX_PER_ZONE || probes >= MAX_PROBES_PER_BUCKET) return;
     probes += 1;
     const worker = turn.state.workers.get(commitment.id);
     if (worker === undefined) continue;
--- a/src/systems/placement/placementSystem.ts
+++ b/src/systems/placement/placementSystem.ts
@@ -20,7 +20,7 @@
 import { takeFairQueue } from './teamOrder.ts';
 
 /** Starts decided in one turn; bounds the length of a turn under a flood of work. */
-const MAX_STARTS_PER_TURN = 24;
+const MAX_STARTS_PER_TURN = 12;
 /** Queue entries looked at per class and turn, so that a blocked class does not starve the next. */
 const MAX_PROBES_PER_CLASS = 300;
 const RETRY_PERIOD_MS = 250;
--- a/src/systems/placement/placementTurn.ts
+++ b/src/systems/placement/placementTurn.ts
@@ -21,8 +21,6 @@
   readonly usableZones: Map<string, readonly string[]>;
   /** Racks in a zone. */
   readonly rackCounts: Map<string, number>;
-  /** Capacity of the largest worker of a pool. */
-  readonly largestWorkers: Map<string, Resources>;
   readonly effects: EffectCache;
 }
 
@@ -45,7 +43,6 @@
     spreads: new Map(),
     usableZones: new Map(),
     rackCounts: new Map(),
-    largestWorkers: new Map(),
     effects: EffectCache.create(state),
   };
 }
@@ -104,16 +101,20 @@
   return pool === undefined ? '' : getShardName(pool);
 }
 
+/** Time for which the largest worker of a pool is remembered; looking at all workers is slow. */
+const LARGEST_WORKER_MS = 5_000;
+
 /** What the pool may use of its largest worker, by cores. */
 export function getLargestWorker(turn: PlacementTurn, pool: PoolConfig): Resources {
-  const cached = turn.largestWorkers.get(pool.name);
-  if (cached !== undefined) return cached;
+  const { largestWorkers } = turn.state.placement;
+  const kept = largestWorkers.get(pool.name);
+  if (kept !== undefined && turn.tick.now - kept.atMs < LARGEST_WORKER_MS) return kept.capacity;
   let largest = NO_RESOURCES;
   for (const worker of turn.state.workers.values()) {
     if (worker.region !== pool.region || !pool.zones.includes(worker.zone)) continue;
-    const capacity = computePoolCapacity(pool, worker.capacity);
-    if (capacity.cores > largest.cores) largest = capacity;
+    if (worker.capacity.cores > largest.cores) largest = worker.capacity;
   }
-  turn.largestWorkers.set(pool.name, largest);
-  return largest;
+  const capacity = computePoolCapacity(pool, largest);
+  largestWorkers.set({ id: pool.name, capacity, atMs: turn.tick.now });
+  return capacity;
 }
