Begin function names of placement with verbs of the glossary

Cause: some functions began with verbs that the glossary does not list.

Change: renames only, in placement, evacuation, interference and the worker model.

Conclusion: no change of behaviour.

--- a/bench/interference.ts
+++ b/bench/interference.ts
@@ -67,11 +67,11 @@
 }
 
 function listRows(site: string, baseline: SiteFigures, chosen: SiteFigures): BenchRow[] {
-  const half = (metric: string, a: number, b: number): BenchRow =>
+  const buildHalfRow = (metric: string, a: number, b: number): BenchRow =>
     createBenchRow(`${site}: ${metric}`, a, b, 'ratio <= 0.5', b <= a / 2);
   return [
-    half('service p99', baseline.p99, chosen.p99),
-    half('service p99.9', baseline.p999, chosen.p999),
+    buildHalfRow('service p99', baseline.p99, chosen.p99),
+    buildHalfRow('service p99.9', baseline.p999, chosen.p999),
     createBenchRow(
       `${site}: batch core-seconds done`,
       ...([baseline.work, chosen.work] as const),
--- a/bench/workerModel.ts
+++ b/bench/workerModel.ts
@@ -92,7 +92,7 @@
     this.work.set(task.id, { length: lengthSeconds, done: 0, safe: 0 });
   }
 
-  cancel(taskId: string): void {
+  stopJob(taskId: string): void {
     const task = this.state.tasks.get(taskId);
     if (task === undefined || this.state.pendingChanges.has(taskId)) return;
     if (task.phase === 'queued')
@@ -149,7 +149,7 @@
       if (now >= run.stopsMs && task !== undefined) this.closeRun(run, task);
     }
     if (now % this.options.advanceMs !== 0) return;
-    for (const [workerId, runs] of this.runsByWorker) this.advanceWorker(workerId, runs);
+    for (const [workerId, runs] of this.runsByWorker) this.runWorker(workerId, runs);
   }
 
   private startRun(id: string, task: TaskRow, workerId: string): ModelRun {
@@ -209,7 +209,7 @@
     this.state.runs.remove(run.id);
   }
 
-  private advanceWorker(workerId: string, runs: ReadonlySet<ModelRun>): void {
+  private runWorker(workerId: string, runs: ReadonlySet<ModelRun>): void {
     const cores = this.state.workers.get(workerId)?.capacity.cores ?? 1;
     const { now } = this.clock;
     const list: { run: ModelRun; task: TaskRow; share: number }[] = [];
@@ -217,7 +217,7 @@
     for (const run of runs) {
       const task = this.state.tasks.get(run.taskId);
       if (task === undefined || now < run.startsMs || this.lostWorkers.has(workerId)) continue;
-      if (this.failRun(run, task)) continue;
+      if (this.handleFailedStart(run, task)) continue;
       if (this.state.runs.get(run.id)?.phase === 'unconfirmed')
         this.state.runs.update(run.id, { phase: 'running' });
       const share = this.state.throttles.get(task.id)?.share ?? 1;
@@ -234,12 +234,12 @@
       }
       this.reportUsage(run, task);
       if (task.service !== undefined) this.recordLatency(run.slowdown);
-      else this.advanceTask(run, task, (this.options.advanceMs * share) / 1_000 / run.slowdown);
+      else this.runTask(run, task, (this.options.advanceMs * share) / 1_000 / run.slowdown);
     }
   }
 
   /** Reports a failed start; the owner's health system queues the task again. */
-  private failRun(run: ModelRun, task: TaskRow): boolean {
+  private handleFailedStart(run: ModelRun, task: TaskRow): boolean {
     const row = this.state.runs.get(run.id);
     if (row?.phase !== 'unconfirmed') return false;
     if (!this.failingWorkers.has(run.workerId) && !this.failingTasks.has(task.id)) return false;
@@ -251,7 +251,7 @@
     return true;
   }
 
-  private advanceTask(run: ModelRun, task: TaskRow, advance: number): void {
+  private runTask(run: ModelRun, task: TaskRow, advance: number): void {
     const work = this.work.get(task.id);
     // A task that is being checkpointed makes no progress.
     if (work === undefined || run.stopsMs !== Infinity) return;
--- a/src/systems/evacuation/evacuationSystem.ts
+++ b/src/systems/evacuation/evacuationSystem.ts
@@ -8,7 +8,7 @@
 import { getLinks } from '../placement/commitmentSystem.ts';
 import type { PlacementTurn } from '../placement/placementTurn.ts';
 import { createPlacementTurn, getShardOf } from '../placement/placementTurn.ts';
-import { isReplicaLive, retireReplica } from '../placement/replicaSystem.ts';
+import { isReplicaLive, stopReplica } from '../placement/replicaSystem.ts';
 import type { EvacuationPolicy } from './evacuationPolicy.ts';
 
 const PERIOD_MS = 200;
@@ -101,7 +101,7 @@
       const left = spare.get(key) ?? this.countSpare(turn, task.pool, task.service);
       spare.set(key, left - 1);
       if (left > 0 || isOverdue || !this.policy.replacesFirst)
-        retireReplica(turn, pool, task, `zone ${evacuation.id} is out of service`);
+        stopReplica(turn, pool, task, `zone ${evacuation.id} is out of service`);
     }
   }
 
--- a/src/systems/interference/usageSystem.ts
+++ b/src/systems/interference/usageSystem.ts
@@ -68,7 +68,7 @@
     const claim = placement.claims.get(id);
     const resident = placement.residents.get(id);
     if (claim === undefined) {
-      if (resident?.toMs === Number.POSITIVE_INFINITY) endStay(state, resident, nowMs);
+      if (resident?.toMs === Number.POSITIVE_INFINITY) closeStay(state, resident, nowMs);
       continue;
     }
     if (resident !== undefined) continue;
@@ -85,7 +85,7 @@
   placement.changedClaims.clear();
 }
 
-function endStay(state: EntryState, resident: ResidentRow, nowMs: number): void {
+function closeStay(state: EntryState, resident: ResidentRow, nowMs: number): void {
   state.placement.residents.set({ ...resident, toMs: nowMs });
   for (const other of state.placement.residentsByWorker.list(resident.workerId)) {
     if (other.toMs < nowMs - HISTORY_MS) state.placement.residents.remove(other.id);
--- a/src/systems/placement/placementSystem.ts
+++ b/src/systems/placement/placementSystem.ts
@@ -124,7 +124,7 @@
     const shape = formatShape(task, demand);
     if (reserved === undefined && budget.blocked.has(shape)) return false;
     if (!hasQuotaRoom(turn, pool, task.team, demand)) {
-      failIfNeverRuns(turn, pool, task);
+      handleNeverRuns(turn, pool, task);
       budget.blocked.add(shape);
       return false;
     }
@@ -135,7 +135,7 @@
       return true;
     }
     const isHandled =
-      failIfNeverRuns(turn, pool, task) || placeByPreemption(turn, pool, task, demand);
+      handleNeverRuns(turn, pool, task) || placeByPreemption(turn, pool, task, demand);
     if (!isHandled) budget.blocked.add(shape);
     return false;
   }
@@ -196,7 +196,7 @@
 }
 
 /** Fails a task that no worker of its pool could ever hold. */
-function failIfNeverRuns(turn: PlacementTurn, pool: PoolConfig, task: TaskRow): boolean {
+function handleNeverRuns(turn: PlacementTurn, pool: PoolConfig, task: TaskRow): boolean {
   const { state, tick } = turn;
   const takenMs = state.duties.get(getShardName(pool))?.takenMs ?? tick.now;
   if (task.service !== undefined || tick.now - takenMs < REPORT_GRACE_MS) return false;
--- a/src/systems/placement/replicaSystem.ts
+++ b/src/systems/placement/replicaSystem.ts
@@ -76,8 +76,8 @@
     const latest = change?.kind === 'put' ? change.task : row;
     if (isReplicaLive(turn, pool, latest)) live.push(latest);
     else if (latest.stopReason !== 'retired' && !isInZoneOut(turn, latest))
-      retireReplica(turn, pool, row, 'its worker is unreachable');
-    else if (latest.phase === 'queued') retireReplica(turn, pool, row, 'it was replaced');
+      stopReplica(turn, pool, row, 'its worker is unreachable');
+    else if (latest.phase === 'queued') stopReplica(turn, pool, row, 'it was replaced');
   }
   const missing = service.replicas - live.length;
   if (missing > 0) addReplicas(turn, pool, service, Math.min(missing, MAX_CREATED_PER_CHECK));
@@ -158,7 +158,7 @@
       task.phase === 'queued' ? Number.POSITIVE_INFINITY : (counts.get(task.zone ?? '') ?? 0);
     left.sort((a, b) => compareNumbers(rank(b), rank(a)) || b.sequence - a.sequence);
     const chosen = left.shift();
-    if (chosen !== undefined) retireReplica(turn, pool, chosen, 'more replicas than configured');
+    if (chosen !== undefined) stopReplica(turn, pool, chosen, 'more replicas than configured');
   }
 }
 
@@ -183,7 +183,7 @@
 }
 
 /** Ends a replica for good: its row is closed when its stop is proven. */
-export function retireReplica(
+export function stopReplica(
   turn: PlacementTurn,
   pool: PoolConfig,
   task: TaskRow,
--- a/test/systems/placement/placementBounds.test.ts
+++ b/test/systems/placement/placementBounds.test.ts
@@ -48,7 +48,7 @@
                   item.seconds,
                 );
               }
-            } else if (item.kind === 'cancel') model.cancel(`t${item.at}`);
+            } else if (item.kind === 'cancel') model.stopJob(`t${item.at}`);
             else if (item.kind === 'zones') model.setZonesOut(item.zones);
             else if (item.kind === 'lose') model.lostWorkers.add(`w${item.worker}`);
             else if (item.kind === 'return') model.lostWorkers.delete(`w${item.worker}`);
