Name every fault of the tables with its field and what is expected

Cause: the small schema library has no messages without a locale, an unknown field was reported at its row, and a row with one fault hid that its pool is unknown or its name used twice.

Change: the English locale is loaded, unknown fields have paths of their own, and the joins are checked on every row that can be read.

Conclusion: config check reports a file's faults at once.

--- a/src/base/common/parse.ts
+++ b/src/base/common/parse.ts
@@ -1,7 +1,11 @@
 import type { Either } from 'purify-ts/Either';
 import { Left, Right } from 'purify-ts/Either';
+import en from 'zod/v4/locales/en.js';
 import * as z from 'zod/mini';
 
+// The small variant of the library brings no messages of its own.
+z.config(en());
+
 /** One fault of a value, with the path to the field. */
 export interface ValueFault {
   readonly path: string;
@@ -15,6 +19,16 @@
     .replace(/^\./, '');
 }
 
+/** Each unknown field is a fault with a path of its own. */
+function toFaults(issue: z.core.$ZodIssue): ValueFault[] {
+  if (issue.code !== 'unrecognized_keys')
+    return [{ path: formatPath(issue.path), message: issue.message }];
+  return issue.keys.map((key) => ({
+    path: formatPath([...issue.path, key]),
+    message: 'unknown field',
+  }));
+}
+
 /** Validates a value against a schema and reports all its faults at once. */
 export function parseValue<Schema extends z.ZodMiniType>(
   schema: Schema,
@@ -22,9 +36,7 @@
 ): Either<ValueFault[], z.output<Schema>> {
   const result = z.safeParse(schema, value);
   if (result.success) return Right(result.data);
-  return Left(
-    result.error.issues.map((issue) => ({ path: formatPath(issue.path), message: issue.message })),
-  );
+  return Left(result.error.issues.flatMap(toFaults));
 }
 
 export function formatFaults(faults: readonly ValueFault[]): string {
--- a/src/model/tableChecks.ts
+++ b/src/model/tableChecks.ts
@@ -49,14 +49,11 @@
 
 function listRouteFaults(
   routes: readonly NumberedRow<RouteConfig>[],
-  poolNames: ReadonlySet<string>,
   pools: readonly NumberedRow<PoolConfig>[],
 ): ValueFault[] {
   return routes.flatMap(({ index, row }, position) => {
     const faults: ValueFault[] = [];
     const path = `routes[${index}]`;
-    if (!poolNames.has(row.pool))
-      faults.push({ path: `${path}.pool`, message: `pool ${row.pool} is not in the pools table` });
     const pool = pools.find((candidate) => candidate.row.name === row.pool);
     if (pool !== undefined && !pool.row.services.some((service) => service.name === row.service))
       faults.push({
@@ -112,10 +109,30 @@
   );
 }
 
-/** Names of the pools table, including those of rows that have other faults. */
-function collectPoolNames(value: unknown): Set<string> {
-  const named = z.safeParse(z.array(z.object({ name: z.string() })), value);
-  return new Set(named.success ? named.data.map((pool) => pool.name) : []);
+/** What joins the tables, read also from rows that have other faults. */
+const joinSchema = z.object({
+  name: z.optional(z.string()),
+  pool: z.optional(z.string()),
+});
+
+function listJoins(value: unknown): NumberedRow<z.infer<typeof joinSchema>>[] {
+  return listValidRows(joinSchema, value);
+}
+
+function listNameFaults(table: string, value: unknown): ValueFault[] {
+  const names = listJoins(value).flatMap(({ index, row }) =>
+    row.name === undefined ? [] : [{ path: `${table}[${index}].name`, name: row.name }],
+  );
+  return listDuplicateFaults(names);
+}
+
+function listUnknownPoolFaults(routes: unknown, pools: unknown): ValueFault[] {
+  const names = new Set(listJoins(pools).map(({ row }) => row.name));
+  return listJoins(routes).flatMap(({ index, row }) =>
+    row.pool === undefined || names.has(row.pool)
+      ? []
+      : [{ path: `routes[${index}].pool`, message: `pool ${row.pool} is not in the pools table` }],
+  );
 }
 
 function listCrossFaults(value: unknown): ValueFault[] {
@@ -124,13 +141,10 @@
   const routes = listValidRows(routeSchema, tables.routes);
   const pools = listValidRows(poolSchema, tables.pools);
   return [
-    ...listDuplicateFaults(
-      routes.map(({ index, row }) => ({ path: `routes[${index}].name`, name: row.name })),
-    ),
-    ...listDuplicateFaults(
-      pools.map(({ index, row }) => ({ path: `pools[${index}].name`, name: row.name })),
-    ),
-    ...listRouteFaults(routes, collectPoolNames(tables.pools), pools),
+    ...listNameFaults('routes', tables.routes),
+    ...listNameFaults('pools', tables.pools),
+    ...listUnknownPoolFaults(tables.routes, tables.pools),
+    ...listRouteFaults(routes, pools),
     ...pools.flatMap(listPoolFaults),
     ...listZoneFaults(pools),
   ];
