Run workers, jobs and a zone change in local mode, and add the worker stand-in command

Cause: `npm start` showed requests only, and the README's walk-through started no worker, so a newcomer could not see a job run.

Change: local mode starts four workers of 12 cores and 50 GB with their agents. Over HTTP it submits 16 jobs with idempotency keys, one of them twice, cancels one, takes a zone out of service and back in during the run, and waits for the jobs. The requests are paced so that they last over the zone change. The command `worker` runs the stand-in of the worker interface; the README's walk-through starts it with a fourth agent and submits a job twice with curl, and the README test runs these lines as separate processes and expects one run. The README test now also requires a graceful exit of the fourth agent.

Conclusion: one command shows both kinds of work and a zone change.

--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -1,8 +1,10 @@
 import type { CAC } from 'cac';
 import { cac } from 'cac';
 import type { EndpointOptions } from './endpoint.ts';
+import type { LocalOptions } from './local.ts';
 import type { OperatorOptions } from './output.ts';
 import { CommandError, EXIT_INVALID } from './output.ts';
+import type { WorkerOptions } from './worker.ts';
 
 const OPERATOR_HELP = 'Operator address of an entry, http://ip:port (or BRAMLEYLADDER_OPERATOR)';
 const DEFAULT_HOST = '127.0.0.1';
@@ -51,17 +53,31 @@
       if (agent === undefined) throw new CommandError('give --agent <origin>', EXIT_INVALID);
       await (await import('./endpoint.ts')).runEndpoint({ ...options, agent });
     });
+  cli
+    .command('worker', "Run a stand-in of the platform's worker interface beside an agent")
+    .option('--name <name>', 'Id of the worker', { default: 'worker' })
+    .option('--rack <rack>', 'Rack that it is mounted in', { default: 'rack' })
+    .option('--host <ip>', 'Address to listen on', { default: DEFAULT_HOST })
+    .option('--port <port>', 'Port to listen on; 0 takes any', { default: 0 })
+    .option('--cores <n>', 'Cores', { default: 12 })
+    .option('--memory-mb <n>', 'Memory in MB', { default: 50_000 })
+    .option('--accelerators <n>', 'Accelerators', { default: 0 })
+    .action(async (options: WorkerOptions) => {
+      await (await import('./worker.ts')).runWorker(options);
+    });
+}
+
+function addLocal(cli: CAC): void {
   cli
     .command('local', 'Run the whole system in this process with stand-ins of the platform')
     .option('--tables <file>', 'Tables to use', { default: 'examples/hanbit.tables.json' })
     .option('--requests <n>', 'Requests of the sample load', { default: 500 })
+    .option('--jobs <n>', 'Batch jobs of the sample load', { default: 16 })
     .option('--keep', 'Keep running until interrupted and print examples of calls')
     .option('--json', 'Print the summary as JSON')
-    .action(
-      async (options: { tables: string; requests: number; keep?: boolean; json?: boolean }) => {
-        await (await import('./local.ts')).runLocal(options);
-      },
-    );
+    .action(async (options: LocalOptions) => {
+      await (await import('./local.ts')).runLocal(options);
+    });
 }
 
 interface ConfigOptions extends OperatorOptions {
@@ -126,6 +142,7 @@
   const cli = cac('bramleyladder');
   addDaemons(cli);
   addStandIns(cli);
+  addLocal(cli);
   addOperatorCommands(cli);
   cli.usage('<command> [options]');
   cli.help();
--- a/src/cli/localLoad.ts
+++ b/src/cli/localLoad.ts
@@ -1,8 +1,11 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { build } from 'hdr-histogram-js';
 import { Pool } from 'undici';
 import * as z from 'zod/mini';
 
 const CALLERS_PER_ENTRY = 1;
+/** Pause of a caller after each answer, so that the load lasts over the zone change. */
+const PAUSE_MS = 15;
 const MICROSECONDS_PER_MS = 1_000;
 const MAX_LATENCY_US = 60_000_000;
 
@@ -51,6 +54,7 @@
       const outcome = await sendOne(pool, next);
       histogram.recordValue(Math.round((performance.now() - sentMs) * MICROSECONDS_PER_MS));
       counts[outcome] = (counts[outcome] ?? 0) + 1;
+      await wait(PAUSE_MS);
     }
   };
   const pools = origins.map((origin) => new Pool(origin, { connections: CALLERS_PER_ENTRY }));
--- a/src/cli/localMode.ts
+++ b/src/cli/localMode.ts
@@ -4,18 +4,32 @@
 import type { Tables } from '../model/configuration.ts';
 import { AgentDaemon } from '../daemons/agentDaemon.ts';
 import { EntryDaemon } from '../daemons/entryDaemon.ts';
+import type { AgentSettings } from '../daemons/settings.ts';
 import { HttpStoreClient } from '../protocol/node/storeClient.ts';
 import { EndpointServer } from '../standins/endpointServer.ts';
+import { MemoryWorker } from '../standins/memoryWorker.ts';
 import { StoreServer } from '../standins/storeServer.ts';
+import { WorkerServer } from '../standins/workerServer.ts';
 import { CONFIGURATION_KEY } from '../systems/configuration/configurationReadSystem.ts';
+import { computeCommandWork } from './worker.ts';
 
 const HOST = '127.0.0.1';
 const REGION = 'kr-south';
 const ZONES = ['busan-a', 'ulsan-b', 'daegu-c', 'changwon-d'];
 const ENTRIES = 2;
 const RUNNERS = 4;
+const WORKERS = 4;
+/** A fifth of a Hanbit worker (60 cores, 250 GB), so that a handful of small jobs fills the zones. */
+const WORKER_CAPACITY = { cores: 12, memoryMb: 50_000, accelerators: 0 };
 const READY_TIMEOUT_MS = 10_000;
 
+interface LocalWorker {
+  readonly zone: string;
+  readonly worker: MemoryWorker;
+  readonly server: WorkerServer;
+  readonly agent: AgentDaemon;
+}
+
 async function openEntries(storeOrigin: string, log: LogWriter): Promise<EntryDaemon[]> {
   const entries: EntryDaemon[] = [];
   for (let index = 0; index < ENTRIES; index += 1) {
@@ -40,6 +54,38 @@
   return entries;
 }
 
+function buildAgentSettings(id: string, index: number, entries: string[]): AgentSettings {
+  return {
+    id,
+    region: REGION,
+    zone: ZONES[index % ZONES.length] ?? '',
+    host: HOST,
+    linkPort: 0,
+    announcePort: 0,
+    entries,
+    stopSeconds: 30,
+  };
+}
+
+async function openWorkers(entryAddresses: string[], log: LogWriter): Promise<LocalWorker[]> {
+  const workers: LocalWorker[] = [];
+  for (let index = 0; index < WORKERS; index += 1) {
+    const worker = MemoryWorker.create({
+      id: `worker-${index}`,
+      rack: `rack-${index}`,
+      capacity: WORKER_CAPACITY,
+      clock: NodeClock.create(),
+      workMs: computeCommandWork,
+    });
+    const timer = NodeTimer.create();
+    const server = await WorkerServer.create({ host: HOST, port: 0, worker, timer });
+    const settings = buildAgentSettings(`worker-agent-${index}`, index, entryAddresses);
+    const agent = await AgentDaemon.create({ ...settings, workerOrigin: server.origin }, log);
+    workers.push({ zone: settings.zone, worker, server, agent });
+  }
+  return workers;
+}
+
 async function openRunners(
   entryAddresses: string[],
   log: LogWriter,
@@ -54,16 +100,7 @@
       timer: NodeTimer.create(),
     });
     const agent = await AgentDaemon.create(
-      {
-        id: `agent-${index}`,
-        region: REGION,
-        zone: ZONES[index % ZONES.length] ?? '',
-        host: HOST,
-        linkPort: 0,
-        announcePort: 0,
-        entries: entryAddresses,
-        stopSeconds: 30,
-      },
+      buildAgentSettings(`agent-${index}`, index, entryAddresses),
       log,
     );
     agent.register({
@@ -86,6 +123,7 @@
     readonly entries: readonly EntryDaemon[],
     readonly agents: readonly AgentDaemon[],
     readonly endpoints: readonly EndpointServer[],
+    readonly workers: readonly LocalWorker[],
   ) {}
 
   static async create(
@@ -100,11 +138,10 @@
     await client.send({ op: 'write', key: CONFIGURATION_KEY, expectedVersion: 0, value }, 1_000);
     client.dispose();
     const entries = await openEntries(store.origin, log);
-    const { agents, endpoints } = await openRunners(
-      entries.map((entry) => entry.state.self.info.address),
-      log,
-    );
-    return new LocalCluster(store, entries, agents, endpoints);
+    const addresses = entries.map((entry) => entry.state.self.info.address);
+    const { agents, endpoints } = await openRunners(addresses, log);
+    const workers = await openWorkers(addresses, log);
+    return new LocalCluster(store, entries, agents, endpoints, workers);
   }
 
   /** Waits until every entry serves and knows every endpoint. */
@@ -122,7 +159,8 @@
   }
 
   dispose(): void {
-    for (const part of [...this.agents, ...this.entries, ...this.endpoints, this.store])
+    const workers = this.workers.flatMap(({ agent, server }) => [agent, server]);
+    for (const part of [...workers, ...this.agents, ...this.entries, ...this.endpoints, this.store])
       part.dispose();
   }
 }
--- /dev/null
+++ b/src/cli/worker.ts
@@ -0,0 +1,50 @@
+import { LogWriter } from '../base/node/logWriter.ts';
+import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
+import { MemoryWorker } from '../standins/memoryWorker.ts';
+import { WorkerServer } from '../standins/workerServer.ts';
+import { runUntilStopped } from './runDaemon.ts';
+
+const DEFAULT_WORK_MS = 1_000;
+
+export interface WorkerOptions {
+  readonly name: string;
+  readonly rack: string;
+  readonly host: string;
+  readonly port: number;
+  readonly cores: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+}
+
+/** Work of a task in milliseconds: the first word of its command when that is a number, else 1 s. */
+export function computeCommandWork(_taskKind: string, command: readonly string[]): number {
+  const workMs = Number(command[0] ?? DEFAULT_WORK_MS);
+  return Number.isFinite(workMs) && workMs >= 0 ? workMs : DEFAULT_WORK_MS;
+}
+
+/** `worker`: runs the stand-in of the platform's worker interface, which an agent's settings name. */
+export async function runWorker(options: WorkerOptions): Promise<void> {
+  const { name, rack, host, port, cores, memoryMb, accelerators } = options;
+  const worker = MemoryWorker.create({
+    id: name,
+    rack,
+    capacity: { cores, memoryMb, accelerators },
+    clock: NodeClock.create(),
+    workMs: computeCommandWork,
+  });
+  const server = await WorkerServer.create({ host, port, worker, timer: NodeTimer.create() });
+  LogWriter.create().write('info', 'worker_started', { name, origin: server.origin });
+  let resolveStopped: () => void = () => undefined;
+  const stopped = new Promise<void>((resolve) => {
+    resolveStopped = resolve;
+  });
+  await runUntilStopped({
+    stopped,
+    stop: () => {
+      resolveStopped();
+    },
+    dispose: () => {
+      server.dispose();
+    },
+  });
+}
--- a/test/cli/commandLine.test.ts
+++ b/test/cli/commandLine.test.ts
@@ -65,6 +65,7 @@
       'agent',
       'store',
       'endpoint',
+      'worker',
       'local',
       'config',
       'zone',
@@ -112,6 +113,19 @@
     });
   });
 
+  describe('local', () => {
+    it('does not lose or double a job or a request over a zone change', async () => {
+      const { code, stdout, stderr } = await runCommand(['local', '--json']);
+      expect(`${code} ${stderr}`).toBe('0 ');
+      expect(JSON.parse(stdout)).toMatchObject({
+        requests: 500,
+        answered: 500,
+        refused: {},
+        jobs: { submitted: 16, submissions: 17, finished: 15, cancelled: 1, open: 0 },
+      });
+    });
+  });
+
   describe('operators', () => {
     let cluster: LocalCluster | undefined;
 
--- a/test/docs/readme.test.ts
+++ b/test/docs/readme.test.ts
@@ -40,6 +40,8 @@
 
 describe('walk-through of the README', () => {
   const children: ChildProcess[] = [];
+  /** Entries and agents, which stop gracefully. */
+  const daemonChildren: ChildProcess[] = [];
   const ports = new Map<string, string>();
   let folder = '';
   let bundle = '';
@@ -61,6 +63,15 @@
       });
   }
 
+  /** Sends what a curl line of the README asks for: a GET, or a POST of a file after `-d @`. */
+  async function sendCurl(line: string): Promise<Response> {
+    const words = setPorts(line).split(' ').slice(1);
+    const url = words.at(-1)!;
+    if (words.length === 1) return fetch(url);
+    expect(words[0]).toBe('-d');
+    return fetch(url, { method: 'POST', body: readFileSync(words[1]!.replace('@', ''), 'utf8') });
+  }
+
   async function runCommand(line: string): Promise<{ code: number; output: string }> {
     const [, ...args] = parseCommand(line);
     return new Promise((resolve) => {
@@ -76,7 +87,7 @@
     const text =
       readFileSync('README.md', 'utf8') +
       [0, 1].map((i) => readFileSync(`examples/settings/entry-${i}.json`, 'utf8')).join('') +
-      [0, 1, 2].map((i) => readFileSync(`examples/settings/agent-${i}.json`, 'utf8')).join('');
+      [0, 1, 2, 3].map((i) => readFileSync(`examples/settings/agent-${i}.json`, 'utf8')).join('');
     for (const [port] of text.matchAll(/\b7\d{3}\b/g)) {
       if (!ports.has(port)) ports.set(port, String(await findFreePort()));
     }
@@ -88,12 +99,14 @@
   });
 
   it('does not contain a command that fails', async () => {
-    const daemons = / (store|entry|agent|endpoint) |bramleyladder-agent/;
+    const daemons = / (store|entry|agent|endpoint|worker) |bramleyladder-agent/;
     const commands = listCommands();
     expect(commands.length).toBeGreaterThan(15);
     for (const line of commands.filter((command) => daemons.test(command))) {
       const [, ...args] = parseCommand(line);
-      children.push(spawn(process.execPath, args, { stdio: 'ignore' }));
+      const child = spawn(process.execPath, args, { stdio: 'ignore' });
+      children.push(child);
+      if (/ (entry|agent) |bramleyladder-agent/.test(line)) daemonChildren.push(child);
       // The store and the entries first: a reader also waits for the first log line.
       if (line.includes(' store ')) await new Promise((resolve) => setTimeout(resolve, 500));
     }
@@ -104,7 +117,7 @@
       });
     for (const line of commands.filter((command) => !daemons.test(command))) {
       if (line.startsWith('curl ')) {
-        await waitFor(line, async () => (await fetch(setPorts(line.slice(5)))).status === 200);
+        await waitFor(line, async () => (await sendCurl(line)).status === 200);
         continue;
       }
       const { code, output } = await runCommand(line);
@@ -123,10 +136,20 @@
     expect([...names].sort()).toEqual(['kit-0', 'kit-1', 'kit-2']);
   });
 
+  it('does not lose the job that was submitted twice, or run it twice', async () => {
+    const line = listCommands().find((command) => /\/v1\/jobs\/\S+$/.test(command))!;
+    let job = { jobId: '', phase: '', attempts: 0 };
+    await waitFor(line, async () => {
+      job = (await (await sendCurl(line)).json()) as typeof job;
+      return job.phase === 'finished';
+    });
+    expect(line.endsWith(job.jobId)).toBe(true);
+    expect(job.attempts).toBe(1);
+  });
+
   it('does not end an agent or an entry without a graceful stop', async () => {
-    const stopping = children.slice(1, 6);
     const codes = await Promise.all(
-      stopping.map(
+      daemonChildren.map(
         async (child) =>
           new Promise((resolve) => {
             child.once('exit', resolve);
@@ -134,6 +157,6 @@
           }),
       ),
     );
-    expect(codes).toEqual([0, 0, 0, 0, 0]);
+    expect(codes).toEqual([0, 0, 0, 0, 0, 0]);
   });
 });
