Checkpoint and stop a worker's tasks when its instance stops for good

Cause: an agent that stopped for good reported `leaving` and refused starts only; its tasks were cut off with the instance and came back when their leases had expired. Found beside it: in turns after the drain had ended, an agent reported `leaving: false`, so the owner assigned new tasks to its worker until the process was gone.

Change: the agent setting `stopsTasks` tells a stop of the instance from a replacement of the agent. With it, the worker report carries `stopsTasks`, the owner sets the stop reason `worker-leaving` on every task of the worker, and the agent's drain waits until the worker has no run record left. The owner lets the worker forget a record once the ledger holds its end, so this is the acknowledgement. The wait ends at `stopSeconds`. A stopped agent keeps reporting `leaving`.

Conclusion: a planned stop of a worker's instance costs one restart of each task. An agent whose instance is sometimes replaced and sometimes stopped needs the setting changed before its stop.

--- a/src/daemons/agentDaemon.ts
+++ b/src/daemons/agentDaemon.ts
@@ -85,6 +85,7 @@
       zone: settings.zone,
       seedAddresses: settings.entries,
       stopBoundMs: settings.stopSeconds * 1_000,
+      stopsTasks: settings.stopsTasks ?? false,
       hasWorker: settings.workerOrigin !== undefined,
     };
     const state = createAgentState(identity);
--- a/src/daemons/settings.ts
+++ b/src/daemons/settings.ts
@@ -45,6 +45,11 @@
   /** Address of the platform's worker interface on this instance, when the instance runs tasks. */
   workerOrigin: z.optional(originSchema),
   stopSeconds: z._default(z.number().check(z.positive(), z.maximum(600)), 30),
+  /**
+   * Whether a graceful stop of the agent means that the instance stops for good: its tasks are then
+   * checkpointed and moved. Without it, tasks go on under their leases for the next agent.
+   */
+  stopsTasks: z.optional(z.boolean()),
 });
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
 
--- a/src/model/agentState.ts
+++ b/src/model/agentState.ts
@@ -82,6 +82,8 @@
   phase: 'starting' | 'serving' | 'leaving' | 'stopped';
   /** Bound of a graceful shutdown, in milliseconds. */
   readonly stopBoundMs: number;
+  /** Whether the instance stops with the agent, so that its tasks have to stop as well. */
+  readonly stopsTasks: boolean;
   /** Time of the stop request; undefined before it. */
   stopRequestedMs: number | undefined;
 }
@@ -129,8 +131,11 @@
 }
 
 /** Identity of an agent; the bound of its shutdown defaults to 30 s. */
-export type AgentIdentity = Omit<AgentSelf, 'phase' | 'stopBoundMs' | 'stopRequestedMs'> &
-  Partial<Pick<AgentSelf, 'stopBoundMs'>>;
+export type AgentIdentity = Omit<
+  AgentSelf,
+  'phase' | 'stopBoundMs' | 'stopsTasks' | 'stopRequestedMs'
+> &
+  Partial<Pick<AgentSelf, 'stopBoundMs' | 'stopsTasks'>>;
 
 const DEFAULT_STOP_BOUND_MS = 30_000;
 
@@ -146,6 +151,7 @@
     outbox: Mailbox.create(),
     self: {
       stopBoundMs: DEFAULT_STOP_BOUND_MS,
+      stopsTasks: false,
       ...identity,
       phase: 'starting',
       stopRequestedMs: undefined,
--- a/src/model/task.ts
+++ b/src/model/task.ts
@@ -40,6 +40,7 @@
   'interference',
   'retired',
   'worker-unhealthy',
+  'worker-leaving',
 ]);
 export type StopReason = z.infer<typeof stopReasonSchema>;
 
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -49,8 +49,10 @@
       reason: z.enum(['stale_proof', 'stale_epoch', 'no_room', 'shutting_down']),
     }),
   ),
-  /** The worker is being stopped for good; nothing may start on it. */
+  /** The agent is leaving; nothing may start on the worker. */
   leaving: z.boolean(),
+  /** The instance stops with its agent; every task has to be checkpointed and stopped. */
+  stopsTasks: z._default(z.boolean(), false),
 });
 export type WorkerReport = z.infer<typeof workerReportSchema>;
 
--- a/src/systems/drain/agentDrainSystem.ts
+++ b/src/systems/drain/agentDrainSystem.ts
@@ -36,10 +36,20 @@
   return isAnnounced || nowMs - stopMs >= ANNOUNCE_WAIT_MS ? [] : ['announcement'];
 }
 
+/**
+ * Runs of a worker whose instance stops with the agent. A record disappears from the status when the
+ * owner lets the worker forget it, which it does once the ledger holds the run's end and checkpoint.
+ */
+export function listRunBlockers(state: AgentState): string[] {
+  const hasRuns = (state.worker?.status.runs.length ?? 0) > 0;
+  return state.self.stopsTasks && hasRuns ? ['runs'] : [];
+}
+
 /** Everything that an agent has to finish. */
 export const AGENT_BLOCKERS: readonly AgentBlocker[] = [
   listAttemptBlockers,
   listAnnouncementBlockers,
+  listRunBlockers,
 ];
 
 /**
--- a/src/systems/leases/leaseSystem.ts
+++ b/src/systems/leases/leaseSystem.ts
@@ -9,7 +9,7 @@
 import { queueTaskChange } from '../ledger/ledgerChanges.ts';
 import { LEASE_MARGIN_MS, TASK_LEASE_MS } from './leaseTimes.ts';
 import { buildOwnerAnswer, isCurrentRun } from './ownerAnswer.ts';
-import { queueRunOutcome, queueStop } from './runOutcomes.ts';
+import { queueRunOutcome, queueStop, stopLeavingRuns } from './runOutcomes.ts';
 import { recordRun } from './runRows.ts';
 
 /** Samples that no system has taken are dropped beyond this number, oldest first. */
@@ -95,6 +95,7 @@
     this.removeForgotten(state, report);
     this.queueOutcomes(state, tick, duty, worker, report);
     this.handleRejections(state, tick, duty, report);
+    if (report.stopsTasks) stopLeavingRuns(state, tick, duty.id, report.workerId);
     this.recordSamples(state, tick, report);
     state.ownerAnswers.set(buildOwnerAnswer(state, tick, duty, callId, report));
   }
--- a/src/systems/leases/runOutcomes.ts
+++ b/src/systems/leases/runOutcomes.ts
@@ -1,4 +1,5 @@
 import { createFailure } from '../../base/common/errors.ts';
+import type { Tick } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
 import type { TaskRow } from '../../model/task.ts';
 import { removeTaskFields } from '../../model/task.ts';
@@ -122,3 +123,19 @@
   state.runs.update(run.id, { checkpointQueuedMs: nowMs });
   queueTaskChange(state, shard, { ...task, checkpoint: report.checkpoint }, nowMs, false);
 }
+
+/** Wants every task of a worker stopped with a checkpoint, because its instance stops for good. */
+export function stopLeavingRuns(
+  state: EntryState,
+  tick: Tick,
+  shard: string,
+  workerId: string,
+): void {
+  for (const task of state.tasksByWorker.list(workerId)) {
+    if (task.stopReason !== undefined || hasPendingChange(state, task.id)) continue;
+    const next: TaskRow = { ...task, stopReason: 'worker-leaving' };
+    queueTaskChange(state, shard, next, tick.now, true);
+    state.counters.add('evictions', { reason: 'worker-leaving' });
+    recordDecision(state, tick.now, task.id, 'move', `worker ${workerId} is leaving`);
+  }
+}
--- a/src/systems/worker/workerReport.ts
+++ b/src/systems/worker/workerReport.ts
@@ -1,9 +1,14 @@
-import type { AgentState } from '../../model/agentState.ts';
+import type { AgentSelf, AgentState } from '../../model/agentState.ts';
 import type { WorkerReport } from '../../model/worker.ts';
 
 /** An older status says nothing about the runs any more; without a report the owner does not renew. */
 export const MAX_STATUS_AGE_MS = 3_000;
 
+/** From the stop request to the end of the process, also in turns after the drain has ended. */
+export function isLeaving(self: AgentSelf): boolean {
+  return self.phase === 'leaving' || self.phase === 'stopped';
+}
+
 /**
  * Builds the worker's part of an exchange from its last status.
  * Undefined when there is no worker or its status is too old.
@@ -22,6 +27,7 @@
     runs: status.runs,
     samples: worker.samplesReported === true ? [] : status.samples,
     rejectedStarts: state.rejectedStarts,
-    leaving: self.phase === 'leaving',
+    leaving: isLeaving(self),
+    stopsTasks: isLeaving(self) && self.stopsTasks,
   };
 }
--- a/src/systems/worker/workerSystem.ts
+++ b/src/systems/worker/workerSystem.ts
@@ -5,7 +5,7 @@
 import type { WorkerCommand, WorkerReport } from '../../model/worker.ts';
 import type { WorkerCall, WorkerReply } from '../../model/workerCall.ts';
 import { START_LIMIT_MS } from '../leases/leaseTimes.ts';
-import { MAX_STATUS_AGE_MS } from './workerReport.ts';
+import { isLeaving, MAX_STATUS_AGE_MS } from './workerReport.ts';
 
 const CALL_TIMEOUT_MS = 1_000;
 /** A call without any answer is given up this long after its own timeout. */
@@ -175,7 +175,7 @@
     const { taskId, incarnation } = command;
     const { worker, self } = state;
     if (worker === undefined) return;
-    if (self.phase === 'leaving') {
+    if (isLeaving(self)) {
       this.recordRejection(state, { taskId, incarnation, reason: 'shutting_down' });
       return;
     }
