Count work in the leaving zone in the possible work of the zone bench

Cause: the share of possible work could pass 1, because batch tasks that wait for their stop still work in the leaving zone, and replicas that are still there take no cores elsewhere. Change: the possible work is summed each second: cores of the other zones less those of services there at the time, and cores of batch tasks assigned in the leaving zone. Every unit of work is done on one of these, so it is an upper bound. It depends on the run: a slow evacuation is allowed more.

--- a/bench/zoneChange.ts
+++ b/bench/zoneChange.ts
@@ -9,6 +9,8 @@
 
 const WARM_UP_MS = 180_000;
 const OUT_MS = 600_000;
+const STEP_MS = 200;
+const ADVANCE_MS = 1_000;
 const JOB_SECONDS = 400;
 const SHARE_OF_CORES = 1.3;
 
@@ -16,7 +18,8 @@
 export function runZoneChangeBench(seed: number): BenchReport {
   const notes: string[] = [
     'baseline: plain restart; both place with the interference-aware policy',
-    'the remaining capacity is the cores of the other zones that services do not take',
+    'possible work: cores of the other zones that services do not take there at the time, and ' +
+      'cores of batch tasks that still wait in the leaving zone for their stop',
   ];
   const rows = SITES.flatMap((site) => {
     const baseline = measureChange(seed, site, PlainRestart.create());
@@ -56,10 +59,10 @@
   policy: EvacuationPolicy,
 ): ChangeFigures {
   const model = WorkerModel.create({
-    ...{ seed, stepMs: 200, advanceMs: 1_000 },
+    ...{ seed, stepMs: STEP_MS, advanceMs: ADVANCE_MS },
     systems: createPlacementSystems(InterferenceAwarePlacement.create(), policy),
     ...{ pools: listSitePools(site), workers: listSiteWorkers(site) },
-    // Without interference the possible work is exactly the free cores times the time.
+    // Without interference a task does one core-second of work per core and second.
     computeEffect: () => 0,
     checkpointMs: 1_000,
     hasStopCheckpoint: policy.replacesFirst,
@@ -72,12 +75,14 @@
   const before = model.doneCores - model.lostCores;
   model.setZonesOut([zone ?? '']);
   let fewestReplicas = Number.POSITIVE_INFINITY;
+  let possible = 0;
   model.runFor(OUT_MS, () => {
+    // Work advances in the step after this one; a task that works then is assigned already.
+    if ((model.clock.now + STEP_MS) % ADVANCE_MS === 0)
+      possible += (computePossibleCores(model, site, zone ?? '') * ADVANCE_MS) / 1_000;
     fewestReplicas = Math.min(fewestReplicas, countReplicas(model));
   });
   const done = model.doneCores - model.lostCores - before;
-  const left = listSiteWorkers(site).filter((worker) => worker.zone !== zone).length;
-  const possible = (left * site.cores - 10 * site.serviceCores) * (OUT_MS / 1_000);
   const value = jobs
     .filter((job) => model.state.tasks.get(job.id)?.phase === 'finished')
     .filter((job) => (model.finishedMs.get(job.id) ?? Infinity) - outMs <= job.deadlineMs)
@@ -91,6 +96,25 @@
   };
 }
 
+/**
+ * Cores on which batch work can advance now, an upper bound of what it does: the cores of the other
+ * zones less those of services there, and the cores of batch tasks not yet stopped in the leaving zone.
+ */
+function computePossibleCores(
+  model: WorkerModel,
+  site: (typeof SITES)[number],
+  leaving: string,
+): number {
+  const left = listSiteWorkers(site).filter((worker) => worker.zone !== leaving).length;
+  let cores = left * site.cores;
+  for (const task of model.state.tasks.values()) {
+    if (task.phase !== 'assigned') continue;
+    if (task.service !== undefined && task.zone !== leaving) cores -= task.demand.cores;
+    if (task.service === undefined && task.zone === leaving) cores += task.demand.cores;
+  }
+  return cores;
+}
+
 interface Job {
   readonly id: string;
   readonly value: number;
