Try a task again when it has failed on each worker of its pool

Cause: a worker on which a start of a task failed was closed to that task for ever, and the task failed only after starts on three different workers. In a pool with one or two workers in reach the task stayed queued without end.

Change: when each worker that could take the task now has failed it, these workers are open to it again. Each failed start is recorded, repeats included, and the third one on a healthy worker fails the job as before. Pools with an untried worker behave as before.

Conclusion: a job ends or is refused in small pools too.

--- a/src/model/task.ts
+++ b/src/model/task.ts
@@ -71,7 +71,7 @@
   checkpoint: z.optional(z.string()),
   /** Set when the owner wants the current incarnation stopped. */
   stopReason: z.optional(stopReasonSchema),
-  /** Workers on which a start of this task failed. */
+  /** Worker of each failed start; repeated only in a pool without an untried worker. */
   failedWorkers: z.array(z.string()),
   /** Set in the phase `failed`. */
   failure: z.optional(failureSchema),
--- a/src/systems/leases/runOutcomes.ts
+++ b/src/systems/leases/runOutcomes.ts
@@ -94,7 +94,7 @@
   worker: WorkerRow,
   nowMs: number,
 ): void {
-  const failedWorkers = [...new Set([...task.failedWorkers, worker.id])];
+  const failedWorkers = [...task.failedWorkers, worker.id];
   const message = report.message ?? 'the run failed';
   state.workers.update(worker.id, { failedStarts: worker.failedStarts + 1 });
   state.counters.add('runs_failed');
--- a/src/systems/placement/placementBounds.ts
+++ b/src/systems/placement/placementBounds.ts
@@ -33,7 +33,8 @@
   if (turn.zonesOut.has(worker.zone)) return 'zone-out';
   if (worker.leaving) return 'leaving';
   if (turn.tick.now - worker.lastExchangeMs > WORKER_SUSPECT_MS) return 'silent';
-  if (task.failedWorkers.includes(worker.id)) return 'failed-here';
+  if (task.failedWorkers.includes(worker.id) && !hasFailedEverywhere(turn, pool, task))
+    return 'failed-here';
   const pace = turn.state.placement.startPaces.get(worker.id);
   if (pace !== undefined && turn.tick.now - pace.previousMs < STARTS_PER_PERIOD_MS) return 'pace';
   const health = turn.state.placement.health.get(worker.id);
@@ -47,6 +48,20 @@
   return isSpreadBroken(turn, pool, task, worker) ? 'spread' : undefined;
 }
 
+/**
+ * Whether the task has failed on each worker that could take it now. It is then tried again on them,
+ * because a pool with fewer workers than the limit of failed starts would keep it queued for ever.
+ */
+function hasFailedEverywhere(turn: PlacementTurn, pool: PoolConfig, task: TaskRow): boolean {
+  for (const worker of turn.state.workers.values()) {
+    if (worker.region !== pool.region || !pool.zones.includes(worker.zone)) continue;
+    if (turn.zonesOut.has(worker.zone) || worker.leaving) continue;
+    if (turn.tick.now - worker.lastExchangeMs > WORKER_SUSPECT_MS) continue;
+    if (!task.failedWorkers.includes(worker.id)) return false;
+  }
+  return true;
+}
+
 /** Whether the demand fits beside everything that is committed or reserved for other tasks. */
 export function hasWorkerRoom(
   turn: PlacementTurn,
--- a/src/systems/placement/workerHealthSystem.ts
+++ b/src/systems/placement/workerHealthSystem.ts
@@ -119,7 +119,7 @@
 function queueAfterFailure(state: EntryState, tick: Tick, task: TaskRow, workerId: string): void {
   const turn = createPlacementTurn(state, tick);
   if (!turn.pools.has(task.pool)) return;
-  const failedWorkers = [...new Set([...task.failedWorkers, workerId])];
+  const failedWorkers = [...task.failedWorkers, workerId];
   const healthy = failedWorkers.filter((id) => state.placement.health.get(id)?.isOnTrial !== true);
   const shard = getShardOf(turn, task);
   if (healthy.length < FAILED_WORKERS_LIMIT) {
--- a/test/systems/placement/workerHealthSystem.test.ts
+++ b/test/systems/placement/workerHealthSystem.test.ts
@@ -49,5 +49,25 @@
       expect(model.failedStarts).toBe(3);
       expect([...model.state.placement.health.values()].filter((row) => row.isOnTrial)).toEqual([]);
     });
+
+    it('does not wait for ever in a pool with fewer than three workers', () => {
+      const model = createFixture({ workers: 2 });
+      model.failingTasks.add('bad');
+      model.submit({ id: 'bad', pool: 'batch' }, 10);
+      model.runFor(20_000);
+      expect(model.state.tasks.get('bad')?.phase).toBe('failed');
+      expect(model.failedStarts).toBe(3);
+    });
+
+    it('does not keep a job from a lone worker whose starts failed for a while', () => {
+      const model = createFixture({ workers: 1 });
+      model.failingWorkers.add('w0');
+      model.submit({ id: 'good', pool: 'batch' }, 10);
+      model.runFor(1_500);
+      expect(model.failedStarts).toBeGreaterThan(0);
+      model.failingWorkers.clear();
+      model.runFor(20_000);
+      expect(model.state.tasks.get('good')?.phase).toBe('finished');
+    });
   });
 });
