Do not let a repeated claim cover the window by its own record

Cause: the primary key holder stores a claim before it copies it. The fault matrix found this with a paused entry and the death of the other one: the key ran twice.

Change: a claim that was stored without cover is marked and stays without cover when it is sent again, at the primary and at the secondary.

Conclusion: a lost copy no longer turns an unknown outcome into a second run.

--- a/src/model/key.ts
+++ b/src/model/key.ts
@@ -12,6 +12,8 @@
   claimant: z.string(),
   state: z.enum(['claimed', 'answered', 'unknown']),
   response: z.optional(responseSchema),
+  /** Set on the claim of a declared repeat while its holder's memory does not cover the window. */
+  isUncovered: z.optional(z.boolean()),
   /** Time since the last change, in milliseconds. */
   ageMs: z.number(),
 });
--- a/src/systems/keys/keyHolderSystem.ts
+++ b/src/systems/keys/keyHolderSystem.ts
@@ -59,13 +59,18 @@
       answerKeyCall(state, callId, buildClaimReply(row, call));
       return;
     }
-    const covered = row !== undefined || !call.isRepeat || isCovered(state, tick.now, call.key);
+    // A claim that is sent again finds its own record, which proves nothing about the window.
+    const covered =
+      row === undefined
+        ? !call.isRepeat || isCovered(state, tick.now, call.key)
+        : row.isUncovered !== true;
     setKeyRow(state, {
       id: call.key,
       fingerprint: call.fingerprint,
       requestId: call.requestId,
       claimant: call.claimant ?? from,
       state: 'claimed',
+      ...(covered ? {} : { isUncovered: true }),
       changedMs: tick.now,
     });
     if (call.copy) {
--- a/test/systems/keys/keys.test.ts
+++ b/test/systems/keys/keys.test.ts
@@ -146,6 +146,20 @@
       expect(network.answers.get('r3')).toEqual(OK);
     });
 
+    it('do not let a declared repeat run when its claim is sent again after a lost copy', () => {
+      const network = createNetwork(2);
+      network.runFor(1_000);
+      const [primary, secondary] = listKeyHolders(network);
+      network.entries.delete(secondary!);
+      network.sendRequest(primary!, 'r1', { ...KEY, isRepeat: true });
+      network.runFor(3_000);
+      network.addEntry(secondary!, {}, `zone-${secondary}`);
+      network.registerEndpoint(secondary!, 'a1');
+      network.runFor(5_000);
+      expect(network.answers.get('r1')).toMatchObject({ kind: 'outcome_unknown' });
+      expect(network.runs.get('r1')).toBeUndefined();
+    });
+
     it('do not call the primary for a request without a key', () => {
       const network = createNetwork();
       network.sendRequest('e1', 'r1');
