--- a/test/support/shardWorld.ts
+++ b/test/support/shardWorld.ts
@@ -1,5 +1,6 @@
 import { ManualClock } from '../../src/base/common/clock.ts';
 import { Loop } from '../../src/base/common/loop.ts';
+import type { System } from '../../src/base/common/system.ts';
 import { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import type { AgentState } from '../../src/model/agentState.ts';
 import { createAgentState } from '../../src/model/agentState.ts';
@@ -56,21 +57,39 @@
   /** Time that a call spends on its way to the store; longer than its timeout means that it is late. */
   storeDelay: (call: StoreCall) => number = () => 0;
   private readonly random: SeededRandom;
-  private readonly network = SimNetwork.create(this.clock);
-  private nextId = 1;
+  protected readonly network = SimNetwork.create(this.clock);
+  protected nextId = 1;
 
-  private constructor(readonly options: WorldOptions) {
+  protected constructor(readonly options: WorldOptions) {
     this.random = SeededRandom.create(options.seed ?? 1);
   }
 
   static create(options: WorldOptions = {}): ShardWorld {
     const world = new ShardWorld(options);
-    world.setConfiguration([]);
-    for (let index = 0; index < (options.entries ?? 2); index += 1) world.addEntry(index);
-    for (let index = 0; index < (options.workers ?? 2); index += 1) world.addAgent(index);
+    world.start();
     return world;
   }
 
+  protected start(): void {
+    this.setConfiguration([]);
+    for (let index = 0; index < (this.options.entries ?? 2); index += 1) this.addEntry(index);
+    for (let index = 0; index < (this.options.workers ?? 2); index += 1) this.addAgent(index);
+  }
+
+  protected createSystems(): System<EntryState>[] {
+    const { graceMs } = this.options;
+    return [
+      ConfigurationReadSystem.create(),
+      DutySystem.create(graceMs === undefined ? {} : { graceMs }),
+      LedgerSystem.create(),
+      LeaseSystem.create(),
+      RecoverySystem.create(),
+      JobSystem.create(),
+      ...createPlacementSystems(InterferenceAwarePlacement.create(), OrderedMove.create()),
+      ExchangeSystem.create(),
+    ];
+  }
+
   setConfiguration(zonesOut: string[], extra: Partial<Configuration> = {}): void {
     const reply = this.store.handle({ op: 'read', key: CONFIGURATION_KEY });
     const version = reply.kind === 'entry' ? reply.entry.version : 0;
@@ -86,6 +105,10 @@
     this.store.handle({ op: 'write', key: CONFIGURATION_KEY, expectedVersion: version, value });
   }
 
+  get linkFault(): LinkFault {
+    return this.network.linkFault;
+  }
+
   set linkFault(fault: LinkFault) {
     this.network.linkFault = fault;
   }
@@ -181,7 +204,6 @@
       const row = { ...info, id: `entry-${peer}`, address: `10.0.0.${peer}:1`, lastHeardMs: 0 };
       state.entries.set(row);
     }
-    const { graceMs } = this.options;
     const entry: SimEntry = {
       id,
       address,
@@ -190,16 +212,7 @@
       isDead: false,
       loop: Loop.create<EntryArrival, EntryEffect, EntryState>({
         state,
-        systems: [
-          ConfigurationReadSystem.create(),
-          DutySystem.create(graceMs === undefined ? {} : { graceMs }),
-          LedgerSystem.create(),
-          LeaseSystem.create(),
-          RecoverySystem.create(),
-          JobSystem.create(),
-          ...createPlacementSystems(InterferenceAwarePlacement.create(), OrderedMove.create()),
-          ExchangeSystem.create(),
-        ],
+        systems: this.createSystems(),
         clock: this.clock,
         random: this.random,
         handleEffect: (effect) => {
@@ -257,7 +270,7 @@
   private readonly exchanges = new Map<string, (reply: never) => void>();
   private readonly peerCalls = new Map<string, (reply: never) => void>();
 
-  private handleEntryEffect(entry: SimEntry, effect: EntryEffect): void {
+  protected handleEntryEffect(entry: SimEntry, effect: EntryEffect): void {
     if (effect.kind === 'callStore') this.callStore(entry, effect);
     else if (effect.kind === 'answerJob') this.answers.set(effect.callId, effect.answer);
     else if (effect.kind === 'answerExchange')
@@ -306,7 +319,7 @@
     });
   }
 
-  private handleAgentEffect(agent: SimAgent, effect: AgentEffect): void {
+  protected handleAgentEffect(agent: SimAgent, effect: AgentEffect): void {
     if (effect.kind === 'callWorker') {
       const reply = agent.worker.handle(effect.call);
       this.network.schedule(reply === undefined ? effect.timeoutMs : 1, () => {
