Carry attempts over HTTP/1.1 instead of gRPC

Cause: the gRPC unary call takes most of the processor time that entry and agent add to a request. The overhead bench also read the port of the entry before its front end was open, and ended with an error.

Change: AttemptTransport has the variants GrpcAttemptTransport (baseline) and HttpAttemptTransport (default). Exchange and peer calls stay on gRPC. An agent serves attempts only, so its link port is now the HTTP port of attempts and no address or setting is added. The bench waits for the front end and measures both variants in one run.

--- a/bench/overheadServers.ts
+++ b/bench/overheadServers.ts
@@ -6,16 +6,31 @@
 import { LogWriter } from '../src/base/node/logWriter.ts';
 import { AgentDaemon } from '../src/daemons/agentDaemon.ts';
 import { EntryDaemon } from '../src/daemons/entryDaemon.ts';
+import type { AttemptTransport } from '../src/protocol/node/attemptTransport.ts';
+import { GrpcAttemptTransport } from '../src/protocol/node/grpcAttemptTransport.ts';
+import { HttpAttemptTransport } from '../src/protocol/node/httpAttemptTransport.ts';
 
 const HOST = '127.0.0.1';
 export const CONNECTIONS = 64;
 
+const transportSchema = z.enum(['grpc', 'http']);
+export type TransportName = z.infer<typeof transportSchema>;
+
 /** Servers that run on a thread of their own, so that none slows down another or the load. */
 const roleSchema = z.discriminatedUnion('overheadRole', [
   z.object({ overheadRole: z.literal('endpoint') }),
   z.object({ overheadRole: z.literal('forwarder'), origin: z.string() }),
-  z.object({ overheadRole: z.literal('entry'), storeOrigin: z.string() }),
-  z.object({ overheadRole: z.literal('agent'), origin: z.string(), entry: z.string() }),
+  z.object({
+    overheadRole: z.literal('entry'),
+    storeOrigin: z.string(),
+    transport: transportSchema,
+  }),
+  z.object({
+    overheadRole: z.literal('agent'),
+    origin: z.string(),
+    entry: z.string(),
+    transport: transportSchema,
+  }),
 ]);
 export type OverheadRole = z.infer<typeof roleSchema>;
 
@@ -76,7 +91,11 @@
 
 const PLACE = { region: 'kr-south', zone: 'busan-a', host: HOST, linkPort: 0, stopSeconds: 30 };
 
-async function openEntry(storeOrigin: string): Promise<Listening> {
+function createTransport(name: TransportName): AttemptTransport {
+  return name === 'grpc' ? GrpcAttemptTransport.create() : HttpAttemptTransport.create();
+}
+
+async function openEntry(storeOrigin: string, transport: TransportName): Promise<Listening> {
   const settings = {
     ...PLACE,
     id: 'entry-0',
@@ -85,13 +104,27 @@
     storeOrigin,
     peers: [],
   };
-  const entry = await EntryDaemon.create(settings, LogWriter.create(true));
+  const entry = await EntryDaemon.create(
+    settings,
+    LogWriter.create(true),
+    createTransport(transport),
+  );
+  // The front end opens once the entry has read the configuration.
+  while (entry.callerPort === 0) await new Promise((resolve) => setTimeout(resolve, 10));
   return { port: entry.callerPort, linkAddress: entry.state.self.info.address };
 }
 
-async function openAgent(origin: string, entry: string): Promise<Listening> {
+async function openAgent(
+  origin: string,
+  entry: string,
+  transport: TransportName,
+): Promise<Listening> {
   const settings = { ...PLACE, id: 'agent-0', announcePort: 0, entries: [entry] };
-  const agent = await AgentDaemon.create(settings, LogWriter.create(true));
+  const agent = await AgentDaemon.create(
+    settings,
+    LogWriter.create(true),
+    createTransport(transport),
+  );
   agent.register({
     name: 'kit',
     service: 'kit',
@@ -109,9 +142,9 @@
     case 'forwarder':
       return openForwarder(role.origin);
     case 'entry':
-      return openEntry(role.storeOrigin);
+      return openEntry(role.storeOrigin, role.transport);
     case 'agent':
-      return openAgent(role.origin, role.entry);
+      return openAgent(role.origin, role.entry, role.transport);
   }
 }
 
--- a/src/daemons/agentDaemon.ts
+++ b/src/daemons/agentDaemon.ts
@@ -1,5 +1,4 @@
 import { randomInt } from 'node:crypto';
-import type * as grpc from '@grpc/grpc-js';
 import type { Disposable } from '../base/common/disposable.ts';
 import { createFailure } from '../base/common/errors.ts';
 import { Loop } from '../base/common/loop.ts';
@@ -12,15 +11,11 @@
 import type { AgentArrival, AgentEffect, JsonAnswer } from '../model/effects.ts';
 import type { EndpointAnnouncement } from '../model/endpoint.ts';
 import { endpointAnnouncementSchema } from '../model/endpoint.ts';
-import type { AttemptMessage, AttemptReply } from '../model/request.ts';
+import type { AttemptReply } from '../model/request.ts';
+import type { AttemptServer, AttemptTransport } from '../protocol/node/attemptTransport.ts';
 import { EndpointClient } from '../protocol/node/endpointClient.ts';
-import {
-  AGENT_SERVICE,
-  createGrpcServer,
-  ENTRY_SERVICE,
-  GrpcLinks,
-  openGrpcServer,
-} from '../protocol/node/grpc.ts';
+import { ENTRY_SERVICE, GrpcLinks } from '../protocol/node/grpc.ts';
+import { HttpAttemptTransport } from '../protocol/node/httpAttemptTransport.ts';
 import type { JsonRequest } from '../protocol/node/jsonServer.ts';
 import { JsonServer } from '../protocol/node/jsonServer.ts';
 import type { WorkerClient } from '../protocol/node/workerClient.ts';
@@ -31,14 +26,14 @@
 
 const ENDPOINT_PATH = '/v1/endpoints';
 
-/** Runs an agent: connects the loop to gRPC, the endpoints and the worker beside it. It decides nothing. */
+/** Runs an agent: connects the loop to the entries, the endpoints and the worker beside it. It decides nothing. */
 export class AgentDaemon implements Disposable {
   private readonly attemptCalls = OpenCalls.create<AttemptReply>('attempt');
   private readonly links = GrpcLinks.create();
-  private readonly server = createGrpcServer();
   private readonly endpoints: EndpointClient;
   private readonly worker: WorkerClient | undefined;
   private readonly loop: Loop<AgentArrival, AgentEffect, AgentState>;
+  private attemptServer: AttemptServer | undefined;
   private announceServer: JsonServer | undefined;
   private resolveStopped: () => void = () => undefined;
   /** Resolves when the loop has asked to exit. */
@@ -51,6 +46,7 @@
     readonly state: AgentState,
     random: SeededRandom,
     workerOrigin: string | undefined,
+    private readonly attempts: AttemptTransport,
   ) {
     this.worker = workerOrigin === undefined ? undefined : HttpWorkerClient.create(workerOrigin);
     this.loop = Loop.create<AgentArrival, AgentEffect, AgentState>(
@@ -75,7 +71,11 @@
     });
   }
 
-  static async create(settings: AgentSettings, log: LogWriter): Promise<AgentDaemon> {
+  static async create(
+    settings: AgentSettings,
+    log: LogWriter,
+    attempts: AttemptTransport = HttpAttemptTransport.create(),
+  ): Promise<AgentDaemon> {
     const random = SeededRandom.create(randomInt(0x7fffffff));
     const identity = {
       id: settings.id,
@@ -88,10 +88,9 @@
       hasWorker: settings.workerOrigin !== undefined,
     };
     const state = createAgentState(identity);
-    const daemon = new AgentDaemon(log, state, random, settings.workerOrigin);
-    daemon.addServices();
-    const port = await openGrpcServer(daemon.server, `${settings.host}:${settings.linkPort}`);
-    state.self.address = `${settings.host}:${port}`;
+    const daemon = new AgentDaemon(log, state, random, settings.workerOrigin, attempts);
+    daemon.attemptServer = await daemon.openAttemptServer(settings);
+    state.self.address = `${settings.host}:${daemon.attemptServer.port}`;
     daemon.announceServer = await JsonServer.create(
       settings.host,
       settings.announcePort,
@@ -123,29 +122,20 @@
   dispose(): void {
     this.loop.dispose();
     this.announceServer?.dispose();
-    this.server.forceShutdown();
+    this.attemptServer?.dispose();
+    this.attempts.dispose();
     this.links.dispose();
     this.endpoints.dispose();
     this.worker?.dispose();
   }
 
-  private addServices(): void {
-    this.server.addService(AGENT_SERVICE, {
-      attempt: (
-        call: grpc.ServerUnaryCall<AttemptMessage, AttemptReply>,
-        callback: grpc.sendUnaryData<AttemptReply>,
-      ) => {
-        const callId = this.attemptCalls.open((reply) => {
-          callback(null, reply);
-        });
-        this.loop.receive({ kind: 'attempt', callId, message: call.request });
+  private async openAttemptServer({ host, linkPort }: AgentSettings): Promise<AttemptServer> {
+    return this.attempts.openServer(host, linkPort, {
+      onAttempt: (message, answer) => {
+        this.loop.receive({ kind: 'attempt', callId: this.attemptCalls.open(answer), message });
       },
-      abandon: (
-        call: grpc.ServerUnaryCall<{ attemptId: string }, object>,
-        callback: grpc.sendUnaryData<object>,
-      ) => {
-        this.loop.receive({ kind: 'attemptAbandoned', attemptId: call.request.attemptId });
-        callback(null, {});
+      onAbandon: (attemptId) => {
+        this.loop.receive({ kind: 'attemptAbandoned', attemptId });
       },
     });
   }
--- a/src/daemons/entryDaemon.ts
+++ b/src/daemons/entryDaemon.ts
@@ -13,13 +13,14 @@
 import { createEntryState } from '../model/entryState.ts';
 import type { ExchangeReply } from '../model/exchange.ts';
 import type { PeerReply } from '../model/peer.ts';
+import type { AttemptTransport } from '../protocol/node/attemptTransport.ts';
 import {
-  AGENT_SERVICE,
   createGrpcServer,
   ENTRY_SERVICE,
   GrpcLinks,
   openGrpcServer,
 } from '../protocol/node/grpc.ts';
+import { HttpAttemptTransport } from '../protocol/node/httpAttemptTransport.ts';
 import { HttpFront } from '../protocol/node/httpFront.ts';
 import { parseJobCall } from '../protocol/node/jobFront.ts';
 import type { JsonRequest } from '../protocol/node/jsonServer.ts';
@@ -34,8 +35,6 @@
 import { RequestTimes } from './requestTimes.ts';
 import type { EntrySettings } from './settings.ts';
 
-const ABANDON_TIMEOUT_MS = 1_000;
-
 /** Runs an entry: connects the loop to HTTP, gRPC and the store. It decides nothing. */
 export class EntryDaemon implements Disposable {
   private readonly exchangeCalls = OpenCalls.create<ExchangeReply>('exchange');
@@ -62,6 +61,7 @@
     readonly state: EntryState,
     private readonly random: SeededRandom,
     private readonly settings: EntrySettings,
+    private readonly attempts: AttemptTransport,
   ) {
     this.requestTimes = RequestTimes.create(this.clock, this.metrics);
     this.store = HttpStoreClient.create(settings.storeOrigin);
@@ -83,14 +83,18 @@
     );
   }
 
-  static async create(settings: EntrySettings, log: LogWriter): Promise<EntryDaemon> {
+  static async create(
+    settings: EntrySettings,
+    log: LogWriter,
+    attempts: AttemptTransport = HttpAttemptTransport.create(),
+  ): Promise<EntryDaemon> {
     const random = SeededRandom.create(randomInt(0x7fffffff));
     const info = { id: settings.id, region: settings.region, zone: settings.zone, address: '' };
     const state = createEntryState(info, random.takeId(), {
       peerAddresses: settings.peers,
       stopBoundMs: settings.stopSeconds * 1_000,
     });
-    const daemon = new EntryDaemon(log, state, random, settings);
+    const daemon = new EntryDaemon(log, state, random, settings, attempts);
     addEntryServices(daemon.server, daemon.exchangeCalls, daemon.peerCalls, (arrival) => {
       daemon.loop.receive(arrival);
     });
@@ -132,6 +136,7 @@
     this.operatorServer?.dispose();
     this.server.forceShutdown();
     this.links.dispose();
+    this.attempts.dispose();
     this.store.dispose();
   }
 
@@ -226,13 +231,7 @@
         this.sendAttempt(effect);
         return;
       case 'abandonAttempt':
-        this.links.send(
-          effect.address,
-          AGENT_SERVICE.abandon,
-          { attemptId: effect.attemptId },
-          ABANDON_TIMEOUT_MS,
-          () => undefined,
-        );
+        this.attempts.sendAbandon(effect.address, effect.attemptId);
         return;
       case 'callPeer':
         this.callPeer(effect);
@@ -250,21 +249,12 @@
   }
 
   private sendAttempt({ message, address }: Extract<EntryEffect, { kind: 'sendAttempt' }>): void {
-    this.links.send(
-      address,
-      AGENT_SERVICE.attempt,
-      message,
-      message.remainingMs,
-      (reply, error) => {
-        if (reply === undefined)
-          this.loop.receive({
-            kind: 'attemptLinkFailed',
-            attemptId: message.attemptId,
-            message: error,
-          });
-        else this.loop.receive({ kind: 'attemptReply', attemptId: message.attemptId, reply });
-      },
-    );
+    const { attemptId } = message;
+    this.attempts.send(address, message, (reply, error) => {
+      if (reply === undefined)
+        this.loop.receive({ kind: 'attemptLinkFailed', attemptId, message: error });
+      else this.loop.receive({ kind: 'attemptReply', attemptId, reply });
+    });
   }
 
   private callPeer({
--- a/src/daemons/settings.ts
+++ b/src/daemons/settings.ts
@@ -36,7 +36,7 @@
   region: nameSchema,
   zone: nameSchema,
   host: hostSchema,
-  /** gRPC port for entries. */
+  /** HTTP port on which entries send attempts. */
   linkPort: portSchema,
   /** HTTP port on which endpoints of the instance announce themselves. */
   announcePort: portSchema,
--- a/src/model/request.ts
+++ b/src/model/request.ts
@@ -123,3 +123,6 @@
   ]),
 });
 export type AttemptReply = z.infer<typeof attemptReplySchema>;
+
+/** Entry to agent: the answer of this attempt is no longer wanted. */
+export const abandonMessageSchema = z.object({ attemptId: z.string() });
--- /dev/null
+++ b/src/protocol/node/deadlineTimer.ts
@@ -0,0 +1,58 @@
+import { performance } from 'node:perf_hooks';
+import type { Disposable } from '../../base/common/disposable.ts';
+
+/**
+ * Deadlines of many calls with one timer. The timer is set for the earliest deadline and is left
+ * alone when that call ends early, so most calls cost no timer operation.
+ */
+export class DeadlineTimer<Call> implements Disposable {
+  private readonly deadlines = new Map<Call, number>();
+  private timeout: NodeJS.Timeout | undefined;
+  private timeoutAt = Number.POSITIVE_INFINITY;
+
+  private constructor(private readonly onPassed: (call: Call) => void) {}
+
+  static create<Call>(onPassed: (call: Call) => void): DeadlineTimer<Call> {
+    return new DeadlineTimer(onPassed);
+  }
+
+  add(call: Call, timeoutMs: number): void {
+    const deadline = performance.now() + Math.max(1, timeoutMs);
+    this.deadlines.set(call, deadline);
+    this.schedule(deadline);
+  }
+
+  remove(call: Call): void {
+    this.deadlines.delete(call);
+  }
+
+  dispose(): void {
+    clearTimeout(this.timeout);
+    this.deadlines.clear();
+  }
+
+  private schedule(deadline: number): void {
+    if (deadline >= this.timeoutAt) return;
+    clearTimeout(this.timeout);
+    this.timeoutAt = deadline;
+    this.timeout = setTimeout(
+      () => {
+        this.timeoutAt = Number.POSITIVE_INFINITY;
+        this.runPassed();
+      },
+      Math.ceil(deadline - performance.now()),
+    );
+  }
+
+  private runPassed(): void {
+    const now = performance.now();
+    let next = Number.POSITIVE_INFINITY;
+    for (const [call, deadline] of [...this.deadlines]) {
+      if (deadline <= now) {
+        this.deadlines.delete(call);
+        this.onPassed(call);
+      } else if (deadline < next) next = deadline;
+    }
+    if (next < Number.POSITIVE_INFINITY) this.schedule(next);
+  }
+}
--- a/src/protocol/node/grpc.ts
+++ b/src/protocol/node/grpc.ts
@@ -2,12 +2,9 @@
 import type * as z from 'zod/mini';
 import { exchangeReplySchema, exchangeRequestSchema } from '../../model/exchange.ts';
 import { peerCallSchema, peerReplySchema } from '../../model/peer.ts';
-import { attemptMessageSchema, attemptReplySchema } from '../../model/request.ts';
 import * as zod from 'zod/mini';
 import { decodeMessage, encodeMessage } from '../common/codec.ts';
-
-/** Largest message between processes: a request or response body of 8 MB and its headers. */
-export const MAX_MESSAGE_BYTES = 9 * 1024 * 1024;
+import { MAX_MESSAGE_BYTES } from '../common/messageBounds.ts';
 
 function decodeOrThrow<Schema extends z.ZodMiniType>(
   schema: Schema,
@@ -22,7 +19,8 @@
     });
 }
 
-function createMethod<Request extends z.ZodMiniType, Reply extends z.ZodMiniType>(
+/** Describes a unary call whose messages are MessagePack and are checked by their schemas. */
+export function createMethod<Request extends z.ZodMiniType, Reply extends z.ZodMiniType>(
   path: string,
   request: Request,
   reply: Reply,
@@ -38,16 +36,8 @@
   };
 }
 
-export const abandonMessageSchema = zod.object({ attemptId: zod.string() });
-export const emptySchema = zod.object({});
 export const identifiedPeerCallSchema = zod.object({ from: zod.string(), call: peerCallSchema });
 
-/** Calls that an agent serves. */
-export const AGENT_SERVICE = {
-  attempt: createMethod('/bramleyladder.Agent/Attempt', attemptMessageSchema, attemptReplySchema),
-  abandon: createMethod('/bramleyladder.Agent/Abandon', abandonMessageSchema, emptySchema),
-};
-
 /** Calls that an entry serves. */
 export const ENTRY_SERVICE = {
   exchange: createMethod(
--- /dev/null
+++ b/src/protocol/node/httpAttemptTransport.ts
@@ -0,0 +1,157 @@
+import type { Dispatcher } from 'undici';
+import { Pool } from 'undici';
+import type { AttemptMessage } from '../../model/request.ts';
+import { attemptReplySchema } from '../../model/request.ts';
+import { decodeMessage, encodeMessage } from '../common/codec.ts';
+import { MAX_MESSAGE_BYTES } from '../common/messageBounds.ts';
+import type { AttemptCallback, AttemptHandlers, AttemptServer } from './attemptTransport.ts';
+import { AttemptTransport } from './attemptTransport.ts';
+import { DeadlineTimer } from './deadlineTimer.ts';
+import { ABANDON_PATH, ATTEMPT_PATH, HttpAttemptServer } from './httpAttemptServer.ts';
+
+const CONNECT_TIMEOUT_MS = 3_000;
+const ABANDON_TIMEOUT_MS = 1_000;
+/** Shorter than the agent's bound, so that the entry is the one that closes idle connections. */
+const KEEP_ALIVE_MS = 20_000;
+const HTTP_OK = 200;
+const HTTP_NO_CONTENT = 204;
+
+/** Gets the bytes of an answer, or the text of the error. */
+type BytesCallback = (bytes: Buffer | undefined, error: string) => void;
+
+/** One call to an agent; whatever happens to its connection, it calls back once. */
+class AgentCall implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private isClosed = false;
+  private status = 0;
+  private size = 0;
+  private readonly chunks: Buffer[] = [];
+
+  constructor(private readonly callback: BytesCallback) {}
+
+  /** Ends the call with an error; one that has not been written yet is never written. */
+  stop(error: string): void {
+    this.close(undefined, error);
+    this.controller?.abort(new Error(error));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isClosed) controller.abort(new Error('the call is closed'));
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+    this.status = status;
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.size += chunk.byteLength;
+    if (this.size <= MAX_MESSAGE_BYTES) this.chunks.push(chunk);
+    else this.stop(`the answer has more than ${MAX_MESSAGE_BYTES} bytes`);
+  }
+
+  onResponseEnd(): void {
+    const [first] = this.chunks;
+    const bytes =
+      first !== undefined && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
+    if (this.status === HTTP_OK || this.status === HTTP_NO_CONTENT) this.close(bytes, '');
+    else this.close(undefined, `status ${this.status}: ${bytes.toString('utf8')}`);
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+    const { code } = error as { code?: string };
+    this.close(undefined, code === undefined ? error.message : `${code}: ${error.message}`);
+  }
+
+  private close(bytes: Buffer | undefined, error: string): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.callback(bytes, error);
+  }
+}
+
+/**
+ * Attempts over HTTP/1.1 with keep-alive. The number of connections to an agent is not bounded
+ * here: admission bounds the attempts in progress, and an abandon must not wait for an attempt.
+ */
+export class HttpAttemptTransport extends AttemptTransport {
+  private readonly pools = new Map<string, Pool>();
+  private readonly deadlines = DeadlineTimer.create<AgentCall>((call) => {
+    call.stop('no answer in the remaining time');
+  });
+
+  private constructor() {
+    super();
+  }
+
+  static create(): HttpAttemptTransport {
+    return new HttpAttemptTransport();
+  }
+
+  override send(address: string, message: AttemptMessage, callback: AttemptCallback): void {
+    this.post(address, ATTEMPT_PATH, message, message.remainingMs, (bytes, error) => {
+      if (bytes === undefined) {
+        callback(undefined, error);
+        return;
+      }
+      decodeMessage(attemptReplySchema, bytes).caseOf({
+        Left: (fault) => {
+          callback(undefined, fault);
+        },
+        Right: (reply) => {
+          callback(reply, '');
+        },
+      });
+    });
+  }
+
+  override sendAbandon(address: string, attemptId: string): void {
+    this.post(address, ABANDON_PATH, { attemptId }, ABANDON_TIMEOUT_MS, () => undefined);
+  }
+
+  override async openServer(
+    host: string,
+    port: number,
+    handlers: AttemptHandlers,
+  ): Promise<AttemptServer> {
+    return HttpAttemptServer.create(host, port, handlers);
+  }
+
+  override dispose(): void {
+    for (const pool of this.pools.values()) void pool.destroy();
+    this.pools.clear();
+    this.deadlines.dispose();
+  }
+
+  private post(
+    address: string,
+    path: string,
+    message: object,
+    timeoutMs: number,
+    callback: BytesCallback,
+  ): void {
+    const call = new AgentCall((bytes, error) => {
+      this.deadlines.remove(call);
+      callback(bytes, error);
+    });
+    this.deadlines.add(call, timeoutMs);
+    this.getPool(address).dispatch({ method: 'POST', path, body: encodeMessage(message) }, call);
+  }
+
+  private getPool(address: string): Pool {
+    let pool = this.pools.get(address);
+    if (pool === undefined) {
+      pool = new Pool(`http://${address}`, {
+        pipelining: 1,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        keepAliveMaxTimeout: KEEP_ALIVE_MS,
+        // Calls have deadlines of their own; the library's timers would add one per call.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+      });
+      this.pools.set(address, pool);
+    }
+    return pool;
+  }
+}
