--- a/bench/idleAgent.ts
+++ b/bench/idleAgent.ts
@@ -7,13 +7,19 @@
 import { LogWriter } from '../src/base/node/logWriter.ts';
 import { NodeClock, NodeTimer } from '../src/base/node/nodeClock.ts';
 import { EntryDaemon } from '../src/daemons/entryDaemon.ts';
+import { JOB_PATH } from '../src/protocol/node/jobFront.ts';
+import { MemoryWorker } from '../src/standins/memoryWorker.ts';
 import { StoreServer } from '../src/standins/storeServer.ts';
+import { WorkerServer } from '../src/standins/workerServer.ts';
 
 const HOST = '127.0.0.1';
 const WARM_UP_SECONDS = 10;
 const MEASURE_SECONDS = 20;
 const AGENT_BUNDLE = 'dist/bramleyladder-agent.js';
 const ANNOUNCE_PORT = 17_202;
+/** Longer than the bench, so that the task runs until its end. */
+const TASK_MS = 600_000;
+const TAKEOVER_SECONDS = 10;
 const TICKS_PER_SECOND = 100;
 const KB_PER_MB = 1_024;
 
@@ -97,9 +103,47 @@
   });
 }
 
-/** Runs the agent's bundle as a process beside two entries and measures it while nothing happens. */
+async function openWorker(): Promise<{ memory: MemoryWorker; server: WorkerServer }> {
+  const memory = MemoryWorker.create({
+    ...{ id: 'worker-0', rack: 'rack-0', clock: NodeClock.create(), workMs: () => TASK_MS },
+    capacity: { cores: 60, memoryMb: 250_000, accelerators: 0 },
+  });
+  const timer = NodeTimer.create();
+  const server = await WorkerServer.create({ host: HOST, port: 0, worker: memory, timer });
+  return { memory, server };
+}
+
+/** Applies a pool, submits one job and waits until the worker runs it. */
+async function startTask(
+  entries: readonly { daemon: EntryDaemon }[],
+  worker: MemoryWorker,
+): Promise<void> {
+  const daemon = entries[0]?.daemon;
+  if (daemon === undefined) throw new Error('there is no entry');
+  const pool = { name: 'batch', region: 'kr-south', zones: ['busan-a'], workClass: 'batch' };
+  await send(`http://${HOST}:${daemon.operatorPort}/v1/config`, 'PUT', {
+    baseRevision: 0,
+    tables: { routes: [], pools: [pool] },
+  });
+  await waitSeconds(TAKEOVER_SECONDS);
+  const demand = { cores: 2, memoryMb: 4_096, accelerators: 0 };
+  const job = { team: 'guides', idempotencyKey: 'k', pool: 'batch', taskKind: 'render', demand };
+  await send(`http://${HOST}:${daemon.callerPort}${JOB_PATH}`, 'POST', job);
+  for (let tries = 0; worker.starts.length === 0; tries += 1) {
+    if (tries > TAKEOVER_SECONDS) throw new Error('the task was not started');
+    await waitSeconds(1);
+  }
+}
+
+async function send(url: string, method: string, body: unknown): Promise<void> {
+  const answer = await fetch(url, { method, body: JSON.stringify(body) });
+  if (!answer.ok) throw new Error(`${url}: ${answer.status} ${await answer.text()}`);
+}
+
+/** Runs the agent's bundle as a process beside two entries, with or without a worker and one task, and measures it while nothing changes. */
 export async function measureIdleAgent(
   nodeFlags: readonly string[] = [],
+  hasTask = false,
 ): Promise<IdleAgentFigures> {
   const folder = mkdtempSync(join(tmpdir(), 'bramleyladder-'));
   const store = await StoreServer.create({
@@ -109,6 +153,7 @@
     timer: NodeTimer.create(),
   });
   const entries = await openEntries(store.origin);
+  const worker = hasTask ? await openWorker() : undefined;
   const settingsPath = join(folder, 'agent.json');
   writeFileSync(
     settingsPath,
@@ -120,6 +165,7 @@
       linkPort: 0,
       announcePort: ANNOUNCE_PORT,
       entries: entries.map(({ relay }) => relay.address),
+      ...(worker === undefined ? {} : { workerOrigin: worker.server.origin }),
     }),
   );
   const agent = spawn(process.execPath, [...nodeFlags, AGENT_BUNDLE, '--settings', settingsPath], {
@@ -128,6 +174,7 @@
   try {
     await waitSeconds(WARM_UP_SECONDS / 2);
     await announceEndpoint();
+    if (worker !== undefined) await startTask(entries, worker.memory);
     await waitSeconds(WARM_UP_SECONDS / 2);
     const pid = agent.pid ?? 0;
     const countBytes = (): number => entries.reduce((sum, { relay }) => sum + relay.getBytes(), 0);
@@ -147,6 +194,7 @@
       daemon.dispose();
       relay.close();
     }
+    worker?.server.dispose();
     store.dispose();
     rmSync(folder, { recursive: true, force: true });
   }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,6 @@
 import { cac } from 'cac';
+import { runCapacityBench } from './capacity.ts';
+import { printEntryMemory } from './entryMemory.ts';
 import { runConfigurationBench } from './configuration.ts';
 import { isMainThread } from 'node:worker_threads';
 import { runInterferenceBench } from './interference.ts';
@@ -23,6 +25,7 @@
   interference: runInterferenceBench,
   'zone-change': runZoneChangeBench,
   ledger: runLedgerBench,
+  capacity: runCapacityBench,
 };
 
 const DEFAULT_SEED = 1;
@@ -58,6 +61,14 @@
   .action(async (name: string | undefined, options: { seed: number; json?: boolean }) => {
     process.exit(await runBenches(name, options));
   });
+cli
+  .command(
+    'entry-memory <kind> <count>',
+    'Print the heap of an entry; started by the capacity bench',
+  )
+  .action((kind: string, count: string) => {
+    printEntryMemory(kind, Number(count));
+  });
 cli.help();
 // Benches start this bundle again as worker threads, which must not run the command line.
 if (isMainThread) cli.parse();
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -48,6 +48,7 @@
         `< ${TICK_TARGET_MS}`,
         chosen.p99Ms < TICK_TARGET_MS,
       ),
+      createBenchRow(`${label}: processor in percent`, baseline.percent, chosen.percent),
       createBenchRow(
         `${label}: share of submissions started`,
         baseline.started / baseline.submitted,
@@ -86,6 +87,8 @@
 
 interface TickFigures {
   readonly p99Ms: number;
+  /** Time of all ticks in percent of one core. */
+  readonly percent: number;
   readonly maxMs: number;
   readonly started: number;
   readonly submitted: number;
@@ -127,6 +130,7 @@
   const measured = durations.slice(3);
   return {
     p99Ms: computeQuantile(measured, 0.99),
+    percent: (measured.reduce((sum, ms) => sum + ms, 0) / (measured.length * STEP_MS)) * 100,
     maxMs: Math.max(...measured),
     started,
     submitted,
