Ask the owners of all shards to explain a subject whose shard is unknown

Cause: `explain` of a subject that an entry does not know asked the first other owner that it found, so a replica, worker or throttle of another shard was reported as unknown.

Change: the entry asks each other owner once, or the owner of the shard that a job id names. The first answer with a row or a decision is passed on; without one, the last reply ends the call, and a note counts the owners that did not answer.

Agents do not expose their counters yet.

--- a/src/systems/operators/explanation.ts
+++ b/src/systems/operators/explanation.ts
@@ -1,3 +1,4 @@
+import * as z from 'zod/mini';
 import type { Table } from '../../base/common/table.ts';
 import type { EntryState } from '../../model/entryState.ts';
 
@@ -70,3 +71,15 @@
     ...(note === undefined ? {} : { note }),
   };
 }
+
+const answerSchema = z.object({
+  rows: z.record(z.string(), z.unknown()),
+  decisions: z.array(z.unknown()),
+});
+
+/** Whether another entry's explanation says anything about its subject. */
+export function isExplained(value: unknown): boolean {
+  const parsed = z.safeParse(answerSchema, value);
+  if (!parsed.success) return false;
+  return Object.keys(parsed.data.rows).length > 0 || parsed.data.decisions.length > 0;
+}
--- a/src/systems/operators/operatorSystem.ts
+++ b/src/systems/operators/operatorSystem.ts
@@ -1,16 +1,38 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import type { PendingCallRow } from '../../model/call.ts';
 import type { EntryState } from '../../model/entryState.ts';
-import type { PeerCall } from '../../model/peer.ts';
+import type { DutyRow } from '../../model/ledger.ts';
+import type { PeerCall, PeerReply } from '../../model/peer.ts';
+import { parseJobShard } from '../jobs/jobId.ts';
 import { isSuspect } from '../membership/endpointHealth.ts';
-import { buildExplanation, hasSubject } from './explanation.ts';
+import { buildExplanation, hasSubject, isExplained } from './explanation.ts';
 
 const OWNER_TIMEOUT_MS = 1_500;
+/** Owner name of calls that got no answer, kept until the last reply to the same question. */
+const SILENT_OWNER = 'operator.silent';
+
+type OwnedDuty = DutyRow & { readonly ownerAddress: string };
+
+/** One duty of each other owner; only the duty of the subject's shard when the subject names one. */
+function listOwners(state: EntryState, subject: string): OwnedDuty[] {
+  const shard = parseJobShard(subject);
+  const isShardKnown = shard !== undefined && state.duties.has(shard);
+  const byAddress = new Map<string, OwnedDuty>();
+  for (const duty of state.duties.values()) {
+    const { ownerAddress, ownerId } = duty;
+    if (ownerAddress === undefined || ownerId === state.self.info.id) continue;
+    if (isShardKnown && duty.id !== shard) continue;
+    byAddress.set(ownerAddress, { ...duty, ownerAddress });
+  }
+  return [...byAddress.values()];
+}
 
 /**
  * Answers operators' questions.
  * Reads `operatorCall`, `peerCall`, `peerReply` and all tables. Writes `calls`.
- * Runs each turn. A subject that this entry does not know is asked of the owners of the shards.
+ * Runs each turn. A subject that this entry does not know is asked of the owner of
+ * its shard, or of the owners of all shards when it names none.
  */
 export class OperatorSystem extends System<EntryState> {
   override readonly name = 'operator';
@@ -34,39 +56,46 @@
     }
     for (const { callId, reply } of state.inbox.list('peerReply')) {
       const pending = state.calls.get(callId);
-      if (pending?.owner !== this.name) continue;
-      state.calls.remove(callId);
-      const value =
-        reply?.kind === 'json'
-          ? reply.value
-          : buildExplanation(state, pending.subject, tick.now, 'the owner does not answer');
-      this.answer(state, pending.purpose, value);
+      if (pending?.owner === this.name) this.handleReply(state, tick, pending, reply);
     }
   }
 
+  /** Passes on the first answer that says something; without one, the last reply ends the call. */
+  private handleReply(
+    state: EntryState,
+    tick: Tick,
+    pending: PendingCallRow,
+    reply: PeerReply | undefined,
+  ): void {
+    const { id, purpose, subject } = pending;
+    const listCalls = (owner: string): PendingCallRow[] =>
+      [...state.calls.values()].filter((call) => call.owner === owner && call.purpose === purpose);
+    if (reply?.kind === 'json') state.calls.remove(id);
+    else state.calls.update(id, { owner: SILENT_OWNER });
+    const open = listCalls(this.name);
+    const silent = listCalls(SILENT_OWNER);
+    const isKnown = reply?.kind === 'json' && isExplained(reply.value);
+    if (!isKnown && open.length > 0) return;
+    for (const call of [...open, ...silent]) state.calls.remove(call.id);
+    const note =
+      silent.length === 0 ? undefined : `owners of shards that do not answer: ${silent.length}`;
+    const value = isKnown ? reply.value : buildExplanation(state, subject, tick.now, note);
+    this.answer(state, purpose, value);
+  }
+
   private explain(state: EntryState, tick: Tick, callId: string, subject: string): void {
-    const owner = [...state.duties.values()].find(
-      (duty) => duty.ownerAddress !== undefined && duty.ownerId !== state.self.info.id,
-    );
-    if (hasSubject(state, subject) || owner?.ownerAddress === undefined) {
+    const duties = hasSubject(state, subject) ? [] : listOwners(state, subject);
+    if (duties.length === 0) {
       this.answer(state, callId, buildExplanation(state, subject, tick.now));
       return;
     }
-    const peerCallId = `${this.name}/${callId}`;
-    state.calls.set({
-      id: peerCallId,
-      owner: this.name,
-      purpose: callId,
-      subject,
-      sentMs: tick.now,
-    });
-    state.outbox.append({
-      kind: 'callPeer',
-      callId: peerCallId,
-      address: owner.ownerAddress,
-      call: { kind: 'explain', shard: owner.id, subject },
-      timeoutMs: OWNER_TIMEOUT_MS,
-    });
+    for (const { id: shard, ownerAddress: address } of duties) {
+      const id = `${this.name}/${callId}/${shard}`;
+      state.calls.set({ id, owner: this.name, purpose: callId, subject, sentMs: tick.now });
+      const call = { kind: 'explain', shard, subject } as const;
+      const timeoutMs = OWNER_TIMEOUT_MS;
+      state.outbox.append({ kind: 'callPeer', callId: id, address, call, timeoutMs });
+    }
   }
 
   private answerPeer(
