Let the worker health system alone judge failed runs

Cause: the lease system and the worker health system both counted failed starts of a worker and both turned a task into failed, each with its own constant of 3 workers and its own error kind. Change: the health system handles every failed run. It keeps the checkpoint and the worker's message, closes a cancelled or retired task, and fails a task with endpoint_failed after FAILED_WORKERS_LIMIT healthy workers. The lease system only records the run with its message. Conclusion: one system and one constant decide; workers in quarantine no longer count against a task.

--- a/src/model/run.ts
+++ b/src/model/run.ts
@@ -16,6 +16,8 @@
   readonly sinceMs: number;
   /** Time at which a checkpoint of this run was last queued for the ledger. */
   readonly checkpointQueuedMs?: number;
+  /** What the worker said about a run that failed. */
+  readonly message?: string;
 }
 
 /** Share of full speed that the owner wants for a task. Absent means full speed. */
--- a/src/systems/leases/runOutcomes.ts
+++ b/src/systems/leases/runOutcomes.ts
@@ -1,4 +1,3 @@
-import { createFailure } from '../../base/common/errors.ts';
 import type { EntryState } from '../../model/entryState.ts';
 import type { TaskRow } from '../../model/task.ts';
 import { removeTaskFields } from '../../model/task.ts';
@@ -7,8 +6,6 @@
 import { recordDecision } from '../decisions.ts';
 import { hasPendingChange, queueTaskChange } from '../ledger/ledgerChanges.ts';
 
-/** A task whose runs fail on this many workers is failed itself. */
-const MAX_FAILED_WORKERS = 3;
 /** A checkpoint of a running task is written at most this often. */
 const CHECKPOINT_WRITE_MS = 60_000;
 
@@ -60,7 +57,7 @@
       queueFinished(state, shard, task, report, worker, nowMs);
       return;
     case 'failed':
-      queueFailed(state, shard, task, report, worker, nowMs);
+      // The worker health system judges failed runs from their rows.
       return;
     case 'stopped':
       queueStop(state, shard, task, report.checkpoint, nowMs, task.stopReason ?? 'worker-stopped');
@@ -81,32 +78,10 @@
   const rest = removeTaskFields(task, ['stopReason']);
   const checkpoint = report.checkpoint === undefined ? {} : { checkpoint: report.checkpoint };
   queueTaskChange(state, shard, { ...rest, ...checkpoint, phase: 'finished' }, nowMs, false);
-  state.workers.update(worker.id, { failedStarts: 0 });
   state.counters.add('runs_finished');
   recordDecision(state, nowMs, task.id, 'finish', `worker ${worker.id}`);
 }
 
-function queueFailed(
-  state: EntryState,
-  shard: string,
-  task: TaskRow,
-  report: RunReport,
-  worker: WorkerRow,
-  nowMs: number,
-): void {
-  const failedWorkers = [...new Set([...task.failedWorkers, worker.id])];
-  const message = report.message ?? 'the run failed';
-  state.workers.update(worker.id, { failedStarts: worker.failedStarts + 1 });
-  state.counters.add('runs_failed');
-  const stopped = buildStoppedTask({ ...task, failedWorkers }, report.checkpoint);
-  const isFailed = stopped.phase === 'queued' && failedWorkers.length >= MAX_FAILED_WORKERS;
-  const next: TaskRow = isFailed
-    ? { ...stopped, phase: 'failed', failure: createFailure('endpoint_failed', message) }
-    : stopped;
-  queueTaskChange(state, shard, next, nowMs, task.workClass !== 'ordinary');
-  recordDecision(state, nowMs, task.id, isFailed ? 'fail' : 'requeue', message);
-}
-
 /** Keeps the checkpoint in the ledger too, so that a new owner resumes from it. */
 function queueCheckpoint(
   state: EntryState,
--- a/src/systems/leases/runRows.ts
+++ b/src/systems/leases/runRows.ts
@@ -54,5 +54,6 @@
     phase: report.phase,
     checkpoint: report.checkpoint ?? previous?.checkpoint,
     throttle: report.throttle,
+    ...(report.message === undefined ? {} : { message: report.message }),
   });
 }
--- a/src/systems/placement/workerHealthSystem.ts
+++ b/src/systems/placement/workerHealthSystem.ts
@@ -6,6 +6,7 @@
 import type { RunRow } from '../../model/run.ts';
 import type { TaskRow } from '../../model/task.ts';
 import { recordDecision } from '../decisions.ts';
+import { buildStoppedTask } from '../leases/runOutcomes.ts';
 import { queueTaskChange } from '../ledger/ledgerChanges.ts';
 import { getLinks } from './commitmentSystem.ts';
 import { createPlacementTurn, getShardOf } from './placementTurn.ts';
@@ -17,6 +18,7 @@
 const START_WINDOW_MS = 10_000;
 /** A run that lasts this long counts as a start that succeeded. */
 const SUCCESS_MS = 3_000;
+/** A task whose runs fail on this many healthy workers is failed itself. */
 const FAILED_WORKERS_LIMIT = 3;
 
 /**
@@ -56,7 +58,7 @@
   // A task that fails on a second worker is the likely fault; the first worker is not to blame.
   else for (const id of failedBefore) removeFailedStart(state, id, task.id);
   if (failedBefore.length > 0) resetTrial(state, run.workerId, task.id);
-  queueAfterFailure(state, tick, task, run.workerId);
+  queueAfterFailure(state, tick, task, run);
 }
 
 function handleProgress(state: EntryState, tick: Tick, run: RunRow): void {
@@ -116,23 +118,23 @@
 }
 
 /** Queues the task again for another worker, or fails it when enough healthy workers failed it. */
-function queueAfterFailure(state: EntryState, tick: Tick, task: TaskRow, workerId: string): void {
+function queueAfterFailure(state: EntryState, tick: Tick, task: TaskRow, run: RunRow): void {
   const turn = createPlacementTurn(state, tick);
   if (!turn.pools.has(task.pool)) return;
-  const failedWorkers = [...new Set([...task.failedWorkers, workerId])];
+  const failedWorkers = [...new Set([...task.failedWorkers, run.workerId])];
   const healthy = failedWorkers.filter((id) => state.placement.health.get(id)?.isOnTrial !== true);
-  const shard = getShardOf(turn, task);
-  if (healthy.length < FAILED_WORKERS_LIMIT) {
-    const next: TaskRow = { ...task, phase: 'queued', failedWorkers };
-    delete next.workerId;
-    delete next.zone;
-    queueTaskChange(state, shard, next, tick.now, task.workClass !== 'ordinary');
-    return;
-  }
-  const reason = `failed on ${healthy.length} healthy workers: ${healthy.join(', ')}`;
-  const failure = createFailure('job_never_runs', reason);
-  const next: TaskRow = { ...task, phase: 'failed', failedWorkers, failure };
-  if (!queueTaskChange(state, shard, next, tick.now, false)) return;
-  state.counters.add('jobs_failed', { reason: 'failed_starts' });
-  recordDecision(state, tick.now, task.id, 'fail', reason);
+  const message = run.message ?? 'the run failed';
+  const stopped = buildStoppedTask({ ...task, failedWorkers }, run.checkpoint);
+  const isFailed = stopped.phase === 'queued' && healthy.length >= FAILED_WORKERS_LIMIT;
+  const reason = isFailed
+    ? `failed on ${healthy.length} healthy workers: ${healthy.join(', ')}; ${message}`
+    : message;
+  const next: TaskRow = isFailed
+    ? { ...stopped, phase: 'failed', failure: createFailure('endpoint_failed', reason) }
+    : stopped;
+  const isUrgent = task.workClass !== 'ordinary';
+  if (!queueTaskChange(state, getShardOf(turn, task), next, tick.now, isUrgent)) return;
+  state.counters.add('runs_failed');
+  if (isFailed) state.counters.add('jobs_failed', { reason: 'failed_starts' });
+  recordDecision(state, tick.now, task.id, isFailed ? 'fail' : 'requeue', reason);
 }
