--- a/test/faults/cells.ts
+++ b/test/faults/cells.ts
@@ -11,9 +11,15 @@
 /** After the work, so that a late effect of the fault is still checked. */
 const AFTER_MS = 4_000;
 
+export interface CellOptions {
+  readonly seed?: number;
+  /** Work of the job alone at full speed. */
+  readonly workMs?: number;
+}
+
 /** Brings a new world to the step, injects the faults and heals them. Returns how the work ended. */
-export function runCell(step: Step, faults: readonly Fault[], seed = SEED): string {
-  const run = MatrixRun.create(seed);
+export function runCell(step: Step, faults: readonly Fault[], options: CellOptions = {}): string {
+  const run = MatrixRun.create(options.seed ?? SEED, options.workMs);
   step.start(run);
   run.waitFor(() => step.isAt(run), STEP_LIMIT_MS, `the step ${step.name}`);
   run.requestChecks.healthySinceMs = undefined;
--- a/test/faults/matrixRun.ts
+++ b/test/faults/matrixRun.ts
@@ -29,15 +29,15 @@
   private nextRequestMs = Number.POSITIVE_INFINITY;
   private zonesOut = '[]';
 
-  private constructor(seed: number) {
-    this.world = FaultWorld.create({ seed, entries: 2, workers: 2, workMs: WORK_MS });
+  private constructor(seed: number, workMs: number) {
+    this.world = FaultWorld.create({ seed, entries: 2, workers: 2, workMs });
     this.checks = WorldChecks.create(this.world);
     this.requestChecks = RequestChecks.create(this.world);
   }
 
   /** A world whose owner, entries and endpoints know each other. */
-  static create(seed: number): MatrixRun {
-    const run = new MatrixRun(seed);
+  static create(seed: number, workMs = WORK_MS): MatrixRun {
+    const run = new MatrixRun(seed, workMs);
     const isReady = (): boolean =>
       run.world.owner?.state.workers.size === 2 &&
       run.world.entries.every(({ state }) => state.endpoints.size === 2);
