--- a/src/model/agentState.ts
+++ b/src/model/agentState.ts
@@ -71,7 +71,7 @@
 export interface AgentSelf {
   readonly id: string;
   readonly bootId: string;
-  /** Address of its gRPC server, `ip:port`; set when the server is open. */
+  /** Address of its attempt server, `ip:port`; set when the server is open. */
   address: string;
   readonly region: string;
   readonly zone: string;
--- a/src/protocol/node/endpointClient.ts
+++ b/src/protocol/node/endpointClient.ts
@@ -3,6 +3,7 @@
 import type { Failure } from '../../base/common/errors.ts';
 import { createFailure } from '../../base/common/errors.ts';
 import type { AttemptMessage, Headers, Response } from '../../model/request.ts';
+import { mergeChunks } from '../common/mergeChunks.ts';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -65,9 +66,7 @@
 
   onResponseEnd(): void {
     this.onEnd();
-    const [first] = this.chunks;
-    const body =
-      first !== undefined && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
+    const body = mergeChunks(this.chunks);
     const { status, headers } = this;
     this.callbacks.onResponse(this.message.attemptId, { status, headers, body });
   }
--- a/src/protocol/node/httpAttemptServer.ts
+++ b/src/protocol/node/httpAttemptServer.ts
@@ -5,6 +5,7 @@
 import { abandonMessageSchema, attemptMessageSchema } from '../../model/request.ts';
 import { decodeMessage, encodeMessage } from '../common/codec.ts';
 import { MAX_MESSAGE_BYTES } from '../common/messageBounds.ts';
+import { mergeChunks } from '../common/mergeChunks.ts';
 import type { AttemptHandlers, AttemptServer } from './attemptTransport.ts';
 
 export const ATTEMPT_PATH = '/v1/attempts';
@@ -56,11 +57,9 @@
       else chunks.length = 0;
     });
     request.on('end', () => {
-      const [first] = chunks;
-      const bytes = first !== undefined && chunks.length === 1 ? first : Buffer.concat(chunks);
       if (size > MAX_MESSAGE_BYTES)
         refuseMessage(response, 413, `a message has at most ${MAX_MESSAGE_BYTES} bytes`);
-      else this.handle(request.url, bytes, response);
+      else this.handle(request.url, mergeChunks(chunks), response);
     });
   }
 
--- a/src/protocol/node/httpAttemptTransport.ts
+++ b/src/protocol/node/httpAttemptTransport.ts
@@ -4,6 +4,7 @@
 import { attemptReplySchema } from '../../model/request.ts';
 import { decodeMessage, encodeMessage } from '../common/codec.ts';
 import { MAX_MESSAGE_BYTES } from '../common/messageBounds.ts';
+import { mergeChunks } from '../common/mergeChunks.ts';
 import type { AttemptCallback, AttemptHandlers, AttemptServer } from './attemptTransport.ts';
 import { AttemptTransport } from './attemptTransport.ts';
 import { DeadlineTimer } from './deadlineTimer.ts';
@@ -51,9 +52,7 @@
   }
 
   onResponseEnd(): void {
-    const [first] = this.chunks;
-    const bytes =
-      first !== undefined && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
+    const bytes = mergeChunks(this.chunks);
     if (this.status === HTTP_OK || this.status === HTTP_NO_CONTENT) this.close(bytes, '');
     else this.close(undefined, `status ${this.status}: ${bytes.toString('utf8')}`);
   }
--- a/src/protocol/node/httpFront.ts
+++ b/src/protocol/node/httpFront.ts
@@ -7,6 +7,7 @@
 import { httpMethodSchema } from '../../model/configuration.ts';
 import type { CallerRequest, Headers, Response } from '../../model/request.ts';
 import { formatFailureBody } from '../common/failureBody.ts';
+import { mergeChunks } from '../common/mergeChunks.ts';
 
 /** Largest body that the front reads; a route may set a lower bound. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -123,7 +124,7 @@
         );
         return;
       }
-      const body = chunks.length === 0 ? EMPTY_BODY : Buffer.concat(chunks);
+      const body = chunks.length === 0 ? EMPTY_BODY : mergeChunks(chunks);
       if (this.options.onOther?.(request, body, response) === true) return;
       this.accept(request, response, requestId, body);
     });
--- a/src/systems/routing/routeMatch.ts
+++ b/src/systems/routing/routeMatch.ts
@@ -17,11 +17,10 @@
   host: string,
   path: string,
 ): RouteConfig | undefined {
-  const hostName = stripPort(host).toLowerCase();
   const plainPath = path.split('?', 1)[0] ?? path;
   let best: RouteConfig | undefined;
   for (const route of configuration.routes) {
-    if (route.hosts.length > 0 && !route.hosts.includes(hostName)) continue;
+    if (route.hosts.length > 0 && !route.hosts.includes(stripPort(host).toLowerCase())) continue;
     if (route.methods.length > 0 && !route.methods.includes(method)) continue;
     if (!hasPrefix(plainPath, route.pathPrefix)) continue;
     if (best === undefined || route.pathPrefix.length > best.pathPrefix.length) best = route;
