--- a/bench/entryLoadRows.ts
+++ b/bench/entryLoadRows.ts
@@ -42,7 +42,12 @@
   const ids = Array.from({ length: tasks }, (_, task) => formatTaskId(index, task));
   return {
     ...{ workerId: `worker-${index}`, workerBootId: 'boot', region: REGION, zone: ZONE },
-    ...{ rack: `rack-${Math.floor(index / 3)}`, rejectedStarts: [], leaving: false },
+    ...{
+      rack: `rack-${Math.floor(index / 3)}`,
+      rejectedStarts: [],
+      leaving: false,
+      stopsTasks: false,
+    },
     capacity: { cores: 60, memoryMb: 250_000, accelerators: 2 },
     runs: ids.map((taskId) => ({ taskId, incarnation: 1, phase: 'running', throttle: 1 })),
     // A worker samples each task every other second.
