Find held exchanges by worker and agent instead of scanning them each turn

Cause: each turn of an owner computed the shard of every held exchange, rebuilt all answers after each confirmed write and searched all held exchanges and endpoints for each arrival, so that the processor time grew faster than the workers.

Change: an answer keeps its shard; only workers with a changed task get their answer rebuilt; held exchanges and endpoints have indexes by agent and worker; all held exchanges are visited only for news or at the next end of a hold. The linter now checks the verbs of function names against the glossary, and six names follow it.

--- a/bench/capacityFigures.ts
+++ b/bench/capacityFigures.ts
@@ -122,7 +122,7 @@
       name: 'processor, exchanges of workers',
       arithmetic: `measured at ${PER_REGION.workers} workers with 17 tasks each; grows with the power ${f(exponent)} of the workers`,
       ...{ value: measured, unit: '% of a core', budget: BUDGET.percent },
-      mechanism: `one turn per exchange; each turn passes over all held exchanges. Three shards per region by the pool's \`shard\` name leave ${f(perShard)} % per owner (measured at ${third} workers); an index of held exchanges by changed worker has to end the growth`,
+      mechanism: `one turn per exchange; held exchanges are found by worker, so a turn does not grow with them. Three shards per region by the pool's \`shard\` name leave ${f(perShard)} % per owner (measured at ${third} workers); reports of changed runs only have to bring it down further`,
     },
     {
       name: 'processor, placement',
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,3 +1,5 @@
+import { readFileSync } from 'node:fs';
+import { URL } from 'node:url';
 import eslint from '@eslint/js';
 import prettier from 'eslint-config-prettier';
 import importX from 'eslint-plugin-import-x';
@@ -23,6 +25,15 @@
   message: `${target} may import only from: ${[target, ...allowed].join(', ')}`,
 }));
 
+/** Verbs that begin the names of functions and methods, as the glossary lists them. */
+const VERBS = [
+  ...(
+    readFileSync(new URL('docs/glossary.md', import.meta.url), 'utf8').split('## Verbs')[1] ?? ''
+  ).matchAll(/`([a-z]+)`/g),
+].map(([, verb]) => verb);
+
+const VERB_NAMES = { regex: `^(values|keys)$|^(${VERBS.join('|')})([A-Z0-9]|$)`, match: true };
+
 const PURE_FOLDERS = ['src/base/common', 'src/model', 'src/systems', 'src/protocol/common'];
 
 export default tseslint.config(
@@ -89,6 +100,15 @@
     files: ['test/**/*.ts', 'bench/**/*.ts', 'specs/**/*.ts'],
     rules: { 'max-lines-per-function': 'off', '@typescript-eslint/no-non-null-assertion': 'off' },
   },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      '@typescript-eslint/naming-convention': [
+        'error',
+        { selector: ['function', 'classMethod'], format: ['camelCase'], custom: VERB_NAMES },
+      ],
+    },
+  },
   { files: ['**/*.mjs'], ...tseslint.configs.disableTypeChecked },
   prettier,
 );
--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -12,7 +12,8 @@
 import { EMPTY_CONFIGURATION } from './configuration.ts';
 import type { DecisionRow } from './decision.ts';
 import type { EntryArrival, EntryEffect } from './effects.ts';
-import type { EntryInfo, ExchangeReply } from './exchange.ts';
+import type { EntryInfo } from './exchange.ts';
+import type { ExchangeScan, HeldExchangeRow, OwnerAnswerRow } from './heldExchange.ts';
 import type { EndpointHealthRow, EndpointRow } from './endpoint.ts';
 import type {
   KeyCopyRow,
@@ -34,7 +35,7 @@
 import { createPlacementState } from './placement.ts';
 import type { RunRow, ThrottleRow } from './run.ts';
 import type { TaskRow } from './task.ts';
-import type { UsageSample, WorkerReport, WorkerRow } from './worker.ts';
+import type { UsageSample, WorkerRow } from './worker.ts';
 import type { AttemptRow, RequestRow } from './request.ts';
 
 /** Another entry, or this one, as this entry knows it. */
@@ -43,32 +44,6 @@
   readonly lastHeardMs: number;
 }
 
-/** An exchange that waits for something to tell. */
-export interface HeldExchangeRow {
-  readonly id: string;
-  readonly agentId: string;
-  /** Region of the agent; the shard of its worker follows from it. */
-  readonly region: string;
-  readonly zone: string;
-  readonly answerByMs: number;
-  readonly configRevision: number;
-  readonly entriesDigest: number;
-  readonly seq: number;
-  /** Worker beside the agent, once it is known. */
-  readonly workerId: string | undefined;
-  /** Present on the link of a worker to the owner of its shard. */
-  readonly worker: WorkerReport | undefined;
-}
-
-/** The owner's part of the answer to a held exchange. */
-export interface OwnerAnswerRow {
-  /** Call id of the held exchange. */
-  readonly id: string;
-  /** Whether the answer should go out now instead of at the end of the hold. */
-  readonly isDue: boolean;
-  readonly owner: NonNullable<ExchangeReply['owner']>;
-}
-
 /** A usage sample that the owner has received and not yet used. */
 export interface UsageSampleRow extends UsageSample {
   readonly id: string;
@@ -122,6 +97,9 @@
   readonly peerSyncs: Table<PeerSyncRow>;
   readonly entries: Table<EntryRow>;
   readonly heldExchanges: Table<HeldExchangeRow>;
+  readonly heldExchangesByAgent: TableIndex<HeldExchangeRow>;
+  readonly heldExchangesByWorker: TableIndex<HeldExchangeRow>;
+  readonly exchangeScan: ExchangeScan;
   readonly endpoints: Table<EndpointRow>;
   readonly requests: Table<RequestRow>;
   readonly requestsByPhase: TableIndex<RequestRow>;
@@ -135,6 +113,7 @@
   readonly serviceLoads: Table<ServiceLoadRow>;
   readonly endpointHealth: Table<EndpointHealthRow>;
   readonly endpointsByService: TableIndex<EndpointRow>;
+  readonly endpointsByAgent: TableIndex<EndpointRow>;
   readonly attempts: Table<AttemptRow>;
   readonly attemptsByPhase: TableIndex<AttemptRow>;
   readonly retryBudgets: Table<RetryBudgetRow>;
@@ -146,11 +125,15 @@
   readonly keyHandOvers: Table<KeyHandOverRow>;
   readonly keyCovers: Table<KeyCoverRow>;
   readonly ownerAnswers: Table<OwnerAnswerRow>;
+  /** Answers that should go out now, under the key `due`. */
+  readonly dueAnswers: TableIndex<OwnerAnswerRow>;
   readonly duties: Table<DutyRow>;
   /** Tasks as the ledger has them: every row is known to be in the store. */
   readonly tasks: Table<TaskRow>;
   /** Assigned tasks by worker id. */
   readonly tasksByWorker: TableIndex<TaskRow>;
+  /** Ids of tasks that have changed since the answers to held exchanges were built. */
+  readonly tasksToAnswer: Set<string>;
   readonly dutyClaims: Table<DutyClaimRow>;
   readonly ledgers: Table<LedgerRow>;
   readonly taskHomes: Table<TaskHomeRow>;
@@ -184,6 +167,7 @@
   | 'serviceLoads'
   | 'endpointHealth'
   | 'endpointsByService'
+  | 'endpointsByAgent'
   | 'attempts'
   | 'attemptsByPhase'
   | 'retryBudgets'
@@ -198,10 +182,10 @@
 /** Tables of the ledger, the workers and their runs. */
 type TaskTables = Pick<
   EntryState,
-  | 'ownerAnswers'
   | 'duties'
   | 'tasks'
   | 'tasksByWorker'
+  | 'tasksToAnswer'
   | 'dutyClaims'
   | 'ledgers'
   | 'taskHomes'
@@ -215,6 +199,30 @@
   | 'usageSamples'
 >;
 
+/** Tables of exchanges that wait for their answers. */
+type ExchangeTables = Pick<
+  EntryState,
+  | 'heldExchanges'
+  | 'heldExchangesByAgent'
+  | 'heldExchangesByWorker'
+  | 'exchangeScan'
+  | 'ownerAnswers'
+  | 'dueAnswers'
+>;
+
+function createExchangeTables(): ExchangeTables {
+  const heldExchanges = Table.create<HeldExchangeRow>('heldExchanges');
+  const ownerAnswers = Table.create<OwnerAnswerRow>('ownerAnswers');
+  return {
+    heldExchanges,
+    heldExchangesByAgent: heldExchanges.addIndex((row) => row.agentId),
+    heldExchangesByWorker: heldExchanges.addIndex((row) => row.worker?.workerId),
+    exchangeScan: { revision: 0, digest: 0, nextAnswerMs: Number.POSITIVE_INFINITY },
+    ownerAnswers,
+    dueAnswers: ownerAnswers.addIndex((row) => (row.isDue ? 'due' : undefined)),
+  };
+}
+
 function createRequestTables(): RequestTables {
   const requests = Table.create<RequestRow>('requests');
   const attempts = Table.create<AttemptRow>('attempts');
@@ -236,6 +244,7 @@
     serviceLoads: Table.create('serviceLoads'),
     endpointHealth: Table.create('endpointHealth'),
     endpointsByService: endpoints.addIndex((row) => row.service),
+    endpointsByAgent: endpoints.addIndex((row) => row.agentId),
     attempts,
     attemptsByPhase: attempts.addIndex((row) => row.phase),
     retryBudgets: Table.create('retryBudgets'),
@@ -253,9 +262,9 @@
   const runs = Table.create<RunRow>('runs');
   const taskHomes = Table.create<TaskHomeRow>('taskHomes');
   return {
-    ownerAnswers: Table.create('ownerAnswers'),
     duties: Table.create('duties'),
     tasks,
+    tasksToAnswer: tasks.addChangeSet(),
     tasksByWorker: tasks.addIndex((task) =>
       task.phase === 'assigned' ? task.workerId : undefined,
     ),
@@ -299,7 +308,7 @@
     homeAgents: Table.create('homeAgents'),
     peerSyncs: Table.create('peerSyncs'),
     entries: Table.create('entries'),
-    heldExchanges: Table.create('heldExchanges'),
+    ...createExchangeTables(),
     ...createRequestTables(),
     ...createTaskTables(),
     placement: createPlacementState(),
--- a/src/standins/memoryWorker.ts
+++ b/src/standins/memoryWorker.ts
@@ -96,9 +96,9 @@
           this.renew(taskId, incarnation, call.leaseUntil);
         return DONE;
       case 'checkpoint':
-        return this.change(call.taskId, call.incarnation, markCheckpoint);
+        return this.updateRun(call.taskId, call.incarnation, markCheckpoint);
       case 'throttle':
-        return this.change(call.taskId, call.incarnation, (run) => {
+        return this.updateRun(call.taskId, call.incarnation, (run) => {
           run.throttle = call.share;
         });
       case 'stop':
@@ -217,7 +217,7 @@
     run.phase = 'running';
   }
 
-  private change(taskId: string, incarnation: number, apply: (run: Run) => void): WorkerReply {
+  private updateRun(taskId: string, incarnation: number, apply: (run: Run) => void): WorkerReply {
     const run = this.runs.get(formatRunId(taskId, incarnation));
     if (run === undefined || !isLive(run)) return this.refuse('no_such_run');
     apply(run);
--- a/src/systems/duties/dutySteps.ts
+++ b/src/systems/duties/dutySteps.ts
@@ -114,7 +114,7 @@
   reply: StoreReply,
 ): void {
   if (reply.kind === 'written') {
-    continueClaim(state, tick, claim);
+    resumeClaim(state, tick, claim);
     return;
   }
   if (reply.kind === 'leaseLost') {
@@ -124,7 +124,7 @@
   if (reply.kind === 'entry') {
     const held = parseValue(dutyHeldSchema, reply.entry.value).toMaybe().extract();
     if (held?.token === claim.token) {
-      continueClaim(state, tick, claim);
+      resumeClaim(state, tick, claim);
       return;
     }
     if (reply.entry.version === 0) {
@@ -141,7 +141,7 @@
 }
 
 /** The key is held: an owner checks that the record is still its own, a candidate writes it. */
-function continueClaim(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+function resumeClaim(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
   startStep(state, tick, claim, 'writing-record', isOwner(state, claim.id));
 }
 
--- a/src/systems/duties/dutySystem.ts
+++ b/src/systems/duties/dutySystem.ts
@@ -193,11 +193,11 @@
     own: ReadonlySet<string>,
   ): void {
     if (claim.step === 'idle') {
-      if (own.has(claim.id) && state.self.phase === 'serving') this.compete(state, tick, claim);
+      if (own.has(claim.id) && state.self.phase === 'serving') this.takeVacant(state, tick, claim);
       return;
     }
     if (claim.step === 'held') {
-      this.keep(state, tick, claim);
+      this.renewHeld(state, tick, claim);
       return;
     }
     const dueMs =
@@ -208,7 +208,7 @@
     else tick.wakeAt(dueMs);
   }
 
-  private compete(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+  private takeVacant(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
     if (claim.vacantSinceMs === undefined) return;
     const dueMs = claim.vacantSinceMs + this.getRank(state, claim) * RANK_DELAY_MS;
     if (tick.now < dueMs) {
@@ -231,7 +231,7 @@
     return info.id === last ? sorted.length : sorted.indexOf(info.id);
   }
 
-  private keep(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
+  private renewHeld(state: EntryState, tick: Tick, claim: DutyClaimRow): void {
     if (state.self.phase === 'leaving') {
       this.release(state, tick, claim);
       return;
--- a/src/systems/jobs/jobSystem.ts
+++ b/src/systems/jobs/jobSystem.ts
@@ -119,11 +119,15 @@
     }
     if (row.phase === 'pending') {
       // The duty went while the change was on its way.
-      this.fail(state, row, this.describeLost(row));
+      this.answerFailure(state, row, this.describeLost(row));
       return;
     }
     if (row.origin === 'peer') {
-      this.fail(state, row, createFailure('not_owner', `this entry does not own ${row.shard}`));
+      this.answerFailure(
+        state,
+        row,
+        createFailure('not_owner', `this entry does not own ${row.shard}`),
+      );
       return;
     }
     this.forward(state, tick, row);
@@ -159,7 +163,7 @@
     const isNeverQueued = row.call.kind === 'cancel' && !this.isCancelPending(state, row.jobId);
     if (isWithdrawn && others.length === 1) state.pendingChanges.remove(row.jobId);
     const isNotRun = (isWithdrawn && others.length === 1 && !row.isInDoubt) || isNeverQueued;
-    this.fail(
+    this.answerFailure(
       state,
       row,
       isNotRun
@@ -206,7 +210,7 @@
       return false;
     }
     const isInDoubt = (row.isInDoubt || row.phase === 'forwarded') && row.call.kind !== 'status';
-    this.fail(
+    this.answerFailure(
       state,
       row,
       isInDoubt
@@ -233,7 +237,7 @@
       const failure = isUnsure
         ? createFailure('outcome_unknown', reply.failure.message)
         : reply.failure;
-      this.fail(state, row, failure);
+      this.answerFailure(state, row, failure);
       return;
     }
     state.jobCalls.update(row.id, {
@@ -244,7 +248,7 @@
     });
   }
 
-  private fail(state: EntryState, row: JobCallRow, failure: Failure): void {
+  private answerFailure(state: EntryState, row: JobCallRow, failure: Failure): void {
     state.jobCalls.remove(row.id);
     this.answer(state, row, { kind: 'failure', failure });
   }
--- a/src/systems/leases/leaseSystem.ts
+++ b/src/systems/leases/leaseSystem.ts
@@ -1,6 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
+import type { HeldExchangeRow } from '../../model/heldExchange.ts';
 import type { ExchangeRequest } from '../../model/exchange.ts';
 import type { DutyRow } from '../../model/ledger.ts';
 import { formatRunId } from '../../model/run.ts';
@@ -54,24 +55,33 @@
 
   /** An answer of a duty that was lost meanwhile must not go out. */
   private removeStaleAnswers(state: EntryState): void {
-    for (const answer of state.ownerAnswers.list()) {
-      const report = state.heldExchanges.get(answer.id)?.worker;
-      const duty = report === undefined ? undefined : this.findDuty(state, report);
-      if (duty?.epoch !== answer.owner.epoch) state.ownerAnswers.remove(answer.id);
+    for (const answer of state.ownerAnswers.values()) {
+      const duty = findHeldDuty(state, answer.shard);
+      const isStale = duty?.epoch !== answer.owner.epoch || !state.heldExchanges.has(answer.id);
+      if (isStale) state.ownerAnswers.remove(answer.id);
     }
   }
 
   /** A confirmed write can make a command due for a worker whose exchange is being held. */
   private answerHeld(state: EntryState, tick: Tick): void {
-    const changed = [...state.ledgers.values()].some((ledger) => ledger.confirmedMs === tick.now);
-    if (!changed) return;
-    for (const held of state.heldExchanges.values()) {
-      const answer = state.ownerAnswers.get(held.id);
-      if (held.worker === undefined || answer === undefined || answer.isDue) continue;
-      const duty = this.findDuty(state, held.worker);
-      if (duty !== undefined)
-        state.ownerAnswers.set(buildOwnerAnswer(state, tick, duty, held.id, held.worker));
+    const workerIds = new Set<string>();
+    for (const taskId of state.tasksToAnswer) {
+      const workerId = state.tasks.get(taskId)?.workerId;
+      if (workerId !== undefined) workerIds.add(workerId);
     }
+    state.tasksToAnswer.clear();
+    for (const workerId of workerIds) {
+      for (const held of state.heldExchangesByWorker.list(workerId))
+        this.answerAgain(state, tick, held);
+    }
+  }
+
+  private answerAgain(state: EntryState, tick: Tick, held: HeldExchangeRow): void {
+    const answer = state.ownerAnswers.get(held.id);
+    if (held.worker === undefined || answer === undefined || answer.isDue) return;
+    const duty = findHeldDuty(state, answer.shard);
+    if (duty !== undefined)
+      state.ownerAnswers.set(buildOwnerAnswer(state, tick, duty, held.id, held.worker));
   }
 
   private receive(
--- a/src/systems/leases/ownerAnswer.ts
+++ b/src/systems/leases/ownerAnswer.ts
@@ -1,5 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
-import type { EntryState, OwnerAnswerRow } from '../../model/entryState.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { OwnerAnswerRow } from '../../model/heldExchange.ts';
 import type { DutyRow } from '../../model/ledger.ts';
 import { formatRunId } from '../../model/run.ts';
 import type { TaskRow } from '../../model/task.ts';
@@ -70,6 +71,7 @@
   commands.push(...listMissingRuns(state, tick, report, mayRenew));
   return {
     id: callId,
+    shard: duty.id,
     isDue: commands.length > 0 || hasSuspended,
     owner: { epoch: duty.epoch, leaseMs: TASK_LEASE_MS, renewed, commands },
   };
--- a/src/systems/membership/exchangeSystem.ts
+++ b/src/systems/membership/exchangeSystem.ts
@@ -1,7 +1,8 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { EndpointReport } from '../../model/endpoint.ts';
-import type { EntryState, HeldExchangeRow } from '../../model/entryState.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { HeldExchangeRow } from '../../model/heldExchange.ts';
 import type { ExchangeRequest } from '../../model/exchange.ts';
 import { findWorkerShard } from '../duties/shards.ts';
 import { ENDPOINT_REMOVE_MS } from './endpointHealth.ts';
@@ -31,18 +32,37 @@
   override run(state: EntryState, tick: Tick): void {
     for (const arrival of state.inbox.list('exchange'))
       this.receive(state, tick, arrival.callId, arrival.request);
-    const { digest } = state.registration;
-    for (const held of state.heldExchanges.values()) {
-      const hasNews =
-        held.configRevision < state.configuration.current.revision ||
-        (digest !== 0 && held.entriesDigest !== digest);
-      const isDue = state.ownerAnswers.get(held.id)?.isDue === true;
-      if (hasNews || isDue || held.answerByMs <= tick.now) this.answer(state, held);
-      else tick.wakeAt(held.answerByMs);
+    for (const due of state.dueAnswers.list('due')) {
+      const held = state.heldExchanges.get(due.id);
+      if (held !== undefined) this.answer(state, held);
     }
+    this.answerAll(state, tick);
     this.removeSilent(state, tick);
   }
 
+  /** Looks at every held exchange only when there is news for all of them or one has waited long enough. */
+  private answerAll(state: EntryState, tick: Tick): void {
+    const { exchangeScan: scan, registration } = state;
+    const { revision } = state.configuration.current;
+    const isSame = scan.revision === revision && scan.digest === registration.digest;
+    if (!isSame || scan.nextAnswerMs <= tick.now) {
+      scan.revision = revision;
+      scan.digest = registration.digest;
+      scan.nextAnswerMs = Number.POSITIVE_INFINITY;
+      for (const held of state.heldExchanges.values()) {
+        if (this.hasNews(state, held) || held.answerByMs <= tick.now) this.answer(state, held);
+        else scan.nextAnswerMs = Math.min(scan.nextAnswerMs, held.answerByMs);
+      }
+    }
+    tick.wakeAt(scan.nextAnswerMs);
+  }
+
+  private hasNews(state: EntryState, held: HeldExchangeRow): boolean {
+    const { digest } = state.registration;
+    const isOlder = held.configRevision < state.configuration.current.revision;
+    return isOlder || (digest !== 0 && held.entriesDigest !== digest);
+  }
+
   /** Runs twice a second and not with each request, because it visits every endpoint. */
   private removeSilent(state: EntryState, tick: Tick): void {
     const last = state.calls.get(SWEEP_ID)?.sentMs;
@@ -69,11 +89,10 @@
 
   private receive(state: EntryState, tick: Tick, callId: string, request: ExchangeRequest): void {
     state.counters.add('exchanges');
-    const link = [...state.heldExchanges.values()].find(
-      (held) => held.agentId === request.agentId && held.seq < request.seq,
-    );
     // A newer exchange of the agent means that it no longer waits for the older answer.
-    if (link !== undefined) this.answer(state, link);
+    for (const older of state.heldExchangesByAgent.list(request.agentId)) {
+      if (older.seq < request.seq) this.answer(state, older);
+    }
     if (request.endpoints !== undefined && this.isNewest(state, request)) {
       state.homeAgents.set({
         id: request.agentId,
@@ -83,7 +102,7 @@
       });
       this.mergeEndpoints(state, tick, request.agentId, request.endpoints);
     }
-    state.heldExchanges.set({
+    const held: HeldExchangeRow = {
       id: callId,
       agentId: request.agentId,
       region: request.region,
@@ -94,7 +113,11 @@
       seq: request.seq,
       workerId: request.workerId,
       worker: request.worker,
-    });
+    };
+    state.heldExchanges.set(held);
+    if (this.hasNews(state, held) || held.answerByMs <= tick.now) this.answer(state, held);
+    const { exchangeScan } = state;
+    exchangeScan.nextAnswerMs = Math.min(exchangeScan.nextAnswerMs, held.answerByMs);
   }
 
   /** A delayed copy of an older exchange is answered but changes nothing. */
@@ -112,9 +135,8 @@
     reports: readonly EndpointReport[],
   ): void {
     const reported = new Set(reports.map((report) => report.id));
-    for (const endpoint of state.endpoints.list()) {
-      if (endpoint.agentId === agentId && !reported.has(endpoint.id))
-        removeEndpoint(state, endpoint.id, 'left');
+    for (const endpoint of state.endpointsByAgent.list(agentId)) {
+      if (!reported.has(endpoint.id)) removeEndpoint(state, endpoint.id, 'left');
     }
     for (const report of reports) mergeEndpoint(state, report, tick.now);
   }
--- a/src/systems/routing/routeMatch.ts
+++ b/src/systems/routing/routeMatch.ts
@@ -1,6 +1,6 @@
 import type { Configuration, HttpMethod, RouteConfig } from '../../model/configuration.ts';
 
-function stripPort(host: string): string {
+function removePort(host: string): string {
   const colon = host.lastIndexOf(':');
   return colon > host.lastIndexOf(']') ? host.slice(0, colon) : host;
 }
@@ -20,7 +20,7 @@
   const plainPath = path.split('?', 1)[0] ?? path;
   let best: RouteConfig | undefined;
   for (const route of configuration.routes) {
-    if (route.hosts.length > 0 && !route.hosts.includes(stripPort(host).toLowerCase())) continue;
+    if (route.hosts.length > 0 && !route.hosts.includes(removePort(host).toLowerCase())) continue;
     if (route.methods.length > 0 && !route.methods.includes(method)) continue;
     if (!hasPrefix(plainPath, route.pathPrefix)) continue;
     if (best === undefined || route.pathPrefix.length > best.pathPrefix.length) best = route;
