Explain why a task waits and why a request was refused

Cause: explain knew decisions only; a task that could not be placed and a refused request left no row, though the design says that every decision does.

Change: placement keeps the reason of the last try of a waiting task until it is assigned, and an entry keeps its latest 2,000 refusals; explain shows both.

Conclusion: explain answers why a job waits and why a request was refused.

--- a/src/model/entryState.ts
+++ b/src/model/entryState.ts
@@ -10,7 +10,7 @@
 import type { ConfigWriteRow } from './configWrite.ts';
 import type { HomeAgentRow, PeerSyncRow, RegistrationState } from './membership.ts';
 import { EMPTY_CONFIGURATION } from './configuration.ts';
-import type { DecisionRow } from './decision.ts';
+import type { DecisionRow, RefusalRow, WaitRow } from './decision.ts';
 import type { EntryArrival, EntryEffect } from './effects.ts';
 import type { EntryInfo } from './exchange.ts';
 import type { ExchangeScan, HeldExchangeRow, OwnerAnswerRow } from './heldExchange.ts';
@@ -88,6 +88,8 @@
   readonly self: EntrySelf;
   readonly counters: Counters;
   readonly decisions: Table<DecisionRow>;
+  readonly waits: Table<WaitRow>;
+  readonly refusals: Table<RefusalRow>;
   nextDecision: number;
   readonly calls: Table<PendingCallRow>;
   readonly configuration: ConfigurationState;
@@ -300,6 +302,8 @@
     },
     counters: Counters.create(),
     decisions: Table.create('decisions'),
+    waits: Table.create('waits'),
+    refusals: Table.create('refusals'),
     nextDecision: 1,
     calls: Table.create('calls'),
     configuration: { current: EMPTY_CONFIGURATION, version: 0, confirmedSentMs: undefined },
--- a/src/systems/decisions.ts
+++ b/src/systems/decisions.ts
@@ -1,7 +1,12 @@
+import type { Failure } from '../base/common/errors.ts';
+import type { Table, TableRow } from '../base/common/table.ts';
 import type { EntryState } from '../model/entryState.ts';
 
-/** Oldest decisions are dropped beyond this number. */
+/** Oldest rows are dropped beyond these numbers. */
 const MAX_DECISIONS = 20_000;
+const MAX_WAITS = 20_000;
+/** Refusals come by the thousand in overload; only the latest are worth their memory. */
+const MAX_REFUSALS = 2_000;
 
 /** Records a decision and its reason for `explain`. */
 export function recordDecision(
@@ -14,9 +19,26 @@
   const id = `${state.nextDecision}`;
   state.nextDecision += 1;
   state.decisions.set({ id, subject, action, reason, atMs: nowMs });
-  if (state.decisions.size <= MAX_DECISIONS) return;
-  for (const oldest of state.decisions.values()) {
-    state.decisions.remove(oldest.id);
-    break;
+  removeOldest(state.decisions, MAX_DECISIONS);
+}
+
+/** Records why a queued task was not assigned; the last reason stays until the task is assigned. */
+export function recordWait(state: EntryState, taskId: string, reason: string): void {
+  if (state.waits.get(taskId)?.reason === reason) return;
+  state.waits.set({ id: taskId, reason });
+  removeOldest(state.waits, MAX_WAITS);
+}
+
+/** Records why a request was refused. */
+export function recordRefusal(state: EntryState, requestId: string, failure: Failure): void {
+  state.refusals.set({ id: requestId, kind: failure.kind, message: failure.message });
+  removeOldest(state.refusals, MAX_REFUSALS);
+}
+
+function removeOldest<Row extends TableRow>(table: Table<Row>, maxRows: number): void {
+  if (table.size <= maxRows) return;
+  for (const oldest of table.values()) {
+    table.remove(oldest.id);
+    return;
   }
 }
--- a/src/systems/operators/explanation.ts
+++ b/src/systems/operators/explanation.ts
@@ -17,8 +17,10 @@
 
 /** Tables that `explain` searches by id. */
 function listTables(state: EntryState): readonly Table<{ readonly id: string }>[] {
-  const { tasks, workers, endpoints, entries, duties, attempts, throttles } = state;
-  return [tasks, workers, endpoints, entries, duties, attempts, throttles] as unknown as Table<{
+  const { tasks, workers, endpoints, entries, duties, attempts, throttles, waits, refusals } =
+    state;
+  const tables = [tasks, workers, endpoints, entries, duties, attempts, throttles, waits, refusals];
+  return tables as unknown as Table<{
     readonly id: string;
   }>[];
 }
--- a/src/systems/placement/placementSystem.ts
+++ b/src/systems/placement/placementSystem.ts
@@ -8,7 +8,7 @@
 import type { Resources } from '../../model/resources.ts';
 import type { TaskRow, WorkClass } from '../../model/task.ts';
 import type { WorkerRow } from '../../model/worker.ts';
-import { recordDecision } from '../decisions.ts';
+import { recordDecision, recordWait } from '../decisions.ts';
 import { hasPendingChange, queueTaskChange } from '../ledger/ledgerChanges.ts';
 import { updateCommitments } from './commitmentSystem.ts';
 import { explainNeverRuns, findBrokenBound, hasQuotaRoom } from './placementBounds.ts';
@@ -122,9 +122,17 @@
     const demand = computePlacedDemand(turn, pool, task);
     const reserved = this.findReservedWorker(turn, pool, task, demand);
     const shape = formatShape(task, demand);
-    if (reserved === undefined && budget.blocked.has(shape)) return false;
+    if (reserved === undefined && budget.blocked.has(shape)) {
+      recordWait(
+        turn.state,
+        task.id,
+        `other tasks of its kind and team wait for room in ${pool.name}`,
+      );
+      return false;
+    }
     if (!hasQuotaRoom(turn, pool, task.team, demand)) {
-      handleNeverRuns(turn, pool, task);
+      const isOver = handleNeverRuns(turn, pool, task);
+      if (!isOver) recordWait(turn.state, task.id, `the quota of team ${task.team} is used up`);
       budget.blocked.add(shape);
       return false;
     }
@@ -136,7 +144,10 @@
     }
     const isHandled =
       handleNeverRuns(turn, pool, task) || placeByPreemption(turn, pool, task, demand);
-    if (!isHandled) budget.blocked.add(shape);
+    if (!isHandled) {
+      budget.blocked.add(shape);
+      recordWait(turn.state, task.id, `no worker of pool ${pool.name} has room for the task now`);
+    }
     return false;
   }
 
@@ -183,6 +194,7 @@
   queueTaskChange(state, getShardName(pool), next, tick.now, isUrgent);
   recordSizeFactor(state, task, demand);
   state.placement.reservations.remove(task.id);
+  state.waits.remove(task.id);
   const pace = state.placement.startPaces.get(worker.id);
   const previousMs = pace?.lastMs ?? Number.NEGATIVE_INFINITY;
   state.placement.startPaces.set({ id: worker.id, lastMs: tick.now, previousMs });
--- a/src/systems/requests/refuse.ts
+++ b/src/systems/requests/refuse.ts
@@ -2,6 +2,7 @@
 import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
 import type { EntryState } from '../../model/entryState.ts';
 import type { AttemptRow, RequestRow, Response } from '../../model/request.ts';
+import { recordRefusal } from '../decisions.ts';
 import { queueSettlement } from '../keys/keySettlement.ts';
 
 /** Refuses a request that has no row and counts the reason. */
@@ -12,6 +13,7 @@
   retryAfterMs?: number,
 ): void {
   state.counters.add('refusals', { reason: failure.kind });
+  recordRefusal(state, requestId, failure);
   state.outbox.append({
     kind: 'refuseCaller',
     requestId,
--- a/test/systems/placement/placementSystem.test.ts
+++ b/test/systems/placement/placementSystem.test.ts
@@ -44,6 +44,19 @@
       expect(listAssigned(model)).toHaveLength(2);
     });
 
+    it('does not leave a waiting task without a reason, or an assigned one with it', () => {
+      const quotas = [{ team: 'team', limit: createDemand(5, 10_000) }];
+      const model = createFixture({ pools: [createBatchPool({ quotas })] });
+      for (let at = 0; at < 4; at += 1)
+        model.submit({ id: `t${at}`, pool: 'batch', demand: createDemand(2) }, 1_000);
+      model.runFor(5_000);
+      const { tasks, waits } = model.state;
+      const waiting = tasks.list().filter((task) => task.phase === 'queued');
+      expect(waiting).toHaveLength(2);
+      for (const task of waiting) expect(waits.get(task.id)?.reason).toBeDefined();
+      expect(waits.size).toBe(2);
+    });
+
     it('does not start more than two tasks a second on one worker', () => {
       const model = createFixture({ workers: 1 });
       for (let at = 0; at < 10; at += 1) model.submit({ id: `t${at}`, pool: 'batch' }, 1_000);
