Let the entries of the request harness pass on their endpoints

Cause: agents exchange with their home entry only; the harness dropped the syncs between entries, so that each entry knew only the endpoints of its own agents. Ruled out: the routing policy and the retries, because random routing lost as many requests.

Change: the harness lists the entries to each other and carries their calls.

--- a/bench/requestHarness.ts
+++ b/bench/requestHarness.ts
@@ -67,6 +67,10 @@
   private constructor(private readonly options: HarnessOptions) {
     this.random = SeededRandom.create(options.seed);
     for (let index = 0; index < options.entries; index += 1) this.addEntry(index);
+    for (const { state } of this.entries) {
+      for (const peer of this.entries)
+        state.entries.set({ ...peer.state.self.info, lastHeardMs: 0 });
+    }
     for (let index = 0; index < ENDPOINTS; index += 1) this.addAgent(index);
   }
 
@@ -205,7 +209,15 @@
       this.close(effect.requestId, effect.response.status < 500 ? 'answered' : 'failed');
     else if (effect.kind === 'refuseCaller') this.close(effect.requestId, effect.failure.kind);
     else if (effect.kind === 'sendAttempt') this.sendAttempt(entry, effect);
-    else if (effect.kind === 'answerExchange') {
+    else if (effect.kind === 'callPeer') this.sendPeerCall(entry, effect);
+    else if (effect.kind === 'answerPeer') {
+      const [entryAt = '', callId = ''] = effect.callId.split('|');
+      const peer = this.entries[Number(entryAt)];
+      if (peer === undefined) return;
+      this.send(entry.state.self.info.zone, peer.state.self.info.zone, () => {
+        this.receive(peer, peer.loop, { kind: 'peerReply', callId, reply: effect.reply });
+      });
+    } else if (effect.kind === 'answerExchange') {
       const [agentAt = '', callId = ''] = effect.callId.split('|');
       const agent = this.agents[Number(agentAt)];
       if (agent === undefined) return;
@@ -216,6 +228,20 @@
     }
   }
 
+  /** Entries tell each other of the endpoints that their own agents announce. */
+  private sendPeerCall(
+    entry: EntryNode,
+    { address, call, callId }: Extract<EntryEffect, { kind: 'callPeer' }>,
+  ): void {
+    const peer = this.entries.find((node) => node.state.self.info.address === address);
+    if (peer === undefined) return;
+    const { id, zone } = entry.state.self.info;
+    const outerId = `${this.entries.indexOf(entry)}|${callId}`;
+    this.send(zone, peer.state.self.info.zone, () => {
+      this.receive(peer, peer.loop, { kind: 'peerCall', callId: outerId, from: id, call });
+    });
+  }
+
   private sendAttempt(
     entry: EntryNode,
     effect: Extract<EntryEffect, { kind: 'sendAttempt' }>,
