Listen with one function in every HTTP server

Cause: six servers repeated the same steps to listen, and five of them to read the port.

Change: openHttpServer and getHttpPort in base/node replace the copies; no behaviour changes.

Conclusion: one place decides how a server starts to listen.

--- a/src/protocol/node/httpAttemptServer.ts
+++ b/src/protocol/node/httpAttemptServer.ts
@@ -7,6 +7,7 @@
 import { MAX_MESSAGE_BYTES } from '../common/messageBounds.ts';
 import { mergeChunks } from '../common/mergeChunks.ts';
 import type { AttemptHandlers, AttemptServer } from './attemptTransport.ts';
+import { openHttpServer } from '../../base/node/httpListening.ts';
 
 export const ATTEMPT_PATH = '/v1/attempts';
 export const ABANDON_PATH = '/v1/abandons';
@@ -31,10 +32,7 @@
     handlers: AttemptHandlers,
   ): Promise<HttpAttemptServer> {
     const created = new HttpAttemptServer(handlers);
-    await new Promise<void>((resolve, reject) => {
-      created.server.once('error', reject);
-      created.server.listen(port, host, resolve);
-    });
+    await openHttpServer(created.server, host, port);
     created.port = (created.server.address() as AddressInfo).port;
     return created;
   }
--- a/src/protocol/node/httpFront.ts
+++ b/src/protocol/node/httpFront.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Failure } from '../../base/common/errors.ts';
 import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
 import type { SeededRandom } from '../../base/common/seededRandom.ts';
@@ -8,6 +7,7 @@
 import type { CallerRequest, Headers, Response } from '../../model/request.ts';
 import { formatFailureBody } from '../common/failureBody.ts';
 import { mergeChunks } from '../common/mergeChunks.ts';
+import { getHttpPort, openHttpServer } from '../../base/node/httpListening.ts';
 
 /** Largest body that the front reads; a route may set a lower bound. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -57,15 +57,12 @@
 
   static async create(options: HttpFrontOptions): Promise<HttpFront> {
     const front = new HttpFront(options);
-    await new Promise<void>((resolve, reject) => {
-      front.server.once('error', reject);
-      front.server.listen(options.port, options.host, resolve);
-    });
+    await openHttpServer(front.server, options.host, options.port);
     return front;
   }
 
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return getHttpPort(this.server);
   }
 
   answer(requestId: string, answer: Response): void {
--- a/src/protocol/node/jsonServer.ts
+++ b/src/protocol/node/jsonServer.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
 import type { JsonAnswer } from '../../model/effects.ts';
 import { formatFailureBody } from '../common/failureBody.ts';
+import { getHttpPort, openHttpServer } from '../../base/node/httpListening.ts';
 
 const MAX_BODY_BYTES = 1024 * 1024;
 
@@ -67,15 +67,12 @@
 
   static async create(host: string, port: number, handler: JsonHandler): Promise<JsonServer> {
     const server = new JsonServer(handler);
-    await new Promise<void>((resolve, reject) => {
-      server.server.once('error', reject);
-      server.server.listen(port, host, resolve);
-    });
+    await openHttpServer(server.server, host, port);
     return server;
   }
 
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return getHttpPort(this.server);
   }
 
   dispose(): void {
--- a/src/standins/endpointServer.ts
+++ b/src/standins/endpointServer.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Disposable } from '../base/common/disposable.ts';
 import type { Timer } from '../base/common/loop.ts';
+import { getHttpPort, openHttpServer } from '../base/node/httpListening.ts';
 
 export interface EndpointServerOptions {
   readonly host: string;
@@ -57,15 +57,12 @@
 
   static async create(options: EndpointServerOptions): Promise<EndpointServer> {
     const endpoint = new EndpointServer(options);
-    await new Promise<void>((resolve, reject) => {
-      endpoint.server.once('error', reject);
-      endpoint.server.listen(options.port, options.host, resolve);
-    });
+    await openHttpServer(endpoint.server, options.host, options.port);
     return endpoint;
   }
 
   get origin(): string {
-    return `http://${this.options.host}:${(this.server.address() as AddressInfo).port}`;
+    return `http://${this.options.host}:${getHttpPort(this.server)}`;
   }
 
   dispose(): void {
--- a/src/standins/storeServer.ts
+++ b/src/standins/storeServer.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Clock } from '../base/common/clock.ts';
 import type { Disposable } from '../base/common/disposable.ts';
 import type { Timer } from '../base/common/loop.ts';
@@ -8,6 +7,7 @@
 import { storeCallSchema } from '../model/store.ts';
 import { decodeMessage, encodeMessage } from '../protocol/common/codec.ts';
 import { MemoryStore } from './memoryStore.ts';
+import { getHttpPort, openHttpServer } from '../base/node/httpListening.ts';
 
 const WATCH_POLL_MS = 20;
 
@@ -41,15 +41,12 @@
 
   static async create(options: StoreServerOptions): Promise<StoreServer> {
     const server = new StoreServer(options);
-    await new Promise<void>((resolve, reject) => {
-      server.server.once('error', reject);
-      server.server.listen(options.port, options.host, resolve);
-    });
+    await openHttpServer(server.server, options.host, options.port);
     return server;
   }
 
   get origin(): string {
-    return `http://${this.options.host}:${(this.server.address() as AddressInfo).port}`;
+    return `http://${this.options.host}:${getHttpPort(this.server)}`;
   }
 
   dispose(): void {
--- a/src/standins/workerServer.ts
+++ b/src/standins/workerServer.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Disposable } from '../base/common/disposable.ts';
 import type { Timer } from '../base/common/loop.ts';
 import { formatFaults, parseValue } from '../base/common/parse.ts';
 import { workerCallSchema } from '../model/workerCall.ts';
 import type { MemoryWorker } from './memoryWorker.ts';
+import { getHttpPort, openHttpServer } from '../base/node/httpListening.ts';
 
 export interface WorkerServerOptions {
   readonly host: string;
@@ -33,15 +33,12 @@
 
   static async create(options: WorkerServerOptions): Promise<WorkerServer> {
     const server = new WorkerServer(options);
-    await new Promise<void>((resolve, reject) => {
-      server.server.once('error', reject);
-      server.server.listen(options.port, options.host, resolve);
-    });
+    await openHttpServer(server.server, options.host, options.port);
     return server;
   }
 
   get origin(): string {
-    return `http://${this.options.host}:${(this.server.address() as AddressInfo).port}`;
+    return `http://${this.options.host}:${getHttpPort(this.server)}`;
   }
 
   dispose(): void {
