--- a/src/daemons/agentDaemon.ts
+++ b/src/daemons/agentDaemon.ts
@@ -87,6 +87,7 @@
       hasWorker: settings.workerOrigin !== undefined,
     };
     const state = createAgentState(identity);
+    state.self.stopBoundMs = settings.stopSeconds * 1_000;
     const daemon = new AgentDaemon(log, state, random, settings.workerOrigin);
     daemon.addServices();
     const port = await openGrpcServer(daemon.server, `${settings.host}:${settings.linkPort}`);
--- a/src/daemons/entryDaemon.ts
+++ b/src/daemons/entryDaemon.ts
@@ -79,6 +79,7 @@
     const random = SeededRandom.create(randomInt(0x7fffffff));
     const info = { id: settings.id, region: settings.region, zone: settings.zone, address: '' };
     const state = createEntryState(info, random.takeId());
+    state.self.stopBoundMs = settings.stopSeconds * 1_000;
     const daemon = new EntryDaemon(log, state, random, settings.storeOrigin);
     daemon.addServices();
     const port = await openGrpcServer(daemon.server, `${settings.host}:${settings.linkPort}`);
--- a/src/model/agentState.ts
+++ b/src/model/agentState.ts
@@ -1,6 +1,7 @@
 import { Counters } from '../base/common/counters.ts';
 import type { LoopState } from '../base/common/loop.ts';
 import { Mailbox } from '../base/common/mailbox.ts';
+import type { TableIndex } from '../base/common/table.ts';
 import { Table } from '../base/common/table.ts';
 import type { PendingCallRow } from './call.ts';
 import type { AgentArrival, AgentEffect } from './effects.ts';
@@ -32,6 +33,13 @@
   readonly doneMs: number;
 }
 
+/** An answer that is kept with its body, oldest first in its table. */
+export interface KeptAnswerRow {
+  /** Attempt id. */
+  readonly id: string;
+  readonly bytes: number;
+}
+
 /** A link to an entry over which the agent exchanges. */
 export interface EntryLinkRow {
   /** Address of the entry. */
@@ -56,6 +64,10 @@
   /** Whether the platform runs tasks on this instance. */
   readonly hasWorker: boolean;
   phase: 'starting' | 'serving' | 'leaving' | 'stopped';
+  /** Bound of a graceful shutdown, in milliseconds. */
+  stopBoundMs: number;
+  /** Time of the stop request; undefined before it. */
+  stopRequestedMs: number | undefined;
 }
 
 /** All state of an agent. */
@@ -69,22 +81,53 @@
   readonly links: Table<EntryLinkRow>;
   readonly endpoints: Table<LocalEndpointRow>;
   readonly attempts: Table<LocalAttemptRow>;
+  /** Waiting and running attempts by {@link toAttemptKey}. */
+  readonly attemptsByPhase: TableIndex<LocalAttemptRow>;
+  /** No waiting attempt has an earlier deadline than this. */
+  waitingCheckMs: number;
+  readonly keptAnswers: Table<KeptAnswerRow>;
+  keptBytes: number;
+  /** Time of the last answer to an entry. */
+  lastAnswerMs: number;
   /** Last status of the worker beside this agent, and the agent's time when it asked for it. */
   worker: { readonly status: WorkerStatus; readonly askedMs: number } | undefined;
 }
 
-export function createAgentState(identity: Omit<AgentSelf, 'phase'>): AgentState {
+/** Settings replace it; the value of the design. */
+const DEFAULT_STOP_BOUND_MS = 30_000;
+
+/** Index key of an endpoint's attempts in a phase. */
+export function toAttemptKey(endpointId: string, phase: LocalAttemptRow['phase']): string {
+  return `${phase}|${endpointId}`;
+}
+
+export function createAgentState(
+  identity: Omit<AgentSelf, 'phase' | 'stopBoundMs' | 'stopRequestedMs'>,
+): AgentState {
+  const attempts = Table.create<LocalAttemptRow>('attempts');
   return {
     inbox: Mailbox.create(),
     outbox: Mailbox.create(),
-    self: { ...identity, phase: 'starting' },
+    self: {
+      ...identity,
+      phase: 'starting',
+      stopBoundMs: DEFAULT_STOP_BOUND_MS,
+      stopRequestedMs: undefined,
+    },
     counters: Counters.create(),
     calls: Table.create('calls'),
     config: undefined,
     entries: Table.create('entries'),
     links: Table.create('links'),
     endpoints: Table.create('endpoints'),
-    attempts: Table.create('attempts'),
+    attempts,
+    attemptsByPhase: attempts.addIndex((row) =>
+      row.phase === 'done' ? undefined : toAttemptKey(row.endpointId, row.phase),
+    ),
+    waitingCheckMs: Number.POSITIVE_INFINITY,
+    keptAnswers: Table.create('keptAnswers'),
+    keptBytes: 0,
+    lastAnswerMs: 0,
     worker: undefined,
   };
 }
--- /dev/null
+++ b/src/model/key.ts
@@ -0,0 +1,83 @@
+import * as z from 'zod/mini';
+import type { PeerCall } from './peer.ts';
+import { responseSchema } from './request.ts';
+
+/** What a holder knows about an idempotency key. */
+export const keyRecordSchema = z.object({
+  /** Service and the caller's key. */
+  id: z.string(),
+  fingerprint: z.int(),
+  requestId: z.string(),
+  /** Entry that works on the request. */
+  claimant: z.string(),
+  state: z.enum(['claimed', 'answered', 'unknown']),
+  response: z.optional(responseSchema),
+  /** Time since the last change, in milliseconds. */
+  ageMs: z.number(),
+});
+export type KeyRecord = z.infer<typeof keyRecordSchema>;
+
+/** A key record in the memory of a holder. */
+export interface KeyRow extends Omit<KeyRecord, 'ageMs'> {
+  /** Time of the last change on this holder's clock. */
+  readonly changedMs: number;
+}
+
+/** A claim or settlement that waits for the secondary's answer before the primary answers. */
+export interface KeyCopyRow {
+  readonly id: string;
+  /** Call that the primary answers. */
+  readonly callId: string;
+  readonly key: string;
+  readonly requestId: string;
+  /** Whether the claim declared itself a repeat and the primary's memory does not cover the window. */
+  readonly needsCover: boolean;
+}
+
+/** The outcome of a keyed request on its way to the primary holder. */
+export interface KeySettlementRow {
+  /** Request id. */
+  readonly id: string;
+  readonly call: Extract<PeerCall, { kind: 'settleKey' }>;
+  readonly nextSendMs: number;
+  /** Time of the first send; undefined before it. */
+  readonly firstSentMs: number | undefined;
+}
+
+/** Key records on their way to a new holder. */
+export interface KeyHandOverRow {
+  readonly id: string;
+  readonly entryId: string;
+  readonly call: Extract<PeerCall, { kind: 'handKeys' }>;
+  readonly createdMs: number;
+  readonly nextSendMs: number;
+}
+
+/** The entries as this entry saw them from `sinceMs` on. */
+export interface KeyView {
+  readonly sinceMs: number;
+  readonly members: readonly KeyMember[];
+}
+
+export interface KeyMember {
+  readonly id: string;
+  readonly zone: string;
+}
+
+/** Period of which a former holder has handed over its records. */
+export interface KeyCoverRow {
+  /** Entry id of the former holder. */
+  readonly id: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Bookkeeping of a holder beside its records. */
+export interface KeyMemory {
+  /** Bytes of kept answers. */
+  bytes: number;
+  /** Recent entry lists, oldest first. */
+  views: readonly KeyView[];
+  /** Whether this entry has handed its records over and takes no claims any more. */
+  isHandedOver: boolean;
+}
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -2,6 +2,7 @@
 import { failureSchema } from '../base/common/errors.ts';
 import { configurationSchema } from './configuration.ts';
 import { endpointReportSchema } from './endpoint.ts';
+import { keyRecordSchema } from './key.ts';
 import { responseSchema } from './request.ts';
 
 /** Calls between entries. */
@@ -31,16 +32,27 @@
     requestId: z.string(),
     isRepeat: z.boolean(),
     copy: z.boolean(),
+    /** Entry that works on the request; the caller of the message when absent. */
+    claimant: z.optional(z.string()),
   }),
   z.object({
     kind: z.literal('settleKey'),
     key: z.string(),
     requestId: z.string(),
+    /** Lets a holder that has no record of the claim keep the outcome. */
+    fingerprint: z.optional(z.int()),
     /** `notRun` releases the key; a kept response answers later requests with the same key. */
     outcome: z.enum(['notRun', 'answered', 'unknown']),
     response: z.optional(responseSchema),
     copy: z.boolean(),
   }),
+  /** Key records for an entry that has become a holder of them. */
+  z.object({
+    kind: z.literal('handKeys'),
+    records: z.array(keyRecordSchema),
+    /** Present on the last message of a leaving holder: how far back its records reach, in milliseconds. */
+    coveredMs: z.optional(z.number()),
+  }),
   /** A caller's or operator's call for the owner of a shard. The payload is validated by the owner. */
   z.object({ kind: z.literal('job'), shard: z.string(), call: z.unknown() }),
   z.object({ kind: z.literal('explain'), shard: z.string(), subject: z.string() }),
@@ -55,6 +67,8 @@
   z.object({
     kind: z.literal('keyClaim'),
     state: z.enum(['granted', 'inProgress', 'answered', 'unknown', 'reused']),
+    /** Whether the holder's memory covers the whole window for this key. */
+    isCovered: z.optional(z.boolean()),
     response: z.optional(responseSchema),
   }),
   z.object({ kind: z.literal('json'), value: z.unknown() }),
--- a/src/model/request.ts
+++ b/src/model/request.ts
@@ -62,6 +62,10 @@
   triedEndpoints: z.array(z.string()),
   /** Whether some attempt may have run. */
   mayHaveRun: z.boolean(),
+  /** Whether an attempt that is closed may have run; `mayHaveRun` also counts the open attempt. */
+  hasRunBefore: z.optional(z.boolean()),
+  /** Whether holders of the idempotency key may have a claim of this request. */
+  hasClaim: z.optional(z.boolean()),
   /** The most telling failure so far; the answer when nothing else can be tried. */
   lastFailure: z.optional(failureSchema),
 });
@@ -79,6 +83,10 @@
   sentMs: z.number(),
   /** Times that the message was sent to the same agent because no answer came. */
   sends: z.int(),
+  /** Address of the agent; set when a resend is due, because the endpoint's row may go away. */
+  agentAddress: z.optional(z.string()),
+  /** Time of the next send while `resending`. */
+  resendAtMs: z.optional(z.number()),
 });
 export type AttemptRow = z.infer<typeof attemptRowSchema>;
 
@@ -95,6 +103,8 @@
   headers: headersSchema,
   body: bytesSchema,
   maxResponseBytes: z.int(),
+  /** Whether the agent may cancel the attempt while it runs, once it is abandoned. */
+  idempotent: z.optional(z.boolean()),
 });
 export type AttemptMessage = z.infer<typeof attemptMessageSchema>;
 
--- /dev/null
+++ b/src/systems/attempts/attemptRecords.ts
@@ -0,0 +1,107 @@
+import { createFailure } from '../../base/common/errors.ts';
+import type { Tick } from '../../base/common/system.ts';
+import type { AgentState, LocalAttemptRow } from '../../model/agentState.ts';
+import { toAttemptKey } from '../../model/agentState.ts';
+import type { LoadSignal } from '../../model/endpoint.ts';
+import type { AttemptReply } from '../../model/request.ts';
+
+/** Answers are kept this long for copies of the attempt; entries resend for at most 20 s. */
+export const ANSWER_RETENTION_MS = 30_000;
+/** Bodies of kept answers; beyond this the oldest are replaced by `outcome_unknown`. */
+export const MAX_KEPT_BYTES = 16 * 1024 * 1024;
+const LATENCY_SMOOTHING = 0.1;
+
+/** Load of an endpoint now. */
+export function buildLoad(state: AgentState, endpointId: string): LoadSignal {
+  return {
+    running: state.attemptsByPhase.count(toAttemptKey(endpointId, 'running')),
+    waiting: state.attemptsByPhase.count(toAttemptKey(endpointId, 'waiting')),
+    latencyMs: state.endpoints.get(endpointId)?.latencyMs ?? 0,
+  };
+}
+
+export function sendAnswer(
+  state: AgentState,
+  tick: Tick,
+  callId: string,
+  reply: AttemptReply,
+): void {
+  state.lastAnswerMs = tick.now;
+  state.outbox.append({ kind: 'answerAttempt', callId, reply });
+}
+
+/** Ends an attempt, answers every call that waits for it and keeps the answer for copies. */
+export function closeAttempt(
+  state: AgentState,
+  tick: Tick,
+  attemptId: string,
+  outcome: AttemptReply['outcome'],
+): void {
+  const attempt = state.attempts.get(attemptId);
+  if (attempt === undefined || attempt.phase === 'done') {
+    state.counters.add('late_endpoint_answers');
+    return;
+  }
+  if (attempt.phase === 'running') recordLatency(state, attempt, tick.now - attempt.startedMs);
+  // Removed and inserted again: closed attempts stay in the order in which they expire.
+  state.attempts.remove(attemptId);
+  const reply: AttemptReply = {
+    attemptId,
+    load: buildLoad(state, attempt.endpointId),
+    outcome,
+  };
+  state.attempts.set({
+    ...attempt,
+    phase: 'done',
+    message: undefined,
+    callIds: [],
+    reply,
+    doneMs: tick.now,
+  });
+  for (const callId of attempt.callIds) sendAnswer(state, tick, callId, reply);
+  if (outcome.kind === 'response') keepAnswer(state, attemptId, outcome.response.body.byteLength);
+}
+
+/** Removes the records whose retention is over. */
+export function removeExpiredAttempts(state: AgentState, nowMs: number): void {
+  for (const attempt of state.attempts.values()) {
+    if (attempt.phase !== 'done') continue;
+    if (nowMs - attempt.doneMs < ANSWER_RETENTION_MS) return;
+    state.attempts.remove(attempt.id);
+    releaseBytes(state, attempt.id);
+  }
+}
+
+function keepAnswer(state: AgentState, attemptId: string, bytes: number): void {
+  state.keptAnswers.set({ id: attemptId, bytes });
+  state.keptBytes += bytes;
+  if (state.keptBytes <= MAX_KEPT_BYTES) return;
+  for (const oldest of state.keptAnswers.values()) {
+    displaceAnswer(state, oldest.id);
+    if (state.keptBytes <= MAX_KEPT_BYTES) return;
+  }
+}
+
+/** The record itself stays, so that a copy of the attempt does not run. */
+function displaceAnswer(state: AgentState, attemptId: string): void {
+  releaseBytes(state, attemptId);
+  state.counters.add('kept_answers_displaced');
+  const failure = createFailure('outcome_unknown', 'the answer is no longer kept');
+  state.attempts.update(attemptId, {
+    reply: { attemptId, outcome: { kind: 'failed', failure } },
+  });
+}
+
+function releaseBytes(state: AgentState, attemptId: string): void {
+  state.keptBytes -= state.keptAnswers.remove(attemptId)?.bytes ?? 0;
+}
+
+function recordLatency(state: AgentState, attempt: LocalAttemptRow, durationMs: number): void {
+  const endpoint = state.endpoints.get(attempt.endpointId);
+  if (endpoint === undefined) return;
+  const latencyMs =
+    endpoint.latencyMs === 0
+      ? durationMs
+      : endpoint.latencyMs + LATENCY_SMOOTHING * (durationMs - endpoint.latencyMs);
+  state.endpoints.update(endpoint.id, { latencyMs });
+}
--- a/src/systems/attempts/attemptSystem.ts
+++ b/src/systems/attempts/attemptSystem.ts
@@ -3,18 +3,18 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { AgentState, LocalAttemptRow, LocalEndpointRow } from '../../model/agentState.ts';
-import type { AttemptMessage, AttemptReply } from '../../model/request.ts';
+import { toAttemptKey } from '../../model/agentState.ts';
+import type { AttemptMessage } from '../../model/request.ts';
+import { buildLoad, closeAttempt, removeExpiredAttempts, sendAnswer } from './attemptRecords.ts';
 
-/** Answers are kept this long for copies of the attempt; entries resend for at most 20 s. */
-export const ANSWER_RETENTION_MS = 30_000;
 /** Attempts that may wait at the agent per slot of the endpoint. */
 const WAITING_PER_SLOT = 1;
-const LATENCY_SMOOTHING = 0.1;
 
 /**
  * Admits attempts to the endpoints beside the agent, each at most once.
- * Reads `attempt`, `endpointResponse`, `endpointFailed`. Writes `attempts`, `endpoints`.
- * Runs each turn.
+ * Reads `attempt`, `attemptAbandoned`, `endpointResponse`, `endpointFailed`.
+ * Writes `attempts`, `endpoints`, `keptAnswers`.
+ * Runs each turn, after announcements.
  */
 export class AttemptSystem extends System<AgentState> {
   override readonly name = 'attempt';
@@ -28,37 +28,27 @@
   }
 
   override run(state: AgentState, tick: Tick): void {
-    for (const arrival of state.inbox.list('endpointResponse')) {
-      this.close(state, tick, arrival.attemptId, { kind: 'response', response: arrival.response });
-    }
-    for (const arrival of state.inbox.list('endpointFailed')) {
-      this.close(state, tick, arrival.attemptId, {
-        kind: arrival.sent ? 'failed' : 'rejected',
-        failure: arrival.failure,
-      });
-    }
-    for (const arrival of state.inbox.list('attempt'))
-      this.receive(state, tick, arrival.callId, arrival.message);
+    for (const { attemptId, response } of state.inbox.list('endpointResponse'))
+      closeAttempt(state, tick, attemptId, { kind: 'response', response });
+    for (const { attemptId, failure, sent } of state.inbox.list('endpointFailed'))
+      closeAttempt(state, tick, attemptId, { kind: sent ? 'failed' : 'rejected', failure });
+    for (const { attemptId } of state.inbox.list('attemptAbandoned'))
+      this.handleAbandoned(state, tick, attemptId);
+    for (const { callId, message } of state.inbox.list('attempt'))
+      this.receive(state, tick, callId, message);
+    if (tick.now >= state.waitingCheckMs) this.closeOverdue(state, tick);
     for (const endpoint of state.endpoints.values()) this.startWaiting(state, tick, endpoint);
-    this.removeExpired(state, tick);
+    removeExpiredAttempts(state, tick.now);
+    tick.wakeAt(state.waitingCheckMs);
   }
 
   private receive(state: AgentState, tick: Tick, callId: string, message: AttemptMessage): void {
     const known = state.attempts.get(message.attemptId);
     if (known !== undefined) {
-      this.join(state, callId, known);
-      return;
-    }
-    const failure = this.findRejection(state, message);
-    if (failure !== undefined) {
-      state.counters.add('attempt_rejections', { reason: failure.kind });
-      const reply: AttemptReply = {
-        attemptId: message.attemptId,
-        outcome: { kind: 'rejected', failure },
-      };
-      state.outbox.append({ kind: 'answerAttempt', callId, reply });
+      this.join(state, tick, callId, known);
       return;
     }
+    const deadlineMs = tick.now + message.remainingMs;
     state.attempts.set({
       id: message.attemptId,
       endpointId: message.endpointId,
@@ -68,56 +58,55 @@
       reply: undefined,
       receivedMs: tick.now,
       startedMs: 0,
-      deadlineMs: tick.now + message.remainingMs,
+      deadlineMs,
       doneMs: 0,
     });
+    const failure = this.findRejection(state, message);
+    // A rejection is recorded like an answer: a delayed copy of the attempt must not run after the
+    // entry was told that it did not.
+    if (failure !== undefined) this.reject(state, tick, message.attemptId, failure);
+    else state.waitingCheckMs = Math.min(state.waitingCheckMs, deadlineMs);
   }
 
-  private join(state: AgentState, callId: string, known: LocalAttemptRow): void {
+  private join(state: AgentState, tick: Tick, callId: string, known: LocalAttemptRow): void {
+    state.counters.add('attempt_copies');
     if (known.reply === undefined)
       state.attempts.update(known.id, { callIds: [...known.callIds, callId] });
-    else state.outbox.append({ kind: 'answerAttempt', callId, reply: known.reply });
+    else sendAnswer(state, tick, callId, known.reply);
+  }
+
+  private reject(state: AgentState, tick: Tick, attemptId: string, failure: Failure): void {
+    state.counters.add('attempt_rejections', { reason: failure.kind });
+    closeAttempt(state, tick, attemptId, { kind: 'rejected', failure });
   }
 
   private findRejection(state: AgentState, message: AttemptMessage): Failure | undefined {
-    if (message.agentBootId !== state.self.bootId) {
-      return createFailure(
-        'agent_restarted',
-        'the agent has restarted since the attempt was addressed',
-      );
-    }
+    if (message.agentBootId !== state.self.bootId)
+      return createFailure('agent_restarted', 'the attempt is addressed to an earlier boot');
     const endpoint = state.endpoints.get(message.endpointId);
     if (endpoint === undefined)
       return createFailure('no_endpoint', `endpoint ${message.endpointId} is not here`);
-    if (endpoint.draining || state.self.phase === 'leaving') {
+    if (endpoint.draining || state.self.phase === 'leaving')
       return createFailure('endpoint_draining', `endpoint ${endpoint.id} is leaving`);
-    }
-    const { running, waiting } = this.countAttempts(state, endpoint.id);
-    if (running + waiting >= endpoint.slots * (1 + WAITING_PER_SLOT)) {
-      return createFailure(
-        'endpoint_busy',
-        `all ${endpoint.slots} slots of endpoint ${endpoint.id} are taken`,
-      );
-    }
+    if (message.remainingMs <= 0)
+      return createFailure('deadline_exceeded_before_run', 'the attempt arrived too late');
+    // The new attempt is already counted as waiting.
+    const { running, waiting } = buildLoad(state, endpoint.id);
+    if (running + waiting > getLimit(endpoint) * (1 + WAITING_PER_SLOT))
+      return createFailure('endpoint_busy', `no slot of endpoint ${endpoint.id} is free`);
     return undefined;
   }
 
   private startWaiting(state: AgentState, tick: Tick, endpoint: LocalEndpointRow): void {
-    let { running } = this.countAttempts(state, endpoint.id);
-    for (const attempt of state.attempts.list()) {
-      if (
-        attempt.endpointId !== endpoint.id ||
-        attempt.phase !== 'waiting' ||
-        running >= endpoint.slots
-      )
-        continue;
+    const waitingKey = toAttemptKey(endpoint.id, 'waiting');
+    const limit = getLimit(endpoint);
+    let running = state.attemptsByPhase.count(toAttemptKey(endpoint.id, 'running'));
+    if (running >= limit || state.attemptsByPhase.count(waitingKey) === 0) return;
+    for (const attempt of state.attemptsByPhase.list(waitingKey)) {
+      if (running >= limit) return;
       if (attempt.message === undefined) continue;
       running += 1;
-      state.attempts.update(attempt.id, {
-        phase: 'running',
-        startedMs: tick.now,
-        message: undefined,
-      });
+      state.attempts.update(attempt.id, { phase: 'running', startedMs: tick.now });
       state.outbox.append({
         kind: 'forwardAttempt',
         origin: endpoint.origin,
@@ -128,56 +117,38 @@
     }
   }
 
-  private close(
-    state: AgentState,
-    tick: Tick,
-    attemptId: string,
-    outcome: AttemptReply['outcome'],
-  ): void {
-    const attempt = state.attempts.get(attemptId);
-    if (attempt === undefined || attempt.phase === 'done') return;
-    this.recordLatency(state, attempt, tick.now - attempt.startedMs);
-    state.attempts.update(attemptId, { phase: 'done', doneMs: tick.now });
-    const endpoint = state.endpoints.get(attempt.endpointId);
-    const load = {
-      ...this.countAttempts(state, attempt.endpointId),
-      latencyMs: endpoint?.latencyMs ?? 0,
-    };
-    const reply: AttemptReply = { attemptId, load, outcome };
-    state.attempts.update(attemptId, { reply, callIds: [] });
-    for (const callId of attempt.callIds)
-      state.outbox.append({ kind: 'answerAttempt', callId, reply });
-  }
-
-  private recordLatency(state: AgentState, attempt: LocalAttemptRow, durationMs: number): void {
-    const endpoint = state.endpoints.get(attempt.endpointId);
-    if (endpoint === undefined) return;
-    const latencyMs =
-      endpoint.latencyMs === 0
-        ? durationMs
-        : endpoint.latencyMs + LATENCY_SMOOTHING * (durationMs - endpoint.latencyMs);
-    state.endpoints.update(endpoint.id, { latencyMs });
-  }
-
-  private countAttempts(
-    state: AgentState,
-    endpointId: string,
-  ): { running: number; waiting: number } {
-    let running = 0;
-    let waiting = 0;
-    for (const attempt of state.attempts.values()) {
-      if (attempt.endpointId !== endpointId) continue;
-      if (attempt.phase === 'running') running += 1;
-      else if (attempt.phase === 'waiting') waiting += 1;
+  private closeOverdue(state: AgentState, tick: Tick): void {
+    let nextMs = Number.POSITIVE_INFINITY;
+    for (const endpointKey of [...state.attemptsByPhase.keys()]) {
+      if (!endpointKey.startsWith(toAttemptKey('', 'waiting'))) continue;
+      for (const attempt of state.attemptsByPhase.list(endpointKey)) {
+        if (attempt.deadlineMs > tick.now) nextMs = Math.min(nextMs, attempt.deadlineMs);
+        else this.reject(state, tick, attempt.id, buildOverdueFailure(attempt));
+      }
     }
-    return { running, waiting };
+    state.waitingCheckMs = nextMs;
   }
 
-  private removeExpired(state: AgentState, tick: Tick): void {
-    for (const attempt of state.attempts.values()) {
-      if (attempt.phase !== 'done') continue;
-      if (tick.now - attempt.doneMs < ANSWER_RETENTION_MS) break;
-      state.attempts.remove(attempt.id);
+  /** A waiting attempt is dropped; a running one is cancelled only where that does no harm. */
+  private handleAbandoned(state: AgentState, tick: Tick, attemptId: string): void {
+    const attempt = state.attempts.get(attemptId);
+    if (attempt === undefined || attempt.phase === 'done') return;
+    state.counters.add('attempts_abandoned', { phase: attempt.phase });
+    if (attempt.phase === 'waiting') {
+      const failure = createFailure('deadline_exceeded_before_run', 'the entry gave up waiting');
+      this.reject(state, tick, attemptId, failure);
+    } else if (attempt.message?.idempotent === true) {
+      state.outbox.append({ kind: 'cancelForward', attemptId });
     }
   }
 }
+
+/** Requests that may run at an endpoint at the same time. */
+function getLimit(endpoint: LocalEndpointRow): number {
+  return Math.min(endpoint.slots, endpoint.connections);
+}
+
+function buildOverdueFailure(attempt: LocalAttemptRow): Failure {
+  const message = `no slot of endpoint ${attempt.endpointId} became free within the deadline`;
+  return createFailure('deadline_exceeded_before_run', message);
+}
--- /dev/null
+++ b/src/systems/drain/agentDrainSystem.ts
@@ -0,0 +1,59 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { AgentState } from '../../model/agentState.ts';
+
+/** Names what still has to finish before the process may exit. */
+export type AgentBlocker = (state: AgentState, nowMs: number) => string[];
+
+/** Entries learn within 2 s that the endpoints are leaving; until then the agent rejects attempts. */
+const MIN_LEAVE_MS = 2_000;
+/** Time for the last answers to leave the process. */
+const LAST_ANSWER_MS = 100;
+/** Period of the check while something blocks the exit. */
+const CHECK_MS = 100;
+
+/** Attempts in progress, answers under way and the notice to the entries. */
+export function listAttemptBlockers(state: AgentState, nowMs: number): string[] {
+  const blockers: string[] = [];
+  if ([...state.attemptsByPhase.keys()].length > 0) blockers.push('attempts');
+  if (nowMs - state.lastAnswerMs < LAST_ANSWER_MS) blockers.push('answers');
+  const stopMs = state.self.stopRequestedMs ?? nowMs;
+  if (state.endpoints.size > 0 && nowMs - stopMs < MIN_LEAVE_MS) blockers.push('notice');
+  return blockers;
+}
+
+/**
+ * Leads an agent through its graceful shutdown.
+ * Reads `stopRequested` and what the blockers read. Writes `self`.
+ * Runs each turn, after all other systems.
+ */
+export class AgentDrainSystem extends System<AgentState> {
+  override readonly name = 'agentDrain';
+
+  private constructor(private readonly blockers: readonly AgentBlocker[]) {
+    super();
+  }
+
+  static create(blockers: readonly AgentBlocker[] = [listAttemptBlockers]): AgentDrainSystem {
+    return new AgentDrainSystem(blockers);
+  }
+
+  override run(state: AgentState, tick: Tick): void {
+    const { self } = state;
+    if (state.inbox.list('stopRequested').length > 0 && self.stopRequestedMs === undefined) {
+      self.phase = 'leaving';
+      self.stopRequestedMs = tick.now;
+    }
+    if (self.phase !== 'leaving' || self.stopRequestedMs === undefined) return;
+    const names = this.blockers.flatMap((list) => list(state, tick.now));
+    if (names.length > 0 && tick.now - self.stopRequestedMs < self.stopBoundMs) {
+      tick.wakeAt(tick.now + CHECK_MS);
+      return;
+    }
+    self.phase = 'stopped';
+    const level = names.length > 0 ? 'warn' : 'info';
+    const fields = { unfinished: names.join(',') };
+    state.outbox.append({ kind: 'log', level, event: 'agent_stopped', fields });
+    state.outbox.append({ kind: 'exit' });
+  }
+}
--- /dev/null
+++ b/src/systems/keys/keyClaimSystem.ts
@@ -0,0 +1,81 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { KeySettlementRow } from '../../model/key.ts';
+import type { RequestRow } from '../../model/request.ts';
+import { sendKeyCall } from './keyCalls.ts';
+import { listHolders, listMembers } from './keyHolders.ts';
+import { getKeyName, hashRequest } from './keySettlement.ts';
+
+/** A settlement that no holder accepts within this time is dropped; the claim then stays open. */
+const SETTLE_GIVE_UP_MS = 30_000;
+const RESEND_MS = 500;
+
+/**
+ * Sends claims and settlements of this entry's requests to the primary holders.
+ * Reads `requests`, `entries`. Writes `calls`, `requests`, `keySettlements`.
+ * Runs each turn, after intake and before the holder, so that a local holder answers in the turn.
+ */
+export class KeyClaimSystem extends System<EntryState> {
+  override readonly name = 'keyClaim';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): KeyClaimSystem {
+    return new KeyClaimSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const request of state.requestsByPhase.list('claiming')) {
+      if (state.calls.has(`claim/${request.id}`)) continue;
+      if (request.notBeforeMs > tick.now) tick.wakeAt(request.notBeforeMs);
+      else this.sendClaim(state, tick, request);
+    }
+    for (const settlement of state.keySettlements.list()) {
+      if (settlement.nextSendMs > tick.now) tick.wakeAt(settlement.nextSendMs);
+      else this.sendSettlement(state, tick, settlement);
+    }
+  }
+
+  private sendClaim(state: EntryState, tick: Tick, request: RequestRow): void {
+    const key = getKeyName(request);
+    const primary = listHolders(key, listMembers(state))[0];
+    if (primary === undefined) return;
+    const callId = `claim/${request.id}`;
+    const isSent = sendKeyCall(state, primary.id, callId, {
+      kind: 'claimKey',
+      key,
+      fingerprint: hashRequest(request),
+      requestId: request.id,
+      isRepeat: request.request.isRepeat,
+      copy: false,
+      claimant: state.self.info.id,
+    });
+    if (!isSent) return;
+    state.requests.update(request.id, { hasClaim: true });
+    state.calls.set({
+      id: callId,
+      owner: this.name,
+      purpose: 'claim',
+      subject: request.id,
+      sentMs: tick.now,
+    });
+  }
+
+  private sendSettlement(state: EntryState, tick: Tick, settlement: KeySettlementRow): void {
+    const firstSentMs = settlement.firstSentMs ?? tick.now;
+    if (tick.now - firstSentMs > SETTLE_GIVE_UP_MS) {
+      state.counters.add('key_settlements_dropped');
+      state.keySettlements.remove(settlement.id);
+      return;
+    }
+    const primary = listHolders(settlement.call.key, listMembers(state))[0];
+    if (primary === undefined) return;
+    const nextSendMs = tick.now + RESEND_MS;
+    state.keySettlements.set({ ...settlement, firstSentMs, nextSendMs });
+    tick.wakeAt(nextSendMs);
+    sendKeyCall(state, primary.id, `settle/${settlement.id}`, settlement.call);
+  }
+}
--- /dev/null
+++ b/src/systems/keys/keyHandOverSystem.ts
@@ -0,0 +1,156 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { KeyHandOverRow, KeyMember, KeyRecord } from '../../model/key.ts';
+import { sendKeyCall } from './keyCalls.ts';
+import { KEY_WINDOW_MS, listHolders, listMembers } from './keyHolders.ts';
+import { toKeyRecord } from './keyRecords.ts';
+
+/** Bytes of answers in one message. */
+const MAX_BATCH_BYTES = 512 * 1024;
+const MAX_BATCH_RECORDS = 2_000;
+const RESEND_MS = 500;
+const GIVE_UP_MS = 15_000;
+
+/**
+ * Gives key records to the next holders when the entries change or this entry leaves.
+ * Reads `entries`, `peerReply`. Writes `keyMemory`, `keyHandOvers`, `keys`.
+ * Runs each turn, before the claims, so that they see the present holders.
+ */
+export class KeyHandOverSystem extends System<EntryState> {
+  override readonly name = 'keyHandOver';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): KeyHandOverSystem {
+    return new KeyHandOverSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const { callId, reply } of state.inbox.list('peerReply'))
+      if (reply?.kind === 'done') state.keyHandOvers.remove(callId);
+    const previous = state.keyMemory.views.at(-1)?.members;
+    const members = listMembers(state);
+    if (previous === undefined || !isSameList(previous, members)) {
+      this.recordView(state, tick, members);
+      if (previous !== undefined) this.handleChange(state, tick, previous, members);
+    }
+    this.handOverAll(state, tick, members);
+    for (const row of state.keyHandOvers.list()) this.send(state, tick, row);
+  }
+
+  private recordView(state: EntryState, tick: Tick, members: readonly KeyMember[]): void {
+    const views = [...state.keyMemory.views, { sinceMs: tick.now, members }];
+    const startMs = tick.now - KEY_WINDOW_MS;
+    const first = views.findLastIndex((view) => view.sinceMs <= startMs);
+    state.keyMemory.views = first > 0 ? views.slice(first) : views;
+  }
+
+  private handleChange(
+    state: EntryState,
+    tick: Tick,
+    previous: readonly KeyMember[],
+    members: readonly KeyMember[],
+  ): void {
+    const gone = new Set(previous.map(({ id }) => id));
+    for (const { id } of members) gone.delete(id);
+    for (const row of state.keys.list()) {
+      // Nobody is left to say how the request ended.
+      if (row.state === 'claimed' && gone.has(row.claimant))
+        state.keys.update(row.id, { state: 'unknown' });
+    }
+    this.queueRecords(state, tick, previous, members);
+  }
+
+  /** Hands over everything once nothing of this entry changes the records any more. */
+  private handOverAll(state: EntryState, tick: Tick, members: readonly KeyMember[]): void {
+    const { self, keyMemory } = state;
+    if (keyMemory.isHandedOver || self.phase !== 'leaving' || !self.isFrontClosed) return;
+    if (state.requests.size > 0 || state.keySettlements.size > 0 || state.keyCopies.size > 0)
+      return;
+    keyMemory.isHandedOver = true;
+    const others = members.filter(({ id }) => id !== self.info.id);
+    this.queueRecords(state, tick, members, others);
+    const coveredMs = tick.now - (keyMemory.views[0]?.sinceMs ?? tick.now);
+    for (const { id } of others) this.queueBatch(state, tick, id, [], coveredMs);
+  }
+
+  private queueRecords(
+    state: EntryState,
+    tick: Tick,
+    previous: readonly KeyMember[],
+    members: readonly KeyMember[],
+  ): void {
+    const recordsByEntry = new Map<string, KeyRecord[]>();
+    for (const row of state.keys.values()) {
+      const known = new Set(listHolders(row.id, previous).map(({ id }) => id));
+      for (const { id } of listHolders(row.id, members)) {
+        if (known.has(id) || id === state.self.info.id) continue;
+        const records = recordsByEntry.get(id) ?? [];
+        records.push(toKeyRecord(row, tick.now));
+        recordsByEntry.set(id, records);
+      }
+    }
+    for (const [entryId, records] of recordsByEntry)
+      for (const batch of listBatches(records)) this.queueBatch(state, tick, entryId, batch);
+  }
+
+  private queueBatch(
+    state: EntryState,
+    tick: Tick,
+    entryId: string,
+    records: KeyRecord[],
+    coveredMs?: number,
+  ): void {
+    state.counters.add('key_records_handed_over', {}, records.length);
+    const id = `handKeys/${tick.random.takeId()}`;
+    const call = { kind: 'handKeys' as const, records };
+    state.keyHandOvers.set({
+      id,
+      entryId,
+      call: coveredMs === undefined ? call : { ...call, coveredMs },
+      createdMs: tick.now,
+      nextSendMs: tick.now,
+    });
+  }
+
+  private send(state: EntryState, tick: Tick, row: KeyHandOverRow): void {
+    const isOver = tick.now - row.createdMs > GIVE_UP_MS || !state.entries.has(row.entryId);
+    if (isOver) {
+      state.counters.add('key_hand_overs_dropped');
+      state.keyHandOvers.remove(row.id);
+      return;
+    }
+    if (row.nextSendMs > tick.now) {
+      tick.wakeAt(row.nextSendMs);
+      return;
+    }
+    const nextSendMs = tick.now + RESEND_MS;
+    state.keyHandOvers.update(row.id, { nextSendMs });
+    tick.wakeAt(nextSendMs);
+    sendKeyCall(state, row.entryId, row.id, row.call);
+  }
+}
+
+function isSameList(a: readonly KeyMember[], b: readonly KeyMember[]): boolean {
+  return a.length === b.length && a.every(({ id }, index) => id === b[index]?.id);
+}
+
+function listBatches(records: readonly KeyRecord[]): KeyRecord[][] {
+  const batches: KeyRecord[][] = [];
+  let bytes = Number.POSITIVE_INFINITY;
+  for (const record of records) {
+    const last = batches.at(-1);
+    const size = record.response?.body.byteLength ?? 0;
+    if (last === undefined || bytes + size > MAX_BATCH_BYTES || last.length >= MAX_BATCH_RECORDS) {
+      batches.push([record]);
+      bytes = size;
+    } else {
+      last.push(record);
+      bytes += size;
+    }
+  }
+  return batches;
+}
--- /dev/null
+++ b/src/systems/keys/keyHolderSystem.ts
@@ -0,0 +1,165 @@
+import { createFailure } from '../../base/common/errors.ts';
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { KeyCopyRow, KeyRow } from '../../model/key.ts';
+import type { PeerCall, PeerReply } from '../../model/peer.ts';
+import { answerKeyCall, sendKeyCall } from './keyCalls.ts';
+import { isCovered, listHolders, listMembers } from './keyHolders.ts';
+import { applySettlement, mergeKeyRecord, removeExpiredKeys, removeKeyRow } from './keyRecords.ts';
+import { setKeyRow } from './keyRecords.ts';
+
+type ClaimCall = Extract<PeerCall, { kind: 'claimKey' }>;
+type SettleCall = Extract<PeerCall, { kind: 'settleKey' }>;
+type HandCall = Extract<PeerCall, { kind: 'handKeys' }>;
+type ClaimReply = Extract<PeerReply, { kind: 'keyClaim' }>;
+
+/**
+ * Keeps the records of the idempotency keys that this entry holds.
+ * Reads `peerCall`, `peerReply`, `entries`. Writes `keys`, `keyCopies`, `keyCovers`.
+ * Runs each turn, between the sending of claims and the handling of their answers.
+ */
+export class KeyHolderSystem extends System<EntryState> {
+  override readonly name = 'keyHolder';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): KeyHolderSystem {
+    return new KeyHolderSystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const { callId, from, call } of state.inbox.list('peerCall')) {
+      if (call.kind === 'claimKey') this.handleClaim(state, tick, callId, from, call);
+      else if (call.kind === 'settleKey') this.handleSettlement(state, tick, callId, call);
+      else if (call.kind === 'handKeys') this.handleRecords(state, tick, callId, from, call);
+    }
+    for (const { callId, reply } of [...state.inbox.list('peerReply')]) {
+      const copy = state.keyCopies.remove(callId);
+      if (copy !== undefined) this.handleCopyReply(state, copy, reply);
+    }
+    removeExpiredKeys(state, tick.now);
+  }
+
+  private handleClaim(
+    state: EntryState,
+    tick: Tick,
+    callId: string,
+    from: string,
+    call: ClaimCall,
+  ): void {
+    if (!canHold(state, call)) {
+      answerWithFailure(state, callId);
+      return;
+    }
+    const row = state.keys.get(call.key);
+    if (row !== undefined && !isOwnClaim(row, call)) {
+      answerKeyCall(state, callId, buildClaimReply(row, call));
+      return;
+    }
+    const covered = row !== undefined || !call.isRepeat || isCovered(state, tick.now, call.key);
+    setKeyRow(state, {
+      id: call.key,
+      fingerprint: call.fingerprint,
+      requestId: call.requestId,
+      claimant: call.claimant ?? from,
+      state: 'claimed',
+      changedMs: tick.now,
+    });
+    if (call.copy) {
+      answerKeyCall(state, callId, { kind: 'keyClaim', state: 'granted', isCovered: covered });
+      return;
+    }
+    const copy = { callId, key: call.key, requestId: call.requestId, needsCover: !covered };
+    if (this.sendCopy(state, call, copy)) return;
+    if (!covered) removeKeyRow(state, call.key);
+    answerKeyCall(state, callId, { kind: 'keyClaim', state: covered ? 'granted' : 'unknown' });
+  }
+
+  private handleSettlement(state: EntryState, tick: Tick, callId: string, call: SettleCall): void {
+    if (!canHold(state, call)) {
+      answerWithFailure(state, callId);
+      return;
+    }
+    applySettlement(state, tick.now, call);
+    const copy = { callId, key: call.key, requestId: call.requestId, needsCover: false };
+    if (call.copy || !this.sendCopy(state, call, copy))
+      answerKeyCall(state, callId, { kind: 'done' });
+  }
+
+  private handleRecords(
+    state: EntryState,
+    tick: Tick,
+    callId: string,
+    from: string,
+    call: HandCall,
+  ): void {
+    for (const record of call.records) mergeKeyRecord(state, tick.now, record);
+    if (call.coveredMs !== undefined)
+      state.keyCovers.set({ id: from, fromMs: tick.now - call.coveredMs, untilMs: tick.now });
+    answerKeyCall(state, callId, { kind: 'done' });
+  }
+
+  /** Returns false when there is no other holder. */
+  private sendCopy(
+    state: EntryState,
+    call: ClaimCall | SettleCall,
+    copy: Omit<KeyCopyRow, 'id'>,
+  ): boolean {
+    const secondary = listHolders(call.key, listMembers(state))[1];
+    if (secondary === undefined) return false;
+    const id = `copy/${copy.callId}`;
+    state.keyCopies.set({ id, ...copy });
+    sendKeyCall(state, secondary.id, id, { ...call, copy: true });
+    return true;
+  }
+
+  private handleCopyReply(state: EntryState, copy: KeyCopyRow, reply: PeerReply | undefined): void {
+    if (reply === undefined || reply.kind === 'failure') {
+      state.counters.add('key_copies_failed');
+      answerWithFailure(state, copy.callId);
+      return;
+    }
+    if (reply.kind !== 'keyClaim') {
+      answerKeyCall(state, copy.callId, reply);
+      return;
+    }
+    const answer = toPrimaryReply(copy, reply);
+    const isOwn = state.keys.get(copy.key)?.requestId === copy.requestId;
+    if (answer.state !== 'granted' && isOwn) removeKeyRow(state, copy.key);
+    answerKeyCall(state, copy.callId, answer);
+  }
+}
+
+/** A primary refuses what another entry should hold; a copy is always accepted. */
+function canHold(state: EntryState, call: ClaimCall | SettleCall): boolean {
+  if (state.keyMemory.isHandedOver) return false;
+  if (call.copy) return true;
+  return listHolders(call.key, listMembers(state))[0]?.id === state.self.info.id;
+}
+
+function isOwnClaim(row: KeyRow, call: ClaimCall): boolean {
+  return row.requestId === call.requestId && row.state === 'claimed';
+}
+
+function buildClaimReply(row: KeyRow, call: ClaimCall): ClaimReply {
+  if (row.fingerprint !== call.fingerprint) return { kind: 'keyClaim', state: 'reused' };
+  if (row.state === 'claimed') return { kind: 'keyClaim', state: 'inProgress' };
+  if (row.state === 'unknown' || row.response === undefined)
+    return { kind: 'keyClaim', state: 'unknown' };
+  return { kind: 'keyClaim', state: 'answered', response: row.response };
+}
+
+/** The secondary's record wins: it may be older than the primary's memory. */
+function toPrimaryReply(copy: KeyCopyRow, reply: ClaimReply): ClaimReply {
+  if (reply.state === 'granted' && copy.needsCover && reply.isCovered !== true)
+    return { kind: 'keyClaim', state: 'unknown' };
+  return reply;
+}
+
+function answerWithFailure(state: EntryState, callId: string): void {
+  const failure = createFailure('not_owner', 'this entry does not hold the key now');
+  answerKeyCall(state, callId, { kind: 'failure', failure });
+}
--- /dev/null
+++ b/src/systems/keys/keyRecords.ts
@@ -0,0 +1,89 @@
+import type { EntryState } from '../../model/entryState.ts';
+import type { KeyRecord, KeyRow } from '../../model/key.ts';
+import type { PeerCall } from '../../model/peer.ts';
+import { KEY_WINDOW_MS } from './keyHolders.ts';
+
+type SettleCall = Extract<PeerCall, { kind: 'settleKey' }>;
+
+/** Answers kept by one holder; beyond this the oldest become `unknown`. */
+export const MAX_KEY_BYTES = 16 * 1024 * 1024;
+/** Longest deadline of a request; an open claim is kept for as long as its request may take. */
+const MAX_REQUEST_MS = 600_000;
+
+/** Inserts or replaces a record as the newest one and accounts for its answer. */
+export function setKeyRow(state: EntryState, row: KeyRow): void {
+  removeKeyRow(state, row.id);
+  state.keys.set(row);
+  state.keyMemory.bytes += countBytes(row);
+  if (state.keyMemory.bytes > MAX_KEY_BYTES) displaceAnswers(state);
+}
+
+export function removeKeyRow(state: EntryState, key: string): void {
+  const row = state.keys.remove(key);
+  if (row !== undefined) state.keyMemory.bytes -= countBytes(row);
+}
+
+/** Applies the outcome of a request to its record. */
+export function applySettlement(state: EntryState, nowMs: number, call: SettleCall): void {
+  const row = state.keys.get(call.key);
+  if (row !== undefined && row.requestId !== call.requestId) {
+    state.counters.add('late_key_settlements');
+    return;
+  }
+  if (call.outcome === 'notRun') {
+    removeKeyRow(state, call.key);
+    return;
+  }
+  const fingerprint = row?.fingerprint ?? call.fingerprint;
+  if (fingerprint === undefined) return;
+  setKeyRow(state, {
+    id: call.key,
+    fingerprint,
+    requestId: call.requestId,
+    claimant: row?.claimant ?? '',
+    state: call.outcome,
+    response: call.response,
+    changedMs: nowMs,
+  });
+}
+
+/** Adds a record that another holder has handed over, unless this holder knows more. */
+export function mergeKeyRecord(state: EntryState, nowMs: number, record: KeyRecord): void {
+  const { ageMs, ...fields } = record;
+  const known = state.keys.get(record.id);
+  const isNewer =
+    known === undefined ||
+    (known.requestId === record.requestId &&
+      known.state === 'claimed' &&
+      record.state !== 'claimed');
+  if (isNewer) setKeyRow(state, { ...fields, changedMs: nowMs - ageMs });
+}
+
+export function toKeyRecord(row: KeyRow, nowMs: number): KeyRecord {
+  const { changedMs, ...fields } = row;
+  return { ...fields, ageMs: nowMs - changedMs };
+}
+
+/** Removes records whose window is over. */
+export function removeExpiredKeys(state: EntryState, nowMs: number): void {
+  for (const row of state.keys.values()) {
+    const keepMs = row.state === 'claimed' ? KEY_WINDOW_MS + MAX_REQUEST_MS : KEY_WINDOW_MS;
+    if (nowMs - row.changedMs >= keepMs) removeKeyRow(state, row.id);
+    else if (row.state !== 'claimed') return;
+  }
+}
+
+/** The records stay, so that a repeat is still recognised. */
+function displaceAnswers(state: EntryState): void {
+  for (const row of state.keys.values()) {
+    if (state.keyMemory.bytes <= MAX_KEY_BYTES) return;
+    if (row.response === undefined) continue;
+    state.counters.add('key_answers_displaced');
+    state.keyMemory.bytes -= countBytes(row);
+    state.keys.update(row.id, { state: 'unknown', response: undefined });
+  }
+}
+
+function countBytes(row: KeyRow): number {
+  return row.response?.body.byteLength ?? 0;
+}
--- /dev/null
+++ b/src/systems/keys/keyReplySystem.ts
@@ -0,0 +1,87 @@
+import { createFailure } from '../../base/common/errors.ts';
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { PeerReply } from '../../model/peer.ts';
+import { closeWithFailure, closeWithResponse } from '../requests/refuse.ts';
+
+const CLAIM_RETRY_MS = 50;
+
+/**
+ * Handles the primary holders' answers to claims and settlements.
+ * Reads `peerReply`. Writes `calls`, `requests`, `keySettlements`.
+ * Runs each turn, after the holder and before dispatch.
+ */
+export class KeyReplySystem extends System<EntryState> {
+  override readonly name = 'keyReply';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): KeyReplySystem {
+    return new KeyReplySystem();
+  }
+
+  override run(state: EntryState, tick: Tick): void {
+    for (const { callId, reply } of state.inbox.list('peerReply')) {
+      if (callId.startsWith('claim/')) this.handleClaim(state, tick, callId, reply);
+      if (callId.startsWith('settle/') && reply?.kind === 'done')
+        state.keySettlements.remove(callId.slice('settle/'.length));
+    }
+  }
+
+  private handleClaim(
+    state: EntryState,
+    tick: Tick,
+    callId: string,
+    reply: PeerReply | undefined,
+  ): void {
+    const requestId = state.calls.remove(callId)?.subject ?? '';
+    const request = state.requests.get(requestId);
+    if (request?.phase !== 'claiming') {
+      state.counters.add('late_key_claims');
+      return;
+    }
+    if (reply?.kind !== 'keyClaim') {
+      state.counters.add('key_claims_retried');
+      const notBeforeMs = tick.now + CLAIM_RETRY_MS * (1 + tick.random.takeUnit());
+      state.requests.update(requestId, { notBeforeMs });
+      tick.wakeAt(notBeforeMs);
+      return;
+    }
+    state.counters.add('key_claims', { state: reply.state });
+    if (reply.state === 'granted') state.requests.update(requestId, { phase: 'queued' });
+    else this.answerFromRecord(state, requestId, reply);
+  }
+
+  private answerFromRecord(
+    state: EntryState,
+    requestId: string,
+    reply: Extract<PeerReply, { kind: 'keyClaim' }>,
+  ): void {
+    // The record belongs to another request, which this one must not settle. After `unknown` a copy
+    // of this request's own claim may be left at a holder and has to be released.
+    if (reply.state !== 'unknown') state.requests.update(requestId, { hasClaim: false });
+    if (reply.state === 'answered' && reply.response !== undefined)
+      closeWithResponse(state, requestId, reply.response);
+    else if (reply.state === 'inProgress')
+      closeWithFailure(
+        state,
+        requestId,
+        createFailure('request_in_progress', 'a request with this key is running'),
+      );
+    else if (reply.state === 'reused')
+      closeWithFailure(
+        state,
+        requestId,
+        createFailure('key_reused', 'the key belongs to another request'),
+      );
+    else
+      closeWithFailure(
+        state,
+        requestId,
+        createFailure('outcome_unknown', 'an earlier request with this key may have run'),
+      );
+  }
+}
--- /dev/null
+++ b/src/systems/keys/keySettlement.ts
@@ -0,0 +1,43 @@
+import { hashText } from '../../base/common/rendezvous.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { RequestRow, Response } from '../../model/request.ts';
+
+/** Largest answer that holders keep; a larger one is settled as `unknown`. */
+const MAX_KEPT_RESPONSE_BYTES = 32 * 1024;
+
+/** Name under which holders know the idempotency key of a request. */
+export function getKeyName(request: RequestRow): string {
+  return `${request.service}/${request.request.idempotencyKey ?? ''}`;
+}
+
+/** Hash that tells whether two requests with the same key are the same request. */
+export function hashRequest(request: RequestRow): number {
+  const { method, path, body } = request.request;
+  const text = `${request.route} ${method} ${path} ${Buffer.from(body).toString('latin1')}`;
+  return hashText(text);
+}
+
+/** Queues the message that tells the key holders how a claimed request ended. */
+export function queueSettlement(
+  state: EntryState,
+  request: RequestRow,
+  outcome: 'notRun' | 'answered' | 'unknown',
+  response?: Response,
+): void {
+  if (request.hasClaim !== true) return;
+  const isKept = response !== undefined && response.body.byteLength <= MAX_KEPT_RESPONSE_BYTES;
+  state.keySettlements.set({
+    id: request.id,
+    call: {
+      kind: 'settleKey',
+      key: getKeyName(request),
+      requestId: request.id,
+      fingerprint: hashRequest(request),
+      outcome: outcome === 'answered' && !isKept ? 'unknown' : outcome,
+      ...(isKept ? { response } : {}),
+      copy: false,
+    },
+    nextSendMs: 0,
+    firstSentMs: undefined,
+  });
+}
--- a/src/systems/requests/attemptReplySystem.ts
+++ b/src/systems/requests/attemptReplySystem.ts
@@ -1,69 +1,114 @@
-import { createFailure } from '../../base/common/errors.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
-import type { AttemptReply, AttemptRow } from '../../model/request.ts';
-import { closeWithFailure } from './refuse.ts';
+import type { AttemptReply, AttemptRow, RequestRow, Response } from '../../model/request.ts';
+import { createFailure } from '../../base/common/errors.ts';
+import { closeWithResponse, removeAttempt } from './refuse.ts';
+import { scheduleRetry, scheduleRetryOrClose } from './retry.ts';
+import type { RetryPolicy } from './retryPolicy.ts';
 
 /**
- * Matches answers of agents to attempts and answers the callers.
- * Reads `attemptReply`, `attemptLinkFailed`. Writes `attempts`, `requests`, `endpoints`.
+ * Matches answers of agents to attempts; answers the callers or schedules retries.
+ * Reads `attemptReply`. Writes `attempts`, `requests`, `endpoints`, `retryBudgets`.
  * Runs each turn, before dispatch, so that a freed slot can be used in the same turn.
  */
 export class AttemptReplySystem extends System<EntryState> {
   override readonly name = 'attemptReply';
 
-  private constructor() {
+  private constructor(private readonly policy: RetryPolicy) {
     super();
   }
 
-  static create(): AttemptReplySystem {
-    return new AttemptReplySystem();
+  static create(policy: RetryPolicy): AttemptReplySystem {
+    return new AttemptReplySystem(policy);
   }
 
   override run(state: EntryState, tick: Tick): void {
     for (const arrival of state.inbox.list('attemptReply'))
       this.handleReply(state, tick, arrival.attemptId, arrival.reply);
-    for (const arrival of state.inbox.list('attemptLinkFailed'))
-      this.handleLinkFailure(state, arrival.attemptId, arrival.message);
   }
 
   private handleReply(state: EntryState, tick: Tick, attemptId: string, reply: AttemptReply): void {
-    const attempt = this.takeAttempt(state, attemptId);
-    if (attempt === undefined) return;
-    const endpoint = state.endpoints.get(attempt.endpointId);
-    if (endpoint !== undefined && reply.load !== undefined) {
-      state.endpoints.update(endpoint.id, { load: reply.load, confirmedMs: tick.now });
+    if (reply.attemptId !== attemptId) {
+      state.counters.add('mismatched_answers');
+      return;
     }
-    if (reply.outcome.kind === 'response') {
-      if (state.requests.remove(attempt.requestId) === undefined)
-        state.counters.add('late_answers');
-      else
-        state.outbox.append({
-          kind: 'answerCaller',
-          requestId: attempt.requestId,
-          response: reply.outcome.response,
-        });
+    const attempt = removeAttempt(state, attemptId);
+    const request = attempt === undefined ? undefined : state.requests.get(attempt.requestId);
+    if (attempt === undefined || request === undefined) {
+      state.counters.add('late_answers');
       return;
     }
-    closeWithFailure(state, attempt.requestId, reply.outcome.failure);
+    if (reply.load !== undefined)
+      state.endpoints.update(attempt.endpointId, { load: reply.load, confirmedMs: tick.now });
+    if (reply.outcome.kind === 'response')
+      this.handleResponse(state, tick, request, attempt, reply.outcome.response);
+    else this.handleFailure(state, tick, request, attempt, reply.outcome);
   }
 
-  private handleLinkFailure(state: EntryState, attemptId: string, message: string): void {
-    const attempt = this.takeAttempt(state, attemptId);
-    if (attempt === undefined) return;
-    closeWithFailure(state, attempt.requestId, createFailure('outcome_unknown', message));
+  private handleResponse(
+    state: EntryState,
+    tick: Tick,
+    request: RequestRow,
+    attempt: AttemptRow,
+    response: Response,
+  ): void {
+    const retryAfterMs = response.status === 503 ? readRetryAfter(response) : undefined;
+    if (retryAfterMs !== undefined && request.idempotent) {
+      const next = markAttempt(state, request, attempt, true);
+      const failure = createFailure('endpoint_failed', 'the endpoint answered 503');
+      if (scheduleRetry(state, tick, this.policy, next, failure, retryAfterMs)) return;
+    }
+    closeWithResponse(state, request.id, response);
   }
 
-  private takeAttempt(state: EntryState, attemptId: string): AttemptRow | undefined {
-    const attempt = state.attempts.remove(attemptId);
-    if (attempt === undefined) {
-      state.counters.add('late_answers');
-      return undefined;
-    }
-    const endpoint = state.endpoints.get(attempt.endpointId);
-    if (endpoint !== undefined)
-      state.endpoints.update(endpoint.id, { inFlight: endpoint.inFlight - 1 });
-    return attempt;
+  private handleFailure(
+    state: EntryState,
+    tick: Tick,
+    request: RequestRow,
+    attempt: AttemptRow,
+    outcome: Extract<AttemptReply['outcome'], { kind: 'rejected' | 'failed' }>,
+  ): void {
+    const mayHaveRun = outcome.kind === 'failed' || isRejectedByOtherBoot(attempt, outcome);
+    const next = markAttempt(state, request, attempt, mayHaveRun);
+    state.counters.add('attempt_failures', { outcome: outcome.kind, reason: outcome.failure.kind });
+    const failure =
+      mayHaveRun && outcome.kind === 'rejected'
+        ? createFailure('outcome_unknown', outcome.failure.message)
+        : outcome.failure;
+    scheduleRetryOrClose(state, tick, this.policy, next, failure);
   }
 }
+
+/**
+ * After a resend, a new boot of the agent cannot know whether its predecessor received the first
+ * copy. Without a resend the rejection is proof: a link delivers a message to one boot only.
+ */
+function isRejectedByOtherBoot(
+  attempt: AttemptRow,
+  outcome: { readonly failure: { readonly kind: string } },
+): boolean {
+  return outcome.failure.kind === 'agent_restarted' && attempt.sends > 1;
+}
+
+function markAttempt(
+  state: EntryState,
+  request: RequestRow,
+  attempt: AttemptRow,
+  mayHaveRun: boolean,
+): RequestRow {
+  const hasRunBefore = mayHaveRun || request.hasRunBefore === true;
+  const patch = {
+    hasRunBefore,
+    mayHaveRun: hasRunBefore,
+    triedEndpoints: [...request.triedEndpoints, attempt.endpointId],
+  };
+  return state.requests.update(request.id, patch) ?? { ...request, ...patch };
+}
+
+/** Reads `Retry-After` in seconds; a date is ignored because wall clocks are not compared. */
+function readRetryAfter(response: Response): number | undefined {
+  const header = response.headers.find(([name]) => name.toLowerCase() === 'retry-after');
+  if (header === undefined || !/^\d+$/.test(header[1].trim())) return undefined;
+  return Number(header[1]) * 1_000;
+}
--- a/src/systems/requests/refuse.ts
+++ b/src/systems/requests/refuse.ts
@@ -1,14 +1,90 @@
 import type { Failure } from '../../base/common/errors.ts';
+import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
 import type { EntryState } from '../../model/entryState.ts';
+import type { AttemptRow, RequestRow, Response } from '../../model/request.ts';
+import { queueSettlement } from '../keys/keySettlement.ts';
 
-/** Refuses a request that has no row yet and counts the reason. */
-export function sendRefusal(state: EntryState, requestId: string, failure: Failure): void {
+/** Refuses a request that has no row and counts the reason. */
+export function sendRefusal(
+  state: EntryState,
+  requestId: string,
+  failure: Failure,
+  retryAfterMs?: number,
+): void {
   state.counters.add('refusals', { reason: failure.kind });
-  state.outbox.append({ kind: 'refuseCaller', requestId, failure });
+  state.outbox.append({
+    kind: 'refuseCaller',
+    requestId,
+    failure,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  });
 }
 
-/** Ends a request with a failure. The row is removed, so a late answer finds nothing to answer. */
-export function closeWithFailure(state: EntryState, requestId: string, failure: Failure): void {
-  if (state.requests.remove(requestId) === undefined) return;
-  sendRefusal(state, requestId, failure);
+/**
+ * Ends a request with a failure. The row is removed, so a late answer finds nothing to answer. A
+ * kind that says "not run" is replaced while some attempt may have run.
+ */
+export function closeWithFailure(
+  state: EntryState,
+  requestId: string,
+  failure: Failure,
+  retryAfterMs?: number,
+): void {
+  const request = removeRequest(state, requestId);
+  if (request === undefined) return;
+  queueSettlement(state, request, request.mayHaveRun ? 'unknown' : 'notRun');
+  sendRefusal(state, requestId, toTrueFailure(request, failure), retryAfterMs);
+}
+
+/** Ends a request with the endpoint's answer. */
+export function closeWithResponse(state: EntryState, requestId: string, response: Response): void {
+  const request = removeRequest(state, requestId);
+  if (request === undefined) return;
+  queueSettlement(state, request, 'answered', response);
+  state.counters.add('answers', { status: `${Math.floor(response.status / 100)}xx` });
+  state.outbox.append({ kind: 'answerCaller', requestId, response });
+}
+
+/** Ends a request whose caller has gone; nobody is answered. */
+export function closeSilently(state: EntryState, requestId: string): void {
+  const request = removeRequest(state, requestId);
+  if (request === undefined) return;
+  queueSettlement(state, request, request.mayHaveRun ? 'unknown' : 'notRun');
+}
+
+/** Closes an attempt and releases its place in the count of the endpoint. */
+export function removeAttempt(state: EntryState, attemptId: string): AttemptRow | undefined {
+  const attempt = state.attempts.remove(attemptId);
+  if (attempt === undefined) return undefined;
+  const endpoint = state.endpoints.get(attempt.endpointId);
+  if (endpoint !== undefined)
+    state.endpoints.update(endpoint.id, { inFlight: Math.max(0, endpoint.inFlight - 1) });
+  return attempt;
+}
+
+/** Id of the latest attempt of a request. */
+export function getAttemptId(request: RequestRow): string {
+  return `${request.id}.${request.attempts}`;
+}
+
+function removeRequest(state: EntryState, requestId: string): RequestRow | undefined {
+  const request = state.requests.remove(requestId);
+  if (request === undefined) return undefined;
+  const attempt = state.attempts.get(getAttemptId(request));
+  if (attempt === undefined) return request;
+  const address = attempt.agentAddress ?? state.endpoints.get(attempt.endpointId)?.agentAddress;
+  removeAttempt(state, attempt.id);
+  state.counters.add('abandoned_attempts');
+  if (address !== undefined)
+    state.outbox.append({ kind: 'abandonAttempt', address, attemptId: attempt.id });
+  return request;
+}
+
+function toTrueFailure(request: RequestRow, failure: Failure): Failure {
+  if (!request.mayHaveRun || ERROR_ANSWERS[failure.kind].ran !== 'no') return failure;
+  const kind =
+    failure.kind === 'deadline_exceeded_before_run'
+      ? 'deadline_exceeded_running'
+      : 'outcome_unknown';
+  return createFailure(kind, `an attempt may have run; ${failure.message}`);
 }
--- a/src/systems/requests/requestIntakeSystem.ts
+++ b/src/systems/requests/requestIntakeSystem.ts
@@ -4,11 +4,12 @@
 import type { EntryState } from '../../model/entryState.ts';
 import type { CallerRequest } from '../../model/request.ts';
 import { findRoute } from '../routing/routeMatch.ts';
-import { closeWithFailure, sendRefusal } from './refuse.ts';
+import { closeSilently, closeWithFailure, sendRefusal } from './refuse.ts';
+import { addRetryTokens } from './retry.ts';
 
 /**
  * Turns arrived caller requests into rows.
- * Reads `callerRequest`, `callerGone`, the configuration. Writes `requests`.
+ * Reads `callerRequest`, `callerGone`, the configuration. Writes `requests`, `retryBudgets`.
  * Runs each turn, before dispatch.
  */
 export class RequestIntakeSystem extends System<EntryState> {
@@ -25,23 +26,42 @@
   override run(state: EntryState, tick: Tick): void {
     for (const arrival of state.inbox.list('callerRequest'))
       this.receive(state, tick, arrival.request);
-    for (const arrival of state.inbox.list('callerGone')) state.requests.remove(arrival.requestId);
-    for (const request of state.requests.values()) {
-      if (request.deadlineMs > tick.now) tick.wakeAt(request.deadlineMs);
-      else {
-        const kind = request.mayHaveRun
-          ? 'deadline_exceeded_running'
-          : 'deadline_exceeded_before_run';
-        closeWithFailure(
-          state,
-          request.id,
-          createFailure(kind, `no answer within the deadline of route ${request.route}`),
-        );
+    for (const arrival of state.inbox.list('callerGone')) this.handleGone(state, arrival.requestId);
+    if (tick.now >= state.requestCheckMs) this.closeExpired(state, tick);
+    tick.wakeAt(state.requestCheckMs);
+  }
+
+  /** A keyed request that is on its way goes on: its answer is kept for the caller's repeat. */
+  private handleGone(state: EntryState, requestId: string): void {
+    const request = state.requests.get(requestId);
+    if (request === undefined) return;
+    state.counters.add('callers_gone');
+    if (request.hasClaim === true && request.mayHaveRun) return;
+    closeSilently(state, requestId);
+  }
+
+  private closeExpired(state: EntryState, tick: Tick): void {
+    let nextMs = Number.POSITIVE_INFINITY;
+    for (const request of state.requests.list()) {
+      if (request.deadlineMs > tick.now) {
+        nextMs = Math.min(nextMs, request.deadlineMs);
+        continue;
       }
+      const kind = request.mayHaveRun
+        ? 'deadline_exceeded_running'
+        : 'deadline_exceeded_before_run';
+      const message = `no answer within the deadline of route ${request.route}`;
+      closeWithFailure(state, request.id, createFailure(kind, message));
     }
+    state.requestCheckMs = nextMs;
   }
 
   private receive(state: EntryState, tick: Tick, request: CallerRequest): void {
+    if (state.self.isFrontClosed) {
+      const failure = createFailure('shutting_down', 'this entry is leaving; use another one');
+      sendRefusal(state, request.requestId, failure);
+      return;
+    }
     const route = findRoute(
       state.configuration.current,
       request.method,
@@ -68,9 +88,13 @@
       return;
     }
     const timeoutMs = Math.min(route.deadlineMs, request.timeoutMs ?? route.deadlineMs);
+    const needsClaim = !route.idempotent && request.idempotencyKey !== undefined;
+    state.counters.add('requests');
+    addRetryTokens(state, route.service);
+    state.requestCheckMs = Math.min(state.requestCheckMs, tick.now + timeoutMs);
     state.requests.set({
       id: request.requestId,
-      phase: 'queued',
+      phase: needsClaim ? 'claiming' : 'queued',
       route: route.name,
       service: route.service,
       idempotent: route.idempotent,
--- /dev/null
+++ b/test/systems/fakeNetwork.ts
@@ -0,0 +1,352 @@
+import { ManualClock } from '../../src/base/common/clock.ts';
+import type { Failure } from '../../src/base/common/errors.ts';
+import { Loop } from '../../src/base/common/loop.ts';
+import { SeededRandom } from '../../src/base/common/seededRandom.ts';
+import type { AgentState } from '../../src/model/agentState.ts';
+import { createAgentState } from '../../src/model/agentState.ts';
+import type {
+  AgentArrival,
+  AgentEffect,
+  EntryArrival,
+  EntryEffect,
+} from '../../src/model/effects.ts';
+import type { EntryState } from '../../src/model/entryState.ts';
+import { createEntryState } from '../../src/model/entryState.ts';
+import type { PeerReply } from '../../src/model/peer.ts';
+import type { AttemptMessage, AttemptReply, Response } from '../../src/model/request.ts';
+import { AttemptSystem } from '../../src/systems/attempts/attemptSystem.ts';
+import { AgentDrainSystem } from '../../src/systems/drain/agentDrainSystem.ts';
+import { createEntrySystems } from '../../src/systems/entrySystems.ts';
+import type { EndpointBehaviour, LinkFaults } from './fakeEndpoint.ts';
+import { createRoute, OK } from './fakeEndpoint.ts';
+
+interface EntryProcess {
+  readonly state: EntryState;
+  readonly loop: Loop<EntryArrival, EntryEffect, EntryState>;
+}
+
+interface AgentProcess {
+  readonly state: AgentState;
+  readonly loop: Loop<AgentArrival, AgentEffect, AgentState>;
+}
+
+/** Entries and agents over links that lose, delay, double and reorder messages; time is manual. */
+export class FakeNetwork {
+  readonly clock = ManualClock.create(1_000);
+  readonly random: SeededRandom;
+  readonly entries = new Map<string, EntryProcess>();
+  readonly agents = new Map<string, AgentProcess>();
+  readonly faults: LinkFaults = { loss: 0, duplicate: 0, maxDelayMs: 0 };
+  readonly runs = new Map<string, number>();
+  readonly answers = new Map<string, Response | Failure>();
+  readonly exits: string[] = [];
+  behave: EndpointBehaviour = () => ({
+    afterMs: 5,
+    outcome: { kind: 'response', response: OK },
+  });
+  readonly peerCalls: string[] = [];
+  private readonly agentReplies = new Map<string, (reply: AttemptReply | undefined) => void>();
+  private readonly peerReplies = new Map<string, (reply: PeerReply) => void>();
+  private events: { atMs: number; order: number; act: () => void }[] = [];
+  private readonly wakes = new Map<string, number>();
+  private lastOrder = 0;
+
+  constructor(seed: number) {
+    this.random = SeededRandom.create(seed);
+  }
+
+  addEntry(id: string, route: object, zone = 'a'): EntryState {
+    const state = createEntryState({ id, region: 'r', zone, address: id }, `${id}-boot`);
+    state.self.phase = 'serving';
+    state.configuration.current = {
+      ...state.configuration.current,
+      routes: [createRoute(route)],
+    };
+    const loop = Loop.create<EntryArrival, EntryEffect, EntryState>({
+      state,
+      systems: createEntrySystems(),
+      clock: this.clock,
+      random: this.random,
+      handleEffect: (effect) => {
+        this.handleEntryEffect(id, effect);
+      },
+    });
+    this.entries.set(id, { state, loop });
+    this.updateMembers([...this.entries.keys()]);
+    return state;
+  }
+
+  /** Tells every entry which entries there are. */
+  updateMembers(ids: readonly string[]): void {
+    for (const { state } of this.entries.values()) {
+      state.entries.clear();
+      for (const id of ids) {
+        const info = this.entries.get(id)?.state.self.info;
+        if (info !== undefined) state.entries.set({ ...info, lastHeardMs: this.clock.now });
+      }
+    }
+  }
+
+  /** Starts an agent with one endpoint, or a new boot of it. */
+  addAgent(id: string, boot: string, slots = 2): AgentState {
+    const state = createAgentState({
+      id,
+      bootId: boot,
+      address: id,
+      region: 'r',
+      zone: 'a',
+      seedAddresses: [],
+      hasWorker: false,
+    });
+    state.self.phase = 'serving';
+    state.endpoints.set({
+      id: `${id}/kit`,
+      name: 'kit',
+      service: 'kit',
+      origin: 'http://kit',
+      slots,
+      connections: 60,
+      draining: false,
+      version: 1,
+      latencyMs: 0,
+    });
+    const loop = Loop.create<AgentArrival, AgentEffect, AgentState>({
+      state,
+      systems: [AttemptSystem.create(), AgentDrainSystem.create()],
+      clock: this.clock,
+      random: this.random,
+      handleEffect: (effect) => {
+        this.handleAgentEffect(id, boot, effect);
+      },
+    });
+    this.agents.set(id, { state, loop });
+    return state;
+  }
+
+  /** Lets an entry know the endpoint of the agent's present boot. */
+  announce(entryId: string, agentId: string): void {
+    const agent = this.agents.get(agentId)!.state.self;
+    const state = this.entries.get(entryId)!.state;
+    const id = `${agentId}/kit`;
+    state.endpoints.set({
+      id,
+      service: 'kit',
+      region: 'r',
+      zone: 'a',
+      agentId,
+      agentBootId: agent.bootId,
+      agentAddress: agentId,
+      slots: 2,
+      connections: 60,
+      draining: false,
+      version: 1,
+      load: { running: 0, waiting: 0, latencyMs: 0 },
+      confirmedMs: this.clock.now + 1e9,
+      inFlight: state.endpoints.get(id)?.inFlight ?? 0,
+      roundTripMs: 0,
+      failuresInRow: 0,
+      ejectedUntilMs: 0,
+    });
+  }
+
+  /** Crashes an agent: its open calls fail after a while and its memory is lost. */
+  restartAgent(id: string, boot: string): void {
+    const open = [...this.agentReplies].filter(([callId]) => callId.startsWith(`${id}|`));
+    this.addAgent(id, boot);
+    for (const [callId, reply] of open) {
+      this.agentReplies.delete(callId);
+      this.after(1, () => {
+        reply(undefined);
+      });
+    }
+  }
+
+  sendRequest(entryId: string, requestId: string, fields: object = {}): void {
+    this.deliverToEntry(entryId, {
+      kind: 'callerRequest',
+      request: {
+        requestId,
+        method: 'POST',
+        host: 'h',
+        path: '/x',
+        headers: [],
+        body: new Uint8Array(),
+        isRepeat: false,
+        ...fields,
+      },
+    });
+  }
+
+  deliverToEntry(id: string, arrival: EntryArrival): void {
+    const entry = this.entries.get(id);
+    if (entry === undefined) return;
+    entry.state.inbox.append(arrival);
+    this.runEntry(id);
+  }
+
+  deliverToAgent(id: string, boot: string, arrival: AgentArrival): boolean {
+    const agent = this.agents.get(id);
+    if (agent?.state.self.bootId !== boot) return false;
+    agent.state.inbox.append(arrival);
+    this.runAgent(id, boot);
+    return true;
+  }
+
+  after(delayMs: number, act: () => void): void {
+    this.lastOrder += 1;
+    this.events.push({ atMs: this.clock.now + delayMs, order: this.lastOrder, act });
+  }
+
+  /** Runs every event of the next so many milliseconds. */
+  runFor(durationMs: number): void {
+    const untilMs = this.clock.now + durationMs;
+    for (;;) {
+      this.events.sort((a, b) => a.atMs - b.atMs || a.order - b.order);
+      const next = this.events[0];
+      if (next === undefined || next.atMs > untilMs) break;
+      this.events.shift();
+      this.clock.add(Math.max(0, next.atMs - this.clock.now));
+      next.act();
+    }
+    this.clock.add(untilMs - this.clock.now);
+  }
+
+  private runEntry(id: string): void {
+    const wakeAt = this.entries.get(id)?.loop.runTurn() ?? Number.POSITIVE_INFINITY;
+    this.schedule(id, wakeAt, () => {
+      this.runEntry(id);
+    });
+  }
+
+  private runAgent(id: string, boot: string): void {
+    const agent = this.agents.get(id);
+    if (agent?.state.self.bootId !== boot) return;
+    this.schedule(`${id}/${boot}`, agent.loop.runTurn(), () => {
+      this.runAgent(id, boot);
+    });
+  }
+
+  /** Keeps one wake per process, the earliest. */
+  private schedule(name: string, wakeAt: number, run: () => void): void {
+    const isLater = wakeAt >= (this.wakes.get(name) ?? Number.POSITIVE_INFINITY);
+    if (isLater || this.exits.includes(name)) return;
+    this.wakes.set(name, wakeAt);
+    this.after(Math.max(0.01, wakeAt - this.clock.now), () => {
+      if (this.wakes.get(name) !== wakeAt) return;
+      this.wakes.delete(name);
+      run();
+    });
+  }
+
+  private handleEntryEffect(id: string, effect: EntryEffect): void {
+    if (effect.kind === 'answerCaller') this.recordAnswer(effect.requestId, effect.response);
+    if (effect.kind === 'refuseCaller') this.recordAnswer(effect.requestId, effect.failure);
+    if (effect.kind === 'exit') this.exits.push(id);
+    if (effect.kind === 'sendAttempt') this.carryAttempt(id, effect.address, effect.message);
+    if (effect.kind === 'abandonAttempt') {
+      const boot = this.agents.get(effect.address)?.state.self.bootId ?? '';
+      this.after(this.takeDelay(), () => {
+        const arrival = { kind: 'attemptAbandoned' as const, attemptId: effect.attemptId };
+        this.deliverToAgent(effect.address, boot, arrival);
+      });
+    }
+    if (effect.kind === 'callPeer') this.carryPeerCall(id, effect);
+    if (effect.kind === 'answerPeer') {
+      this.peerReplies.get(effect.callId)?.(effect.reply);
+      this.peerReplies.delete(effect.callId);
+    }
+  }
+
+  private recordAnswer(requestId: string, answer: Response | Failure): void {
+    if (this.answers.has(requestId)) throw new Error(`${requestId} was answered twice`);
+    this.answers.set(requestId, answer);
+  }
+
+  /** A call lives on a connection to one boot; a copy of its message never reaches another boot. */
+  private carryAttempt(entryId: string, agentId: string, message: AttemptMessage): void {
+    const { attemptId } = message;
+    const boot = this.agents.get(agentId)?.state.self.bootId ?? '';
+    const fail = (): void => {
+      const message = 'UNAVAILABLE: lost';
+      this.deliverToEntry(entryId, { kind: 'attemptLinkFailed', attemptId, message });
+    };
+    const receive = (reply: AttemptReply | undefined): void => {
+      if (reply === undefined || this.takeFault('loss')) this.after(this.takeDelay(), fail);
+      else
+        this.repeat(() => {
+          this.deliverToEntry(entryId, { kind: 'attemptReply', attemptId, reply });
+        });
+    };
+    const isLost = this.takeFault('loss');
+    if (isLost) this.after(this.takeDelay(), fail);
+    // A link may break at the sender although the message still arrives.
+    if (isLost && this.random.takeUnit() < 0.5) return;
+    this.repeat(() => {
+      const callId = `${agentId}|${this.random.takeId()}`;
+      this.agentReplies.set(callId, receive);
+      if (this.deliverToAgent(agentId, boot, { kind: 'attempt', callId, message })) return;
+      this.agentReplies.delete(callId);
+      this.after(1, fail);
+    });
+  }
+
+  private carryPeerCall(
+    from: string,
+    { address, callId, call, timeoutMs }: Extract<EntryEffect, { kind: 'callPeer' }>,
+  ): void {
+    this.peerCalls.push(`${from}>${address} ${call.kind}`);
+    let isAnswered = false;
+    const receive = (reply: PeerReply | undefined): void => {
+      if (isAnswered) return;
+      isAnswered = true;
+      this.deliverToEntry(from, { kind: 'peerReply', callId, reply });
+    };
+    this.after(timeoutMs, () => {
+      receive(undefined);
+    });
+    if (this.takeFault('loss')) return;
+    this.repeat(() => {
+      const remoteId = `${from}|${this.random.takeId()}`;
+      this.peerReplies.set(remoteId, (reply) => {
+        if (this.takeFault('loss')) return;
+        this.after(this.takeDelay(), () => {
+          receive(reply);
+        });
+      });
+      this.deliverToEntry(address, { kind: 'peerCall', callId: remoteId, from, call });
+    });
+  }
+
+  private handleAgentEffect(id: string, boot: string, effect: AgentEffect): void {
+    if (effect.kind === 'exit') this.exits.push(id);
+    if (effect.kind === 'answerAttempt') {
+      this.agentReplies.get(effect.callId)?.(effect.reply);
+      this.agentReplies.delete(effect.callId);
+    }
+    if (effect.kind !== 'forwardAttempt') return;
+    const { attemptId, requestId } = effect.message;
+    const { afterMs, outcome } = this.behave(effect.message);
+    if (outcome.kind === 'response' || outcome.sent)
+      this.runs.set(requestId, (this.runs.get(requestId) ?? 0) + 1);
+    this.after(afterMs, () => {
+      const arrival: AgentArrival =
+        outcome.kind === 'response'
+          ? { kind: 'endpointResponse', attemptId, response: outcome.response }
+          : { kind: 'endpointFailed', attemptId, failure: outcome.failure, sent: outcome.sent };
+      this.deliverToAgent(id, boot, arrival);
+    });
+  }
+
+  private repeat(act: () => void): void {
+    this.after(this.takeDelay(), act);
+    if (this.takeFault('duplicate')) this.after(this.takeDelay(), act);
+  }
+
+  private takeFault(kind: 'loss' | 'duplicate'): boolean {
+    return this.faults[kind] > 0 && this.random.takeUnit() < this.faults[kind];
+  }
+
+  private takeDelay(): number {
+    return this.faults.maxDelayMs > 0 ? this.random.takeUnit() * this.faults.maxDelayMs : 0.1;
+  }
+}
--- /dev/null
+++ b/test/systems/keys/keys.test.ts
@@ -0,0 +1,160 @@
+import { describe, expect, it } from 'vitest';
+import type { Response } from '../../../src/model/request.ts';
+import { KEY_WINDOW_MS, listHolders, listMembers } from '../../../src/systems/keys/keyHolders.ts';
+import { OK } from '../fakeEndpoint.ts';
+import { FakeNetwork } from '../fakeNetwork.ts';
+
+const KEY = { idempotencyKey: 'k1' };
+const STORED_KEY = 'kit/k1';
+
+function createNetwork(entries = 3): FakeNetwork {
+  const network = new FakeNetwork(5);
+  network.addAgent('a1', 'boot-1');
+  for (let index = 1; index <= entries; index += 1) {
+    network.addEntry(`e${index}`, {}, `zone-${index % 2}`);
+    network.announce(`e${index}`, 'a1');
+  }
+  return network;
+}
+
+function getRecord(network: FakeNetwork, entryId: string) {
+  return network.entries.get(entryId)?.state.keys.get(STORED_KEY);
+}
+
+function listKeyHolders(network: FakeNetwork): string[] {
+  const members = listMembers(network.entries.get('e1')!.state);
+  return listHolders(STORED_KEY, members).map(({ id }) => id);
+}
+
+describe('an idempotency key', () => {
+  describe('of a request that is repeated', () => {
+    it('does not let it run again at another entry, which gives the same answer', () => {
+      const network = createNetwork();
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(1_000);
+      network.sendRequest('e2', 'r2', { ...KEY, isRepeat: true });
+      network.runFor(1_000);
+      expect(network.answers.get('r2')).toEqual(OK);
+      expect([...network.runs]).toEqual([['r1', 1]]);
+    });
+
+    it('does not let it run while the first one is running', () => {
+      const network = createNetwork();
+      network.behave = () => ({ afterMs: 300, outcome: { kind: 'response', response: OK } });
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(50);
+      network.sendRequest('e3', 'r2', KEY);
+      network.runFor(50);
+      expect(network.answers.get('r2')).toMatchObject({ kind: 'request_in_progress' });
+    });
+
+    it('does not answer another request with the same key', () => {
+      const network = createNetwork();
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(1_000);
+      network.sendRequest('e1', 'r2', { ...KEY, path: '/other' });
+      network.runFor(1_000);
+      expect(network.answers.get('r2')).toMatchObject({ kind: 'key_reused' });
+    });
+
+    it('does not give an answer that was too large to keep', () => {
+      const network = createNetwork();
+      const response: Response = { ...OK, body: new Uint8Array(32 * 1024 + 1) };
+      network.behave = () => ({ afterMs: 5, outcome: { kind: 'response', response } });
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(1_000);
+      network.sendRequest('e2', 'r2', KEY);
+      network.runFor(1_000);
+      expect(network.answers.get('r2')).toMatchObject({ kind: 'outcome_unknown' });
+    });
+
+    it('is not lost when its caller goes away while it runs', () => {
+      const network = createNetwork();
+      network.behave = () => ({ afterMs: 300, outcome: { kind: 'response', response: OK } });
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(50);
+      network.deliverToEntry('e1', { kind: 'callerGone', requestId: 'r1' });
+      network.runFor(1_000);
+      network.sendRequest('e2', 'r2', KEY);
+      network.runFor(1_000);
+      expect(network.answers.get('r2')).toEqual(OK);
+      expect(network.runs.get('r2')).toBeUndefined();
+    });
+  });
+
+  describe('of a request that did not run', () => {
+    it('is not kept from the next request', () => {
+      const network = createNetwork();
+      for (const { state } of network.entries.values()) state.endpoints.clear();
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(1_000);
+      expect(network.answers.get('r1')).toMatchObject({ kind: 'no_endpoint' });
+      network.announce('e2', 'a1');
+      network.sendRequest('e2', 'r2', KEY);
+      network.runFor(1_000);
+      expect(network.answers.get('r2')).toEqual(OK);
+    });
+  });
+
+  describe('holders', () => {
+    it('both know a claim before its request runs, and are in different zones', () => {
+      const network = createNetwork();
+      let copies = 0;
+      network.behave = () => {
+        copies = listKeyHolders(network).filter((id) => getRecord(network, id)).length;
+        return { afterMs: 5, outcome: { kind: 'response', response: OK } };
+      };
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(1_000);
+      expect(copies).toBe(2);
+      const zones = listKeyHolders(network).map(
+        (id) => network.entries.get(id)?.state.self.info.zone,
+      );
+      expect(new Set(zones).size).toBe(2);
+    });
+
+    it('that are crashed one after the other do not lose the record', () => {
+      const network = createNetwork(4);
+      network.sendRequest('e1', 'r1', KEY);
+      network.runFor(1_000);
+      for (let crash = 0; crash < 2; crash += 1) {
+        network.entries.delete(listHolders(STORED_KEY, listAll(network))[0]!.id);
+        network.updateMembers([...network.entries.keys()]);
+        for (const id of network.entries.keys())
+          network.deliverToEntry(id, { kind: 'peerReply', callId: '', reply: undefined });
+        network.runFor(2_000);
+      }
+      const entryId = [...network.entries.keys()][0]!;
+      network.sendRequest(entryId, 'r2', KEY);
+      network.runFor(2_000);
+      expect(network.answers.get('r2')).toEqual(OK);
+      expect(network.runs.get('r2')).toBeUndefined();
+    });
+
+    it('that do not know the window do not let a declared repeat run', () => {
+      const network = createNetwork();
+      network.sendRequest('e1', 'r1', { ...KEY, isRepeat: true });
+      network.runFor(1_000);
+      expect(network.answers.get('r1')).toMatchObject({ kind: 'outcome_unknown' });
+      network.sendRequest('e1', 'r2', KEY);
+      network.runFor(KEY_WINDOW_MS + 1_000);
+      // The fake agent sends no exchanges, so its endpoint was removed meanwhile.
+      network.announce('e1', 'a1');
+      network.sendRequest('e1', 'r3', { idempotencyKey: 'k2', isRepeat: true });
+      network.runFor(1_000);
+      expect(network.answers.get('r2')).toEqual(OK);
+      expect(network.answers.get('r3')).toEqual(OK);
+    });
+
+    it('do not call the primary for a request without a key', () => {
+      const network = createNetwork();
+      network.sendRequest('e1', 'r1');
+      network.runFor(1_000);
+      expect(network.peerCalls).toEqual([]);
+    });
+  });
+});
+
+function listAll(network: FakeNetwork) {
+  return [...network.entries.values()].map(({ state }) => state.self.info);
+}
