--- a/src/systems/attempts/attemptRecords.ts
+++ b/src/systems/attempts/attemptRecords.ts
@@ -59,7 +59,8 @@
     doneMs: tick.now,
   });
   for (const callId of attempt.callIds) sendAnswer(state, tick, callId, reply);
-  if (outcome.kind === 'response') keepAnswer(state, attemptId, outcome.response.body.byteLength);
+  if (outcome.kind === 'response')
+    addKeptAnswer(state, attemptId, outcome.response.body.byteLength);
 }
 
 /** Removes the records whose retention is over. */
@@ -72,18 +73,18 @@
   }
 }
 
-function keepAnswer(state: AgentState, attemptId: string, bytes: number): void {
+function addKeptAnswer(state: AgentState, attemptId: string, bytes: number): void {
   state.keptAnswers.set({ id: attemptId, bytes });
   state.keptBytes += bytes;
   if (state.keptBytes <= MAX_KEPT_BYTES) return;
   for (const oldest of state.keptAnswers.values()) {
-    displaceAnswer(state, oldest.id);
+    evictAnswer(state, oldest.id);
     if (state.keptBytes <= MAX_KEPT_BYTES) return;
   }
 }
 
 /** The record itself stays, so that a copy of the attempt does not run. */
-function displaceAnswer(state: AgentState, attemptId: string): void {
+function evictAnswer(state: AgentState, attemptId: string): void {
   releaseBytes(state, attemptId);
   state.counters.add('kept_answers_displaced');
   const failure = createFailure('outcome_unknown', 'the answer is no longer kept');
--- a/src/systems/attempts/attemptSystem.ts
+++ b/src/systems/attempts/attemptSystem.ts
@@ -45,7 +45,7 @@
   private receive(state: AgentState, tick: Tick, callId: string, message: AttemptMessage): void {
     const known = state.attempts.get(message.attemptId);
     if (known !== undefined) {
-      this.join(state, tick, callId, known);
+      this.answerCopy(state, tick, callId, known);
       return;
     }
     const deadlineMs = tick.now + message.remainingMs;
@@ -64,18 +64,18 @@
     const failure = this.findRejection(state, message);
     // A rejection is recorded like an answer: a delayed copy of the attempt must not run after the
     // entry was told that it did not.
-    if (failure !== undefined) this.reject(state, tick, message.attemptId, failure);
+    if (failure !== undefined) this.closeRejected(state, tick, message.attemptId, failure);
     else state.waitingCheckMs = Math.min(state.waitingCheckMs, deadlineMs);
   }
 
-  private join(state: AgentState, tick: Tick, callId: string, known: LocalAttemptRow): void {
+  private answerCopy(state: AgentState, tick: Tick, callId: string, known: LocalAttemptRow): void {
     state.counters.add('attempt_copies');
     if (known.reply === undefined)
       state.attempts.update(known.id, { callIds: [...known.callIds, callId] });
     else sendAnswer(state, tick, callId, known.reply);
   }
 
-  private reject(state: AgentState, tick: Tick, attemptId: string, failure: Failure): void {
+  private closeRejected(state: AgentState, tick: Tick, attemptId: string, failure: Failure): void {
     state.counters.add('attempt_rejections', { reason: failure.kind });
     closeAttempt(state, tick, attemptId, { kind: 'rejected', failure });
   }
@@ -123,7 +123,7 @@
       if (!endpointKey.startsWith(toAttemptKey('', 'waiting'))) continue;
       for (const attempt of state.attemptsByPhase.list(endpointKey)) {
         if (attempt.deadlineMs > tick.now) nextMs = Math.min(nextMs, attempt.deadlineMs);
-        else this.reject(state, tick, attempt.id, buildOverdueFailure(attempt));
+        else this.closeRejected(state, tick, attempt.id, buildOverdueFailure(attempt));
       }
     }
     state.waitingCheckMs = nextMs;
@@ -136,7 +136,7 @@
     state.counters.add('attempts_abandoned', { phase: attempt.phase });
     if (attempt.phase === 'waiting') {
       const failure = createFailure('deadline_exceeded_before_run', 'the entry gave up waiting');
-      this.reject(state, tick, attemptId, failure);
+      this.closeRejected(state, tick, attemptId, failure);
     } else if (attempt.message?.idempotent === true) {
       state.outbox.append({ kind: 'cancelForward', attemptId });
     }
--- a/src/systems/keys/keyHandOverSystem.ts
+++ b/src/systems/keys/keyHandOverSystem.ts
@@ -37,7 +37,7 @@
       this.recordView(state, tick, members);
       if (previous !== undefined) this.handleChange(state, tick, previous, members);
     }
-    this.handOverAll(state, tick, members);
+    this.queueAllRecords(state, tick, members);
     for (const row of state.keyHandOvers.list()) this.send(state, tick, row);
   }
 
@@ -65,7 +65,7 @@
   }
 
   /** Hands over everything once nothing of this entry changes the records any more. */
-  private handOverAll(state: EntryState, tick: Tick, members: readonly KeyMember[]): void {
+  private queueAllRecords(state: EntryState, tick: Tick, members: readonly KeyMember[]): void {
     const { self, keyMemory } = state;
     if (keyMemory.isHandedOver || self.phase !== 'leaving' || !self.isFrontClosed) return;
     if (state.requests.size > 0 || state.keySettlements.size > 0 || state.keyCopies.size > 0)
--- a/src/systems/keys/keyRecords.ts
+++ b/src/systems/keys/keyRecords.ts
@@ -15,7 +15,7 @@
   removeKeyRow(state, row.id);
   state.keys.set(row);
   state.keyMemory.bytes += countBytes(row);
-  if (state.keyMemory.bytes > MAX_KEY_BYTES) displaceAnswers(state);
+  if (state.keyMemory.bytes > MAX_KEY_BYTES) evictAnswers(state);
 }
 
 export function removeKeyRow(state: EntryState, key: string): void {
@@ -74,7 +74,7 @@
 }
 
 /** The records stay, so that a repeat is still recognised. */
-function displaceAnswers(state: EntryState): void {
+function evictAnswers(state: EntryState): void {
   for (const row of state.keys.values()) {
     if (state.keyMemory.bytes <= MAX_KEY_BYTES) return;
     if (row.response === undefined) continue;
--- a/test/systems/fakeEndpoint.ts
+++ b/test/systems/fakeEndpoint.ts
@@ -1,6 +1,8 @@
 import type { Failure } from '../../src/base/common/errors.ts';
 import { createFailure } from '../../src/base/common/errors.ts';
+import type { AgentSelf, LocalEndpointRow } from '../../src/model/agentState.ts';
 import { routeSchema } from '../../src/model/configuration.ts';
+import type { EndpointRow } from '../../src/model/endpoint.ts';
 import type { AttemptMessage, Response } from '../../src/model/request.ts';
 
 /** Probabilities and delays of the links between the processes. */
@@ -35,3 +37,41 @@
   const failure = createFailure('endpoint_failed', sent ? 'reset' : 'refused');
   return { kind: 'failed' as const, failure, sent };
 }
+
+/** The endpoint as its agent knows it. */
+export function createLocalEndpoint(agentId: string, slots: number): LocalEndpointRow {
+  return {
+    id: `${agentId}/kit`,
+    name: 'kit',
+    service: 'kit',
+    origin: 'http://kit',
+    slots,
+    connections: 60,
+    draining: false,
+    version: 1,
+    latencyMs: 0,
+  };
+}
+
+/** The endpoint as an entry knows it; it is confirmed for longer than any test. */
+export function createEndpointRow(agent: AgentSelf, nowMs: number, inFlight: number): EndpointRow {
+  return {
+    id: `${agent.id}/kit`,
+    service: 'kit',
+    region: agent.region,
+    zone: agent.zone,
+    agentId: agent.id,
+    agentBootId: agent.bootId,
+    agentAddress: agent.address,
+    slots: 2,
+    connections: 60,
+    draining: false,
+    version: 1,
+    load: { running: 0, waiting: 0, latencyMs: 0 },
+    confirmedMs: nowMs + 1e9,
+    inFlight,
+    roundTripMs: 0,
+    failuresInRow: 0,
+    ejectedUntilMs: 0,
+  };
+}
