--- a/test/docs/operatorsPage.test.ts
+++ b/test/docs/operatorsPage.test.ts
@@ -3,7 +3,10 @@
 import { describe, expect, it } from 'vitest';
 import { createJsonSchemas } from '../../tools/jsonSchemas.ts';
 
-const page = readFileSync('docs/operators.md', 'utf8');
+/** Events and counters of the scheduler on the platform stand on the operations page. */
+const page = ['docs/operators.md', 'docs/OPERATIONS.md']
+  .map((path) => readFileSync(path, 'utf8'))
+  .join('\n');
 
 function listSources(folder: string): string[] {
   return readdirSync(folder, { withFileTypes: true }).flatMap((item) => {
@@ -56,6 +59,7 @@
       ...listNames(/event: '([a-z_]+)'/g),
       ...listNames(/\.write\(\s*'(?:info|warn|error)',\s*'([a-z_]+)'/g),
       ...listNames(/log(?:Endpoint|Member)\(state, '([a-z_]+)'/g),
+      ...listNames(/log(?:Agent)?Event\(\s*state,\s*'(?:info|warn|error)',\s*'([a-z_]+)'/g),
     ];
     expect(events.length).toBeGreaterThan(10);
     expect(listMissing(events)).toEqual([]);
