--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -21,6 +21,8 @@
   readonly tries: number;
   /** Whether a store write of the call may have taken effect without an answer. */
   readonly isInDoubt: boolean;
+  /** Whether a store call of the call has not been answered. */
+  readonly isPending: boolean;
   readonly retryAt: number;
   /** Store version of the job that a cancellation found; 0 until it was looked up. */
   readonly jobVersion: number;
--- a/src/systems/scheduler/callAnswers.ts
+++ b/src/systems/scheduler/callAnswers.ts
@@ -30,7 +30,8 @@
 
 /** At the deadline: only a call that certainly left nothing in the store may be told to have not run. */
 export function answerUndecided(state: SchedulerState, call: CallRow): void {
-  if (call.isInDoubt)
+  const mayBeStored = call.call.kind === 'submit' && (call.isInDoubt || call.isPending);
+  if (mayBeStored)
     refuseCall(state, call.id, 'deadline_exceeded_running', 'the store has not answered in time');
   else refuseCall(state, call.id, 'store_unavailable', 'the store is away', STORE_RETRY_AFTER_MS);
 }
--- a/src/systems/scheduler/callReplies.ts
+++ b/src/systems/scheduler/callReplies.ts
@@ -54,7 +54,11 @@
     else answerCall(state, call.id, { kind: 'phase', phase: status.phase });
     return;
   }
-  state.calls.update(call.id, { isInDoubt, retryAt: now + RETRY_MS * call.tries });
+  state.calls.update(call.id, {
+    isInDoubt,
+    isPending: false,
+    retryAt: now + RETRY_MS * call.tries,
+  });
 }
 
 function acceptSubmission(
@@ -123,7 +127,11 @@
   } else if (isCancelled || isFinalPhase(phase)) {
     answerCall(state, call.id, { kind: 'cancelled' });
   } else {
-    state.calls.update(call.id, { jobVersion: job.version, retryAt: Number.NEGATIVE_INFINITY });
+    state.calls.update(call.id, {
+      jobVersion: job.version,
+      isPending: false,
+      retryAt: Number.NEGATIVE_INFINITY,
+    });
   }
 }
 
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -17,6 +17,8 @@
 const TRY_TIMEOUT_MS = 700;
 /** How long before the deadline an undecided call is answered, so that the answer still arrives. */
 const ANSWER_MARGIN_MS = 150;
+/** Callers near the end of their patience leave little time; most of it goes to the store. */
+const ANSWER_MARGIN_SHARE = 0.1;
 /** News of the owner come every 300 ms; older phases are read from the store instead. */
 const OWNER_CURRENT_MS = 1_200;
 const JOB_ID = /^[0-9a-f]{16}$/i;
@@ -77,10 +79,14 @@
       jobId,
       queue: queue.name,
       service: queue.service,
-      deadlineAt: now + arrival.deadlineMs - ANSWER_MARGIN_MS,
+      deadlineAt:
+        now +
+        arrival.deadlineMs -
+        Math.min(ANSWER_MARGIN_MS, arrival.deadlineMs * ANSWER_MARGIN_SHARE),
       startedAt: now,
       tries: 0,
       isInDoubt: false,
+      isPending: false,
       retryAt: now,
       jobVersion: 0,
     };
@@ -116,7 +122,11 @@
 
   private tryCall(state: SchedulerState, call: CallRow, now: number): void {
     const { call: asked, jobId } = call;
-    state.calls.update(call.id, { tries: call.tries + 1, retryAt: Number.POSITIVE_INFINITY });
+    state.calls.update(call.id, {
+      tries: call.tries + 1,
+      isPending: true,
+      retryAt: Number.POSITIVE_INFINITY,
+    });
     const timeoutMs = Math.max(50, Math.min(TRY_TIMEOUT_MS, call.deadlineAt - now));
     if (asked.kind === 'submit') {
       const job: SubmittedJob = {
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -9,8 +9,8 @@
 import { dropOwnership } from './dropOwnership.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 
-/** The store takes 32 entries in a transaction; the owner key is one of them. */
-const MAX_JOBS_PER_COMMIT = 30;
+/** The store takes 32 entries in a transaction: a comparison and a value for each job, and the owner key. */
+export const MAX_JOBS_PER_COMMIT = 15;
 /** Longer than a slow store's answers, which take up to 0.4 s. */
 const COMMIT_TIMEOUT_MS = 1_000;
 const RETRY_MS = 60;
