Pace only filling tasks beside a serving task that stays over its target

Change: a pair model learnt from the reported figures picks the most harmful neighbour; pacing starts after a fifth of the allowed harm time and halts all after half of it.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -68,6 +68,8 @@
   readonly placedAt: number;
   /** When the percentage last grew, owner's clock ms. */
   readonly progressAt: number;
+  /** Since when a serving task has been over its latency target, owner's clock ms; undefined under it. */
+  readonly overSince: number | undefined;
   /** Whether a stop has been ordered. */
   readonly stopReason: string | undefined;
 }
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -28,6 +28,13 @@
   readonly jobVersion: number;
 }
 
+/** Learnt effect of a filling image on a serving one, in parts of the latency target. */
+export interface PressureRow {
+  /** `SERVING|FILLING`; without a filling image it is the serving task's own base. */
+  readonly id: string;
+  readonly value: number;
+}
+
 /** What an entry knows about the owner, and about its own claim. */
 export interface Ownership {
   role: 'follower' | 'claiming' | 'loading' | 'owner';
@@ -123,6 +130,7 @@
   readonly runsByJob: TableIndex<RunRow>;
   readonly workers: Table<WorkerRow>;
   readonly agents: Table<AgentRow>;
+  readonly pressures: Table<PressureRow>;
   readonly listedEnds: ListedEnd[];
   /** Jobs with changes that the store does not hold. */
   readonly dirtyJobs: Set<string>;
@@ -188,6 +196,7 @@
     runsByJob: runs.addIndex((run) => run.jobId),
     workers: Table.create<WorkerRow>('workers'),
     agents: Table.create<AgentRow>('agents'),
+    pressures: Table.create<PressureRow>('pressures'),
     listedEnds: [],
     dirtyJobs: new Set(),
     touchedJobs: new Set(),
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -136,6 +136,7 @@
     pacePercent: 100,
     placedAt: now,
     progressAt: now,
+    overSince: undefined,
     stopReason: undefined,
   });
 }
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -2,21 +2,27 @@
 import { System } from '../../base/common/system.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { getPairPressure, learnPressure } from './pressureModel.ts';
 import { logEvent } from './storeCalls.ts';
 
-/** Share of the latency target from which filling tasks are slowed; the figure of a worker is rough. */
-const SLOW_AT = 0.85;
-/** Share of the target below which filling tasks may speed up again. */
-const RAISE_AT = 0.6;
 /** Longest time between looks; a load figure covers half a second. */
 const LOOK_EVERY_MS = 500;
-/** Filling tasks speed up by this much a look, and slow down by half or at once when over target. */
-const RAISE_STEP_PERCENT = 10;
+/**
+ * Parts of the allowed harm time. A task that is over its target for the first part has its
+ * neighbours slowed, the most harmful one first; after the second part all of them stand still.
+ */
+const SLOW_AFTER_PART = 0.2;
+const HALT_AFTER_PART = 0.5;
+/** Share of the target below which filling tasks may speed up again, and by how much a look. */
+const RAISE_AT = 0.75;
+const RAISE_STEP_PERCENT = 20;
 const FULL_PERCENT = 100;
 
 /**
- * Slows filling tasks beside a serving task that comes near its latency target, and speeds them up
- * slowly when it has slack. Reads the loads of `runs`; writes their pace. Runs before placement.
+ * Slows filling tasks beside a serving task that stays over its latency target, and speeds them up
+ * again when it has slack. Short peaks are left alone: they end by themselves more often than not,
+ * and slowed work is lost. Reads the loads of `runs`; writes their pace and what is learnt of pairs.
+ * Runs before placement.
  */
 export class PacingSystem extends System<SchedulerState> {
   override readonly name = 'pacing';
@@ -32,39 +38,73 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
-    if (tick.now < this.lookAt) return;
+    if (tick.now < this.lookAt) {
+      tick.wakeAt(this.lookAt);
+      return;
+    }
     this.lookAt = tick.now + LOOK_EVERY_MS;
     tick.wakeAt(this.lookAt);
     for (const worker of state.workers.values()) {
       const runs = state.runsByWorker.list(worker.id).filter((run) => run.phase === 'running');
+      const serving = runs.filter((run) => run.step.targetMs > 0);
       const filling = runs.filter((run) => run.step.fills);
-      if (filling.length === 0) continue;
-      const pressure = this.computePressure(runs);
-      for (const run of filling) {
-        const percent = this.choosePace(run, pressure);
-        if (percent !== run.pacePercent) this.setPace(state, run, percent, pressure);
-      }
+      for (const run of serving) learnPressure(state, run, filling);
+      if (filling.length > 0) this.paceWorker(state, serving, filling, tick.now);
     }
   }
 
-  /** Highest tail latency of the worker's serving tasks, relative to its target. */
-  private computePressure(runs: readonly RunRow[]): number {
+  private paceWorker(
+    state: SchedulerState,
+    serving: readonly RunRow[],
+    filling: readonly RunRow[],
+    now: number,
+  ): void {
+    const { harmMs } = state.bounds;
+    let worst: RunRow | undefined;
     let pressure = 0;
-    for (const run of runs)
-      if (run.step.targetMs > 0) pressure = Math.max(pressure, run.load / run.step.targetMs);
-    return pressure;
+    for (const run of serving) {
+      pressure = Math.max(pressure, run.load / run.step.targetMs);
+      if (run.overSince === undefined) continue;
+      if (worst?.overSince === undefined || run.overSince < worst.overSince) worst = run;
+    }
+    const overMs = worst?.overSince === undefined ? 0 : now - worst.overSince;
+    if (worst !== undefined && overMs >= harmMs * HALT_AFTER_PART) {
+      for (const run of filling) this.setPace(state, run, 0, pressure);
+    } else if (worst !== undefined && overMs >= harmMs * SLOW_AFTER_PART) {
+      const target = this.findMostHarmful(state, worst, filling);
+      if (target !== undefined)
+        this.setPace(state, target, Math.floor(target.pacePercent / 2), pressure);
+    } else if (pressure < RAISE_AT) {
+      for (const run of filling)
+        this.setPace(
+          state,
+          run,
+          Math.min(FULL_PERCENT, run.pacePercent + RAISE_STEP_PERCENT),
+          pressure,
+        );
+    }
   }
 
-  private choosePace(run: RunRow, pressure: number): number {
-    if (pressure >= 1) return 0;
-    if (pressure >= SLOW_AT) return Math.floor(run.pacePercent / 2);
-    if (pressure < RAISE_AT) return Math.min(FULL_PERCENT, run.pacePercent + RAISE_STEP_PERCENT);
-    return run.pacePercent;
+  private findMostHarmful(
+    state: SchedulerState,
+    serving: RunRow,
+    filling: readonly RunRow[],
+  ): RunRow | undefined {
+    let found: RunRow | undefined;
+    let foundHarm = 0;
+    for (const run of filling) {
+      const pair = getPairPressure(state, serving.step.image, run.step.image);
+      const harm = (pair + Number.EPSILON) * run.pacePercent;
+      if (harm <= foundHarm) continue;
+      found = run;
+      foundHarm = harm;
+    }
+    return found;
   }
 
   private setPace(state: SchedulerState, run: RunRow, percent: number, pressure: number): void {
     const worker = state.workers.get(run.workerKey);
-    if (worker === undefined) return;
+    if (worker === undefined || percent === run.pacePercent) return;
     state.runs.update(run.id, { pacePercent: percent });
     state.counters.add('pace_orders');
     logEvent(state, 'info', 'run_paced', {
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -94,11 +94,13 @@
         continue;
       }
       const hasGrown = item.percent > run.percent;
+      const isOver = run.step.targetMs > 0 && item.load > run.step.targetMs;
       state.runs.update(id, {
         phase: run.phase === 'stopping' ? 'stopping' : 'running',
         checkpoint: item.checkpoint === '' ? run.checkpoint : item.checkpoint,
         percent: item.percent,
         load: item.load,
+        overSince: isOver ? (run.overSince ?? now) : undefined,
         progressAt: hasGrown || run.phase !== 'running' ? now : run.progressAt,
       });
     }
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -159,6 +159,7 @@
       pacePercent: 100,
       placedAt: now,
       progressAt: now,
+      overSince: undefined,
       stopReason: undefined,
     });
     state.counters.add('placements');
