Place serving and filling tasks by learnt pair pressures, and move tasks that do harm

Change: placement weighs the expected latency of every serving task, packs serving tasks, keeps filling tasks off pressed workers; hysteresis on the target; a harmful task that saves progress moves.

--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -2,8 +2,11 @@
 import { System } from '../../base/common/system.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { requestStop, updateTask } from './jobChanges.ts';
 import { getPairPressure, learnPressure } from './pressureModel.ts';
 import { logEvent } from './storeCalls.ts';
+import { canHold, estimateWorst } from './taskPlacementPolicy.ts';
+import { collectRooms } from './workerRooms.ts';
 
 /** Longest time between looks; a load figure covers half a second. */
 const LOOK_EVERY_MS = 500;
@@ -11,12 +14,16 @@
  * Parts of the allowed harm time. A task that is over its target for the first part has its
  * neighbours slowed, the most harmful one first; after the second part all of them stand still.
  */
-const SLOW_AFTER_PART = 0.2;
-const HALT_AFTER_PART = 0.5;
+const SLOW_AFTER_PART = 0.15;
+const HALT_AFTER_PART = 0.4;
+/** Expected pressure, relative to the target, up to which a worker may take a task that harmed elsewhere. */
+const MOVE_BELOW = 0.6;
 /** Share of the target below which filling tasks may speed up again, and by how much a look. */
 const RAISE_AT = 0.75;
 const RAISE_STEP_PERCENT = 20;
 const FULL_PERCENT = 100;
+/** Times that a task is moved; each move costs what it has not saved. */
+const MAX_MOVES = 2;
 
 /**
  * Slows filling tasks beside a serving task that stays over its latency target, and speeds them up
@@ -72,8 +79,9 @@
       for (const run of filling) this.setPace(state, run, 0, pressure);
     } else if (worst !== undefined && overMs >= harmMs * SLOW_AFTER_PART) {
       const target = this.findMostHarmful(state, worst, filling);
-      if (target !== undefined)
-        this.setPace(state, target, Math.floor(target.pacePercent / 2), pressure);
+      if (target === undefined) return;
+      if (this.canMove(state, target, now)) this.moveAway(state, target, pressure);
+      else this.setPace(state, target, Math.floor(target.pacePercent / 2), pressure);
     } else if (pressure < RAISE_AT) {
       for (const run of filling)
         this.setPace(
@@ -85,6 +93,29 @@
     }
   }
 
+  /** Whether the task keeps its progress and another worker could take it without harm. */
+  private canMove(state: SchedulerState, run: RunRow, now: number): boolean {
+    const task = state.tasks.get(run.taskId);
+    if (task?.step.savesProgress !== true || task.avoided.length >= MAX_MOVES) return false;
+    return collectRooms(state, now).some(
+      (room) =>
+        room.worker.id !== run.workerKey &&
+        room.worker.identity.service === state.workers.get(run.workerKey)?.identity.service &&
+        canHold(room, task) &&
+        estimateWorst(room, task) < MOVE_BELOW &&
+        room.fillingCpuMillis + task.step.cpuMillis <= room.freeCpuMillis,
+    );
+  }
+
+  private moveAway(state: SchedulerState, run: RunRow, pressure: number): void {
+    const task = state.tasks.get(run.taskId);
+    const workerId = state.workers.get(run.workerKey)?.identity.id;
+    if (task === undefined || workerId === undefined) return;
+    updateTask(state, task.id, { avoided: [...task.avoided, workerId] });
+    this.setPace(state, run, 0, pressure);
+    requestStop(state, run, 'harms a serving task');
+  }
+
   private findMostHarmful(
     state: SchedulerState,
     serving: RunRow,
--- a/src/systems/scheduler/pressureModel.ts
+++ b/src/systems/scheduler/pressureModel.ts
@@ -14,7 +14,11 @@
  * How much filling tasks raise the tail latency of serving tasks, learnt per pair of images from
  * the figures that workers report: latency over target = base + sum of pressure x pace.
  */
-export function learnPressure(state: SchedulerState, serving: RunRow, filling: readonly RunRow[]): void {
+export function learnPressure(
+  state: SchedulerState,
+  serving: RunRow,
+  filling: readonly RunRow[],
+): void {
   const sample = Math.min(MAX_SAMPLE, serving.load / serving.step.targetMs);
   if (sample === 0) return;
   const error = sample - estimatePressure(state, serving.step.image, filling);
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -94,13 +94,12 @@
         continue;
       }
       const hasGrown = item.percent > run.percent;
-      const isOver = run.step.targetMs > 0 && item.load > run.step.targetMs;
       state.runs.update(id, {
         phase: run.phase === 'stopping' ? 'stopping' : 'running',
         checkpoint: item.checkpoint === '' ? run.checkpoint : item.checkpoint,
         percent: item.percent,
         load: item.load,
-        overSince: isOver ? (run.overSince ?? now) : undefined,
+        overSince: computeOverSince(run, item.load, now),
         progressAt: hasGrown || run.phase !== 'running' ? now : run.progressAt,
       });
     }
@@ -161,3 +160,14 @@
     );
   }
 }
+
+/** Reported latencies are rough, so a task counts as over its target a little early and for a little longer. */
+const OVER_ENTER = 0.95;
+const OVER_LEAVE = 0.85;
+
+function computeOverSince(run: RunRow, load: number, now: number): number | undefined {
+  const { targetMs } = run.step;
+  if (targetMs === 0) return undefined;
+  const bound = run.overSince === undefined ? OVER_ENTER : OVER_LEAVE;
+  return load > bound * targetMs ? (run.overSince ?? now) : undefined;
+}
--- a/src/systems/scheduler/workerRooms.ts
+++ b/src/systems/scheduler/workerRooms.ts
@@ -1,9 +1,12 @@
 import type { WorkerRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { REPORT_FRESH_MS } from './ownershipTimes.ts';
-import type { WorkerRoom } from './taskPlacementPolicy.ts';
+import { getPairPressure } from './pressureModel.ts';
+import type { PairPressures, WorkerRoom } from './taskPlacementPolicy.ts';
 import { takeRoom } from './taskPlacementPolicy.ts';
 
+const FULL_PERCENT = 100;
+
 /** Whether a worker may be told to start something now, with the reason when it may not. */
 export function explainClosedWorker(
   state: SchedulerState,
@@ -25,6 +28,10 @@
 /** Workers that take work now, with the room that open runs leave; runs count until their end is listed. */
 export function collectRooms(state: SchedulerState, now: number): WorkerRoom[] {
   const rooms: WorkerRoom[] = [];
+  const pairs: PairPressures = {
+    getBase: (serving) => getPairPressure(state, serving, ''),
+    getPair: (serving, filling) => getPairPressure(state, serving, filling),
+  };
   for (const worker of state.workers.values()) {
     if (explainClosedWorker(state, worker, now) !== undefined) continue;
     const { cpuMillis, memoryMb, gpus } = worker.identity;
@@ -34,13 +41,17 @@
       freeMemoryMb: memoryMb,
       freeGpus: gpus,
       fillingCpuMillis: 0,
-      serving: 0,
       filling: 0,
+      isPressed: false,
+      pressures: new Map(),
+      fillingImages: new Map(),
+      pairs,
       tasksByStep: new Map(),
     };
     for (const run of state.runsByWorker.values(worker.id)) {
       const task = state.tasks.get(run.taskId);
       if (task !== undefined) takeRoom(room, task);
+      if (run.overSince !== undefined || run.pacePercent < FULL_PERCENT) room.isPressed = true;
     }
     rooms.push(room);
   }
