--- /dev/null
+++ b/src/standins/memoryRunner.ts
@@ -0,0 +1,123 @@
+import type { Clock } from '../base/common/clock.ts';
+import type { EndedRun, RunEnd } from '../model/scheduler/links.ts';
+import type { RunnerCall, RunnerReply } from '../model/scheduler/runnerCall.ts';
+
+interface MemoryRun {
+  readonly task: string;
+  readonly run: number;
+  readonly endsAt: number;
+  readonly how: RunEnd;
+  pacePercent: number;
+}
+
+/** How a task behaves on the stand-in. */
+export interface RunBehaviour {
+  readonly durationMs: number;
+  readonly how: RunEnd;
+}
+
+/** Stand-in of one incarnation of the platform's worker, as the scheduler speaks to it. */
+export class MemoryRunner {
+  readonly running = new Map<string, MemoryRun>();
+  readonly ended: EndedRun[] = [];
+  /** Every start that was carried out, in order. */
+  readonly starts: { readonly task: string; readonly run: number; readonly at: number }[] = [];
+  private readonly blocked = new Map<string, number>();
+  private fence = 0;
+  private leaseUntil = Number.NEGATIVE_INFINITY;
+  private lastEnd = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    readonly bornMs: number,
+    private readonly behave: (task: string, run: number) => RunBehaviour,
+  ) {}
+
+  static create(
+    clock: Clock,
+    bornMs: number,
+    behave: (task: string, run: number) => RunBehaviour,
+  ): MemoryRunner {
+    return new MemoryRunner(clock, bornMs, behave);
+  }
+
+  /** Carries out one call. A waiting look is answered at once; waiting is up to the caller. */
+  handle(call: RunnerCall): RunnerReply {
+    this.advance();
+    if (call.fence < this.fence) return { kind: 'rejected', reason: 'fence' };
+    this.fence = call.fence;
+    switch (call.op) {
+      case 'hold':
+        return this.answerHold(call);
+      case 'start':
+        return this.start(call);
+      case 'stop':
+        this.stop(call.task, call.run);
+        return { kind: 'done', clockMs: this.clock.now };
+      case 'pace': {
+        const run = this.running.get(call.task);
+        if (run !== undefined) run.pacePercent = call.percent;
+        return { kind: 'done', clockMs: this.clock.now };
+      }
+    }
+  }
+
+  /** Ends what is over by now, and everything when the lease has lapsed. */
+  advance(): void {
+    for (const run of [...this.running.values()]) {
+      if (this.clock.now > this.leaseUntil) this.recordEnd(run, 'lapsed');
+      else if (run.endsAt <= this.clock.now) this.recordEnd(run, run.how);
+    }
+  }
+
+  private answerHold(call: Extract<RunnerCall, { op: 'hold' }>): RunnerReply {
+    if (call.leaseUntilMs !== undefined)
+      this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
+    const kept = this.ended.filter(({ number }) => number > call.lastSeen);
+    this.ended.splice(0, this.ended.length, ...kept);
+    return {
+      kind: 'lists',
+      clockMs: this.clock.now,
+      bornMs: this.bornMs,
+      running: [...this.running.values()].map(({ task, run }) => ({
+        task,
+        run,
+        checkpoint: '',
+        percent: 1,
+        load: 0,
+      })),
+      ended: [...this.ended],
+    };
+  }
+
+  private start(call: Extract<RunnerCall, { op: 'start' }>): RunnerReply {
+    const known = this.running.get(call.task);
+    if (known?.run === call.run) return { kind: 'done', clockMs: this.clock.now };
+    if (call.leaseUntilMs < this.clock.now) return { kind: 'rejected', reason: 'late' };
+    if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
+    this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
+    const { durationMs, how } = this.behave(call.task, call.run);
+    this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
+    this.running.set(call.task, {
+      task: call.task,
+      run: call.run,
+      endsAt: this.clock.now + durationMs,
+      how,
+      pacePercent: 100,
+    });
+    return { kind: 'done', clockMs: this.clock.now };
+  }
+
+  private stop(task: string, run: number): void {
+    this.blocked.set(task, Math.max(run, this.blocked.get(task) ?? 0));
+    const known = this.running.get(task);
+    if (known !== undefined && known.run <= run) this.recordEnd(known, 'stopped');
+  }
+
+  private recordEnd({ task, run }: MemoryRun, how: RunEnd): void {
+    this.running.delete(task);
+    this.blocked.set(task, Math.max(run, this.blocked.get(task) ?? 0));
+    this.lastEnd += 1;
+    this.ended.push({ number: this.lastEnd, task, run, how, checkpoint: '' });
+  }
+}
--- /dev/null
+++ b/test/support/schedulerWorld.ts
@@ -0,0 +1,338 @@
+import { ManualClock } from '../../src/base/common/clock.ts';
+import { Loop } from '../../src/base/common/loop.ts';
+import { SeededRandom } from '../../src/base/common/seededRandom.ts';
+import type {
+  QueueCall,
+  SchedulerArrival,
+  SchedulerEffect,
+} from '../../src/model/scheduler/entryMessages.ts';
+import type { StepSpec } from '../../src/model/scheduler/jobSpec.ts';
+import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
+import type {
+  RunnerAgentArrival,
+  RunnerAgentEffect,
+} from '../../src/model/scheduler/runnerAgentState.ts';
+import { createRunnerAgentState } from '../../src/model/scheduler/runnerAgentState.ts';
+import type { RunnerReply } from '../../src/model/scheduler/runnerCall.ts';
+import { createSchedulerState } from '../../src/model/scheduler/schedulerState.ts';
+import type { RunBehaviour } from '../../src/standins/memoryRunner.ts';
+import { MemoryRunner } from '../../src/standins/memoryRunner.ts';
+import { MemoryStore } from '../../src/standins/memoryStore.ts';
+import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
+import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
+import { WorldEvents } from './worldEvents.ts';
+import type { AgentNode, EntryNode } from './worldNodes.ts';
+import { BOUNDS, writeWorldConfiguration } from './worldNodes.ts';
+import { WorldStore } from './worldStore.ts';
+
+const LINK_MS = 3;
+const WATCH_POLL_MS = 20;
+
+/** Entries, agents, workers and the store of the scheduler on a manual clock, in one process. */
+export class SchedulerWorld {
+  readonly clock = ManualClock.create(1_000);
+  readonly store = MemoryStore.create(this.clock);
+  readonly entries: EntryNode[] = [];
+  readonly agents: AgentNode[] = [];
+  readonly logs: { readonly node: string; readonly event: string }[] = [];
+  private readonly events = WorldEvents.create(this.clock);
+  private readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
+  private readonly random = SeededRandom.create(7);
+  private nextCall = 0;
+  behave: (task: string, run: number) => RunBehaviour = () => ({ durationMs: 1_000, how: 'done' });
+
+  private constructor() {
+    // Built by create().
+  }
+
+  static create(entryCount: number, agentCount: number): SchedulerWorld {
+    const world = new SchedulerWorld();
+    writeWorldConfiguration(world.store, 1);
+    for (let index = 0; index < entryCount; index += 1) world.addEntry(`entry-${index}`);
+    for (let index = 0; index < agentCount; index += 1) world.addAgent(`agent-${index}`);
+    return world;
+  }
+
+  get owner(): EntryNode | undefined {
+    return this.entries.find((entry) => entry.isUp && entry.state.ownership.role === 'owner');
+  }
+
+  /** Every start of a task on any worker. */
+  listStarts(task: string): { readonly run: number; readonly agent: string }[] {
+    return this.agents.flatMap((agent) =>
+      agent.runner.starts
+        .filter((start) => start.task === task)
+        .map(({ run }) => ({ run, agent: agent.id })),
+    );
+  }
+
+  /** Calls an entry and returns the id under which its answer appears. */
+  call(entry: EntryNode, jobId: string, call: QueueCall, deadlineMs = 3_000): string {
+    this.nextCall += 1;
+    const callId = `call${this.nextCall}`;
+    entry.loop.receive({
+      kind: 'queueCall',
+      callId,
+      host: 'host',
+      path: `/q/${jobId}`,
+      call,
+      deadlineMs,
+    });
+    this.runTurn(entry);
+    return callId;
+  }
+
+  submit(entry: EntryNode, jobId: string, steps: readonly Partial<StepSpec>[]): string {
+    const spec = jobSpecSchema.parse({
+      steps: steps.map((step) => stepSpecSchema.parse({ count: 1, cpuMillis: 1_000, ...step })),
+    });
+    return this.call(entry, jobId, { kind: 'submit', spec });
+  }
+
+  /** Stops an entry at once, as a kill does. */
+  kill(entry: EntryNode): void {
+    entry.isUp = false;
+    for (const agent of this.agents) this.closeAgentLink(entry, agent);
+    for (const other of this.entries) {
+      if (other.ownerId !== entry.id) continue;
+      other.ownerId = '';
+      this.deliver(LINK_MS, other, { kind: 'ownerLink', isOpen: false });
+    }
+  }
+
+  /** Moves time on and runs everything that happens until then. */
+  run(durationMs: number): void {
+    this.events.run(durationMs, () => {
+      for (const agent of this.agents) agent.runner.advance();
+    });
+  }
+
+  addEntry(id: string): EntryNode {
+    const state = createSchedulerState({
+      id,
+      bootId: `${id}-${this.clock.now}`,
+      zone: 'a',
+      zones: ['a', 'b'],
+      bounds: { ...BOUNDS },
+    });
+    state.self.address = id;
+    const entry: EntryNode = {
+      id,
+      state,
+      loop: Loop.create({
+        state,
+        systems: createSchedulerSystems(),
+        clock: this.clock,
+        random: this.random,
+        handleEffect: (effect) => {
+          this.handleEntryEffect(entry, effect);
+        },
+      }),
+      answers: new Map(),
+      store: 'up',
+      isUp: true,
+      ownerId: '',
+    };
+    this.entries.push(entry);
+    this.events.schedule(0, () => {
+      this.runTurn(entry);
+    });
+    return entry;
+  }
+
+  addAgent(id: string): AgentNode {
+    const state = createRunnerAgentState(id, 'a');
+    state.self.address = id;
+    const agent: AgentNode = {
+      id,
+      state,
+      loop: Loop.create({
+        state,
+        systems: createRunnerAgentSystems(),
+        clock: this.clock,
+        random: this.random,
+        handleEffect: (effect) => {
+          this.handleAgentEffect(agent, effect);
+        },
+      }),
+      runner: this.createRunner(),
+      links: new Map(),
+      isReachable: true,
+      dropAnswers: 0,
+    };
+    this.agents.push(agent);
+    this.sendBeat(agent);
+    return agent;
+  }
+
+  /** Replaces the worker beside an agent by a new incarnation; what ran on it is gone. */
+  restartRunner(agent: AgentNode): void {
+    agent.runner.running.clear();
+    agent.runner = this.createRunner();
+    this.sendBeat(agent);
+  }
+
+  cutAgent(agent: AgentNode): void {
+    agent.isReachable = false;
+    for (const entry of this.entries) this.closeAgentLink(entry, agent);
+  }
+
+  private createRunner(): MemoryRunner {
+    return MemoryRunner.create(this.clock, this.clock.now, (task, run) => this.behave(task, run));
+  }
+
+  private sendBeat(agent: AgentNode): void {
+    const identity = {
+      id: `worker-${agent.id}`,
+      bornMs: agent.runner.bornMs,
+      service: 'svc',
+      address: agent.id,
+      zone: 'a',
+      labels: [],
+      cpuMillis: 8_000,
+      memoryMb: 10_000,
+      gpus: 0,
+      isDraining: false,
+      drainLeftMs: 0,
+    };
+    this.deliverToAgent(0, agent, { kind: 'workerBeat', beat: { identity, sequence: 1 } });
+  }
+
+  private deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void {
+    this.events.schedule(delayMs, () => {
+      if (!entry.isUp) return;
+      entry.loop.receive(arrival);
+      this.runTurn(entry);
+    });
+  }
+
+  private deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void {
+    this.events.schedule(delayMs, () => {
+      agent.loop.receive(arrival);
+      this.events.wake(agent.id, agent.loop.runTurn(), () => agent.loop.runTurn());
+    });
+  }
+
+  private runTurn(entry: EntryNode): void {
+    this.events.wake(entry.id, entry.loop.runTurn(), () =>
+      entry.isUp ? entry.loop.runTurn() : Number.POSITIVE_INFINITY,
+    );
+  }
+
+  private handleEntryEffect(entry: EntryNode, effect: SchedulerEffect): void {
+    const agent =
+      'agentId' in effect ? this.agents.find(({ id }) => id === effect.agentId) : undefined;
+    switch (effect.kind) {
+      case 'log':
+        this.logs.push({ node: entry.id, event: effect.event });
+        return;
+      case 'callStore':
+        this.storeLink.call(entry.store, effect.call, effect.timeoutMs, (reply, sentAt) => {
+          this.deliver(0, entry, { kind: 'storeReply', callId: effect.callId, reply, sentAt });
+        });
+        return;
+      case 'answerCall':
+        entry.answers.set(effect.callId, effect.answer);
+        return;
+      case 'openAgent':
+        if (agent !== undefined) this.openAgentLink(entry, agent);
+        return;
+      case 'closeAgent':
+        if (agent !== undefined) this.closeAgentLink(entry, agent);
+        return;
+      case 'orderAgent': {
+        const linkId = agent?.links.get(entry.id);
+        if (agent !== undefined && linkId !== undefined)
+          this.deliverToAgent(LINK_MS, agent, { kind: 'ownerOrder', linkId, order: effect.order });
+        return;
+      }
+      case 'openOwner':
+        this.openOwnerLink(entry, effect.address);
+        return;
+      case 'hintOwner': {
+        const owner = this.entries.find(({ id }) => id === entry.ownerId);
+        if (owner !== undefined)
+          this.deliver(LINK_MS, owner, { kind: 'peerHint', hint: effect.hint });
+        return;
+      }
+      case 'sendNews': {
+        const peer = this.entries.find(({ id }) => id === effect.peerId);
+        if (peer?.ownerId === entry.id)
+          this.deliver(LINK_MS, peer, { kind: 'ownerNews', news: effect.news });
+        return;
+      }
+      case 'closeOwner':
+        entry.ownerId = '';
+        return;
+      case 'closePeer':
+      case 'exit':
+        return;
+    }
+  }
+
+  private handleAgentEffect(agent: AgentNode, effect: RunnerAgentEffect): void {
+    switch (effect.kind) {
+      case 'log':
+        this.logs.push({ node: agent.id, event: effect.event });
+        return;
+      case 'callRunner': {
+        const isDropped = effect.call.op !== 'hold' && agent.dropAnswers > 0;
+        if (isDropped) agent.dropAnswers -= 1;
+        const reply: RunnerReply = isDropped
+          ? { kind: 'noAnswer', message: 'dropped' }
+          : agent.runner.handle(effect.call);
+        const waitMs = effect.call.op === 'hold' && effect.call.waitMs > 0 ? WATCH_POLL_MS : 1;
+        this.deliverToAgent(isDropped ? effect.timeoutMs : waitMs, agent, {
+          kind: 'runnerReply',
+          callId: effect.callId,
+          reply,
+        });
+        return;
+      }
+      case 'sendOwner': {
+        const [entryId] = [...agent.links].find(([, link]) => link === effect.linkId) ?? [];
+        const entry = this.entries.find(({ id }) => id === entryId);
+        if (entry !== undefined)
+          this.deliver(LINK_MS, entry, {
+            kind: 'agentMessage',
+            agentId: agent.id,
+            message: effect.message,
+          });
+        return;
+      }
+      case 'callStore':
+        this.storeLink.call('up', effect.call, effect.timeoutMs, (reply) => {
+          this.deliverToAgent(0, agent, { kind: 'storeReply', callId: effect.callId, reply });
+        });
+        return;
+      case 'closeOwner':
+      case 'exit':
+        return;
+    }
+  }
+
+  private openAgentLink(entry: EntryNode, agent: AgentNode): void {
+    if (agent.isReachable) agent.links.set(entry.id, `${entry.id}@${this.clock.now}`);
+    this.deliver(LINK_MS, entry, {
+      kind: 'agentLink',
+      agentId: agent.id,
+      isOpen: agent.isReachable,
+    });
+  }
+
+  private closeAgentLink(entry: EntryNode, agent: AgentNode): void {
+    const linkId = agent.links.get(entry.id);
+    if (linkId === undefined) return;
+    agent.links.delete(entry.id);
+    this.deliverToAgent(LINK_MS, agent, { kind: 'ownerLink', linkId, isOpen: false });
+    this.deliver(LINK_MS, entry, { kind: 'agentLink', agentId: agent.id, isOpen: false });
+  }
+
+  private openOwnerLink(entry: EntryNode, address: string): void {
+    const owner = this.entries.find(({ id }) => id === address);
+    const isOpen = owner?.isUp === true;
+    entry.ownerId = isOpen ? address : '';
+    this.deliver(LINK_MS, entry, { kind: 'ownerLink', isOpen });
+    if (isOpen) this.deliver(LINK_MS, owner, { kind: 'peerLink', peerId: entry.id, isOpen: true });
+  }
+}
--- /dev/null
+++ b/test/support/worldEvents.ts
@@ -0,0 +1,46 @@
+import type { ManualClock } from '../../src/base/common/clock.ts';
+
+/** Events of a simulated world in the order of their times. */
+export class WorldEvents {
+  private readonly events: { at: number; order: number; run: () => void }[] = [];
+  private readonly wakes = new Map<string, number>();
+  private nextOrder = 0;
+
+  private constructor(private readonly clock: ManualClock) {}
+
+  static create(clock: ManualClock): WorldEvents {
+    return new WorldEvents(clock);
+  }
+
+  schedule(delayMs: number, run: () => void): void {
+    this.nextOrder += 1;
+    this.events.push({ at: this.clock.now + delayMs, order: this.nextOrder, run });
+  }
+
+  /** Runs another turn when a system asked for one, and so on; a node has one such turn ahead. */
+  wake(nodeId: string, at: number, turn: () => number): void {
+    const wanted = Math.max(this.clock.now + 1, at);
+    if (wanted >= (this.wakes.get(nodeId) ?? Number.POSITIVE_INFINITY)) return;
+    this.wakes.set(nodeId, wanted);
+    this.schedule(wanted - this.clock.now, () => {
+      if (this.wakes.get(nodeId) !== wanted) return;
+      this.wakes.delete(nodeId);
+      this.wake(nodeId, turn(), turn);
+    });
+  }
+
+  /** Moves time on and runs everything that happens until then. */
+  run(durationMs: number, beforeEach: () => void): void {
+    const end = this.clock.now + durationMs;
+    for (;;) {
+      this.events.sort((left, right) => left.at - right.at || left.order - right.order);
+      const [next] = this.events;
+      if (next === undefined || next.at > end) break;
+      this.events.shift();
+      this.clock.add(Math.max(0, next.at - this.clock.now));
+      beforeEach();
+      next.run();
+    }
+    this.clock.add(end - this.clock.now);
+  }
+}
--- /dev/null
+++ b/test/support/worldStore.ts
@@ -0,0 +1,67 @@
+import type { ManualClock } from '../../src/base/common/clock.ts';
+import type { StoreCall, StoreReply } from '../../src/model/store.ts';
+import type { MemoryStore } from '../../src/standins/memoryStore.ts';
+import type { WorldEvents } from './worldEvents.ts';
+
+const STORE_MS = 5;
+const WATCH_POLL_MS = 20;
+const PLATFORM_ENTRIES_PER_TRANSACTION = 32;
+
+/** How the store treats one node. With `answerLost`, transactions are done and not answered. */
+export type StoreMode = 'up' | 'refuses' | 'silent' | 'answerLost';
+
+type Answer = (reply: StoreReply, sentAt: number) => void;
+
+/** The way from the nodes of a simulated world to the store, with its faults. */
+export class WorldStore {
+  private constructor(
+    private readonly store: MemoryStore,
+    private readonly events: WorldEvents,
+    private readonly clock: ManualClock,
+  ) {}
+
+  static create(store: MemoryStore, events: WorldEvents, clock: ManualClock): WorldStore {
+    return new WorldStore(store, events, clock);
+  }
+
+  call(mode: StoreMode, call: StoreCall, timeoutMs: number, answer: Answer): void {
+    const sentAt = this.clock.now;
+    if (mode === 'refuses') {
+      this.events.schedule(STORE_MS, () => {
+        answer({ kind: 'refused', message: 'busy' }, sentAt);
+      });
+      return;
+    }
+    const isLost = mode === 'silent' || (mode === 'answerLost' && call.op === 'transact');
+    if (mode !== 'silent')
+      this.events.schedule(STORE_MS / 2, () => {
+        const reply = this.handle(call);
+        if (!isLost) this.answer(call, reply, sentAt, answer);
+      });
+    if (isLost)
+      this.events.schedule(timeoutMs, () => {
+        answer({ kind: 'unavailable', message: 'no answer in time' }, sentAt);
+      });
+  }
+
+  private handle(call: StoreCall): StoreReply {
+    if (call.op === 'transact') {
+      const size = call.expected.length + call.puts.length + call.deletes.length;
+      if (size > PLATFORM_ENTRIES_PER_TRANSACTION)
+        return { kind: 'unavailable', message: `${size} entries` };
+    }
+    return this.store.handle(call);
+  }
+
+  private answer(call: StoreCall, reply: StoreReply, sentAt: number, answer: Answer): void {
+    const isWaiting =
+      call.op === 'watchPrefix' &&
+      reply.kind === 'changes' &&
+      reply.changes.length === 0 &&
+      this.clock.now < sentAt + call.waitMs;
+    this.events.schedule(isWaiting ? WATCH_POLL_MS : STORE_MS / 2, () => {
+      if (isWaiting) this.answer(call, this.store.handle(call), sentAt, answer);
+      else answer(reply, sentAt);
+    });
+  }
+}
--- /dev/null
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -0,0 +1,254 @@
+import { describe, expect, it } from 'vitest';
+import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
+import { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import type { EntryNode } from '../../support/worldNodes.ts';
+
+const JOB = '00000000000000a1';
+
+function createWorld(entries = 2, agents = 2): { world: SchedulerWorld; entry: EntryNode } {
+  const world = SchedulerWorld.create(entries, agents);
+  world.run(2_000);
+  return { world, entry: world.entries[0]! };
+}
+
+function readPhase(world: SchedulerWorld, entry: EntryNode, jobId = JOB): string {
+  const callId = world.call(entry, jobId, { kind: 'read' });
+  world.run(100);
+  const answer = entry.answers.get(callId);
+  return answer?.kind === 'phase' ? answer.phase : (answer?.kind ?? 'none');
+}
+
+function createJobId(index: number): string {
+  return index.toString(16).padStart(16, '0');
+}
+
+describe('path of a job', () => {
+  describe('without faults', () => {
+    it('does not leave a job of two steps unfinished, and runs each task once', () => {
+      const { world, entry } = createWorld();
+      const callId = world.submit(entry, JOB, [{ count: 3 }, { count: 2, after: [0] }]);
+      world.run(4_000);
+      expect(entry.answers.get(callId)?.kind).toBe('accepted');
+      for (const node of world.entries) expect(readPhase(world, node)).toBe('completed');
+      for (const task of ['0.0.0', '0.0.1', '0.0.2', '0.1.0', '0.1.1'])
+        expect(world.listStarts(`${JOB}.${task}`)).toHaveLength(1);
+    });
+
+    it('does not start a step before all tasks of the step before are done', () => {
+      const { world, entry } = createWorld();
+      world.behave = (task) => ({ durationMs: task.endsWith('.0.1') ? 3_000 : 500, how: 'done' });
+      world.submit(entry, JOB, [{ count: 2 }, { count: 1, after: [0] }]);
+      world.run(2_500);
+      expect(world.listStarts(`${JOB}.0.1.0`)).toHaveLength(0);
+      world.run(2_500);
+      expect(world.listStarts(`${JOB}.0.1.0`)).toHaveLength(1);
+    });
+
+    it('does not run a job twice when its submission comes again at another entry', () => {
+      const { world } = createWorld();
+      const calls = world.entries.map((node) => world.submit(node, JOB, [{ count: 1 }]));
+      world.run(3_000);
+      world.entries.forEach((node, index) => {
+        expect(node.answers.get(calls[index]!)?.kind).toBe('accepted');
+      });
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+    });
+
+    it('does not give a worker more than its room', () => {
+      const { world, entry } = createWorld(1, 1);
+      world.submit(entry, JOB, [{ count: 20, cpuMillis: 3_000 }]);
+      for (let step = 0; step < 30; step += 1) {
+        world.run(200);
+        expect(world.agents[0]!.runner.running.size).toBeLessThanOrEqual(2);
+      }
+    });
+
+    it('does not start one member of a gang without the others', () => {
+      const { world, entry } = createWorld(1, 2);
+      world.submit(entry, JOB, [{ count: 5, cpuMillis: 4_000, gang: true }]);
+      world.run(3_000);
+      expect(world.agents.flatMap(({ runner }) => runner.starts)).toHaveLength(0);
+      const other = createJobId(7);
+      world.submit(entry, other, [{ count: 4, cpuMillis: 4_000, gang: true }]);
+      world.run(500);
+      expect(world.agents.flatMap(({ runner }) => runner.starts)).toHaveLength(4);
+    });
+
+    it('does not give up a long-running task when it ends', () => {
+      const { world, entry } = createWorld();
+      world.behave = () => ({ durationMs: 500, how: 'failed' });
+      world.submit(entry, JOB, [{ count: 1, longRunning: true }]);
+      world.run(5_000);
+      expect(world.listStarts(`${JOB}.0.0.0`).length).toBeGreaterThan(3);
+      expect(readPhase(world, entry)).toBe('running');
+    });
+
+    it('does not try a task more often than its queue allows', () => {
+      const { world, entry } = createWorld();
+      world.behave = () => ({ durationMs: 200, how: 'failed' });
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(8_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(3);
+      expect(readPhase(world, entry)).toBe('failed');
+    });
+
+    it('does not start tasks of a cancelled job', () => {
+      const { world, entry } = createWorld(2, 1);
+      world.submit(entry, JOB, [{ count: 4, cpuMillis: 4_000 }]);
+      world.run(500);
+      const callId = world.call(world.entries[1]!, JOB, { kind: 'cancel' });
+      world.run(1_000);
+      expect(world.entries[1]!.answers.get(callId)?.kind).toBe('cancelled');
+      expect(world.agents[0]!.runner.running.size).toBe(0);
+      world.run(5_000);
+      expect(world.agents[0]!.runner.starts).toHaveLength(2);
+      expect(readPhase(world, entry)).toBe('cancelled');
+    });
+
+    it('does not show a job that nobody submitted', () => {
+      const { world, entry } = createWorld();
+      expect(readPhase(world, entry, createJobId(99))).toBe('gone');
+    });
+  });
+
+  describe('with many jobs', () => {
+    it('does not write more entries in a transaction than the store takes', () => {
+      const { world, entry } = createWorld(1, 2);
+      for (let index = 1; index <= 60; index += 1)
+        world.submit(entry, createJobId(index), [{ count: 1, cpuMillis: 100 }]);
+      world.run(4_000);
+      for (let index = 1; index <= 60; index += 1)
+        expect(readPhase(world, entry, createJobId(index))).toBe('completed');
+    });
+  });
+
+  describe('with a store that fails', () => {
+    it('does not tell a caller that a submission in flight has not run', () => {
+      const { world, entry } = createWorld();
+      entry.store = 'answerLost';
+      const spec = { payload: '', steps: [], occurrences: 0, startAtMs: 0, intervalMs: 0 };
+      const callId = world.call(entry, JOB, { kind: 'submit', spec }, 20);
+      world.run(100);
+      const answer = entry.answers.get(callId);
+      expect(answer).toMatchObject({ kind: 'refused', error: 'deadline_exceeded_running' });
+      expect(world.store.handle({ op: 'read', key: STORE_KEYS.job(JOB) })).toMatchObject({
+        entry: { version: expect.any(Number) as number },
+      });
+    });
+
+    it('does not hold a caller when the store refuses everything', () => {
+      const { world, entry } = createWorld();
+      entry.store = 'refuses';
+      world.run(1_000);
+      const callId = world.submit(entry, JOB, [{ count: 1 }]);
+      expect(entry.answers.get(callId)).toMatchObject({
+        kind: 'refused',
+        error: 'store_unavailable',
+        retryAfterMs: expect.any(Number) as number,
+      });
+    });
+
+    it('does not let running tasks lapse in an outage of 8 s', () => {
+      const { world, entry } = createWorld();
+      world.behave = () => ({ durationMs: 9_000, how: 'done' });
+      world.submit(entry, JOB, [{ count: 2 }]);
+      world.run(500);
+      for (const node of world.entries) node.store = 'refuses';
+      world.run(8_000);
+      for (const node of world.entries) node.store = 'up';
+      world.run(4_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+    });
+
+    it('does not run a task twice when the answers to the owner are lost', () => {
+      const { world } = createWorld();
+      const owner = world.owner!;
+      owner.store = 'answerLost';
+      world.submit(
+        world.entries.find((node) => node !== owner)!,
+        JOB,
+        [{ count: 3 }],
+      );
+      world.run(3_000);
+      owner.store = 'up';
+      world.run(6_000);
+      for (const index of [0, 1, 2])
+        expect(world.listStarts(`${JOB}.0.0.${index}`)).toHaveLength(1);
+      expect(readPhase(world, owner)).toBe('completed');
+    });
+  });
+
+  describe('with an owner that dies', () => {
+    it('does not run its tasks again, and goes on within 3 s', () => {
+      const { world } = createWorld(3, 2);
+      const owner = world.owner!;
+      const other = world.entries.find((node) => node !== owner)!;
+      world.behave = () => ({ durationMs: 2_000, how: 'done' });
+      world.submit(other, JOB, [{ count: 2 }, { count: 1, after: [0] }]);
+      world.run(500);
+      world.kill(owner);
+      world.run(3_000);
+      expect(world.owner).toBeDefined();
+      world.run(3_000);
+      expect(readPhase(world, other)).toBe('completed');
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+    });
+
+    it('does not start a task again while an unreachable worker may still run it', () => {
+      const { world } = createWorld(3, 2);
+      const owner = world.owner!;
+      const other = world.entries.find((node) => node !== owner)!;
+      world.behave = () => ({ durationMs: 60_000, how: 'done' });
+      world.submit(other, JOB, [{ count: 1 }]);
+      world.run(500);
+      const agent = world.agents.find(({ runner }) => runner.running.size > 0)!;
+      world.kill(owner);
+      world.cutAgent(agent);
+      for (let step = 0; step < 250; step += 1) {
+        world.run(100);
+        const copies = world.agents.filter(({ runner }) => runner.running.size > 0);
+        expect(copies.length).toBeLessThanOrEqual(1);
+      }
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(2);
+    });
+  });
+
+  describe('with workers that fail', () => {
+    it('does not lose or double a task whose start went unanswered', () => {
+      const { world, entry } = createWorld(1, 1);
+      world.agents[0]!.dropAnswers = 2;
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('does not wait for the lease of an incarnation that is gone', () => {
+      const { world, entry } = createWorld(1, 1);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(500);
+      const first = world.agents[0]!.runner;
+      world.restartRunner(world.agents[0]!);
+      world.run(1_800);
+      expect(first.starts).toHaveLength(1);
+      expect(world.agents[0]!.runner.starts).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('does not start a lost task before the lease of its worker has lapsed', () => {
+      const { world, entry } = createWorld(1, 2);
+      world.behave = () => ({ durationMs: 60_000, how: 'done' });
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(500);
+      const agent = world.agents.find(({ runner }) => runner.running.size > 0)!;
+      world.cutAgent(agent);
+      for (let step = 0; step < 80; step += 1) {
+        world.run(100);
+        const copies = world.agents.filter(({ runner }) => runner.running.size > 0);
+        expect(copies.length).toBeLessThanOrEqual(1);
+      }
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(2);
+    });
+  });
+});
