Model what filling tasks cost serving tasks by their slack, and pace by what is missing

Change: slack (target over latency) is learnt per pair, placement starts from the slack reported now, pacing takes only what is missing from the most costly task, serving tasks fill up workers.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -28,9 +28,9 @@
   readonly jobVersion: number;
 }
 
-/** Learnt effect of a filling image on a serving one, in parts of the latency target. */
-export interface PressureRow {
-  /** `SERVING|FILLING`; without a filling image it is the serving task's own base. */
+/** Learnt slack of a serving image (latency target over tail latency), or what a filling image takes of it. */
+export interface SlackRow {
+  /** `SERVING|FILLING`; without a filling image it is the serving image's slack alone. */
   readonly id: string;
   readonly value: number;
 }
@@ -130,7 +130,7 @@
   readonly runsByJob: TableIndex<RunRow>;
   readonly workers: Table<WorkerRow>;
   readonly agents: Table<AgentRow>;
-  readonly pressures: Table<PressureRow>;
+  readonly slacks: Table<SlackRow>;
   readonly listedEnds: ListedEnd[];
   /** Jobs with changes that the store does not hold. */
   readonly dirtyJobs: Set<string>;
@@ -196,7 +196,7 @@
     runsByJob: runs.addIndex((run) => run.jobId),
     workers: Table.create<WorkerRow>('workers'),
     agents: Table.create<AgentRow>('agents'),
-    pressures: Table.create<PressureRow>('pressures'),
+    slacks: Table.create<SlackRow>('slacks'),
     listedEnds: [],
     dirtyJobs: new Set(),
     touchedJobs: new Set(),
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -3,33 +3,38 @@
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { requestStop, updateTask } from './jobChanges.ts';
-import { getPairPressure, learnPressure } from './pressureModel.ts';
+import { computeSlack, getPairCost, learnSlack } from './slackModel.ts';
 import { logEvent } from './storeCalls.ts';
-import { canHold, estimateWorst } from './taskPlacementPolicy.ts';
+import { canHold, estimateSlackWith } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
 
 /** Longest time between looks; a load figure covers half a second. */
 const LOOK_EVERY_MS = 500;
+/** Part of the allowed harm time after which everything that fills beside the task stands still. */
+const HALT_AFTER_PART = 0.4;
 /**
- * Parts of the allowed harm time. A task that is over its target for the first part has its
- * neighbours slowed, the most harmful one first; after the second part all of them stand still.
+ * Slack (latency target over tail latency) below which filling tasks are slowed, what slowing aims
+ * at, and what has to be there before they speed up again. Loads swing within seconds and the
+ * figures are rough, so the aim is well above 1.
  */
-const SLOW_AFTER_PART = 0.15;
-const HALT_AFTER_PART = 0.4;
-/** Expected pressure, relative to the target, up to which a worker may take a task that harmed elsewhere. */
-const MOVE_BELOW = 0.6;
-/** Share of the target below which filling tasks may speed up again, and by how much a look. */
-const RAISE_AT = 0.75;
-const RAISE_STEP_PERCENT = 20;
+const SLOW_BELOW_SLACK = 1.15;
+const AIM_SLACK = 1.3;
+const RAISE_ABOVE_SLACK = 1.4;
+/** Most that a pace rises in a look, and the least cost that a task is taken to have. */
+const RAISE_STEP_PERCENT = 100;
+const LEAST_COST = 0.1;
 const FULL_PERCENT = 100;
+/** Expected slack of serving tasks with which a worker may take a task that did harm elsewhere. */
+const MOVE_ABOVE_SLACK = 1.6;
+/** A task that is slowed below this pace gets on better elsewhere. */
+const MOVE_BELOW_PERCENT = 60;
 /** Times that a task is moved; each move costs what it has not saved. */
 const MAX_MOVES = 2;
 
 /**
- * Slows filling tasks beside a serving task that stays over its latency target, and speeds them up
- * again when it has slack. Short peaks are left alone: they end by themselves more often than not,
- * and slowed work is lost. Reads the loads of `runs`; writes their pace and what is learnt of pairs.
- * Runs before placement.
+ * Slows filling tasks beside a serving task whose slack runs out, the most costly first and only by
+ * what is missing, and speeds them up when there is slack again. Reads the loads of `runs`; writes
+ * their pace and what is learnt of pairs. Runs before placement.
  */
 export class PacingSystem extends System<SchedulerState> {
   override readonly name = 'pacing';
@@ -55,7 +60,7 @@
       const runs = state.runsByWorker.list(worker.id).filter((run) => run.phase === 'running');
       const serving = runs.filter((run) => run.step.targetMs > 0);
       const filling = runs.filter((run) => run.step.fills);
-      for (const run of serving) learnPressure(state, run, filling);
+      for (const run of serving) learnSlack(state, run, filling);
       if (filling.length > 0) this.paceWorker(state, serving, filling, tick.now);
     }
   }
@@ -66,33 +71,77 @@
     filling: readonly RunRow[],
     now: number,
   ): void {
-    const { harmMs } = state.bounds;
     let worst: RunRow | undefined;
-    let pressure = 0;
+    let leastSlack = Number.POSITIVE_INFINITY;
+    let overMs = 0;
     for (const run of serving) {
-      pressure = Math.max(pressure, run.load / run.step.targetMs);
-      if (run.overSince === undefined) continue;
-      if (worst?.overSince === undefined || run.overSince < worst.overSince) worst = run;
+      if (run.overSince !== undefined) overMs = Math.max(overMs, now - run.overSince);
+      const slack = computeSlack(run);
+      if (slack === undefined || slack >= leastSlack) continue;
+      worst = run;
+      leastSlack = slack;
+    }
+    if (worst === undefined) {
+      for (const run of filling) this.setPace(state, run, FULL_PERCENT, leastSlack);
+    } else if (overMs >= state.bounds.harmMs * HALT_AFTER_PART) {
+      for (const run of filling) this.setPace(state, run, 0, leastSlack);
+    } else if (leastSlack < SLOW_BELOW_SLACK) {
+      this.slowFilling(state, worst, leastSlack, filling, now);
+    } else if (leastSlack > RAISE_ABOVE_SLACK) {
+      this.raiseFilling(state, worst, leastSlack, filling);
+    }
+  }
+
+  private slowFilling(
+    state: SchedulerState,
+    serving: RunRow,
+    slack: number,
+    filling: readonly RunRow[],
+    now: number,
+  ): void {
+    let missing = AIM_SLACK - slack;
+    for (const { run, cost } of this.sortByCost(state, serving, filling).reverse()) {
+      if (missing <= 0) return;
+      const percent = Math.max(0, Math.floor(run.pacePercent - (missing / cost) * FULL_PERCENT));
+      missing -= (cost * (run.pacePercent - percent)) / FULL_PERCENT;
+      if (percent < MOVE_BELOW_PERCENT && this.canMove(state, run, now))
+        this.moveAway(state, run, slack);
+      else this.setPace(state, run, percent, slack);
     }
-    const overMs = worst?.overSince === undefined ? 0 : now - worst.overSince;
-    if (worst !== undefined && overMs >= harmMs * HALT_AFTER_PART) {
-      for (const run of filling) this.setPace(state, run, 0, pressure);
-    } else if (worst !== undefined && overMs >= harmMs * SLOW_AFTER_PART) {
-      const target = this.findMostHarmful(state, worst, filling);
-      if (target === undefined) return;
-      if (this.canMove(state, target, now)) this.moveAway(state, target, pressure);
-      else this.setPace(state, target, Math.floor(target.pacePercent / 2), pressure);
-    } else if (pressure < RAISE_AT) {
-      for (const run of filling)
-        this.setPace(
-          state,
-          run,
-          Math.min(FULL_PERCENT, run.pacePercent + RAISE_STEP_PERCENT),
-          pressure,
-        );
+  }
+
+  private raiseFilling(
+    state: SchedulerState,
+    serving: RunRow,
+    slack: number,
+    filling: readonly RunRow[],
+  ): void {
+    let left = slack - AIM_SLACK;
+    for (const { run, cost } of this.sortByCost(state, serving, filling)) {
+      if (left <= 0) return;
+      const risePercent = Math.min(
+        RAISE_STEP_PERCENT,
+        FULL_PERCENT - run.pacePercent,
+        Math.ceil((left / cost) * FULL_PERCENT),
+      );
+      left -= (cost * risePercent) / FULL_PERCENT;
+      this.setPace(state, run, run.pacePercent + risePercent, slack);
     }
   }
 
+  private sortByCost(
+    state: SchedulerState,
+    serving: RunRow,
+    filling: readonly RunRow[],
+  ): { readonly run: RunRow; readonly cost: number }[] {
+    return filling
+      .map((run) => ({
+        run,
+        cost: Math.max(LEAST_COST, getPairCost(state, serving.step.image, run.step.image)),
+      }))
+      .sort((left, right) => left.cost - right.cost);
+  }
+
   /** Whether the task keeps its progress and another worker could take it without harm. */
   private canMove(state: SchedulerState, run: RunRow, now: number): boolean {
     const task = state.tasks.get(run.taskId);
@@ -102,38 +151,21 @@
         room.worker.id !== run.workerKey &&
         room.worker.identity.service === state.workers.get(run.workerKey)?.identity.service &&
         canHold(room, task) &&
-        estimateWorst(room, task) < MOVE_BELOW &&
+        estimateSlackWith(room, task) > MOVE_ABOVE_SLACK &&
         room.fillingCpuMillis + task.step.cpuMillis <= room.freeCpuMillis,
     );
   }
 
-  private moveAway(state: SchedulerState, run: RunRow, pressure: number): void {
+  private moveAway(state: SchedulerState, run: RunRow, slack: number): void {
     const task = state.tasks.get(run.taskId);
     const workerId = state.workers.get(run.workerKey)?.identity.id;
     if (task === undefined || workerId === undefined) return;
     updateTask(state, task.id, { avoided: [...task.avoided, workerId] });
-    this.setPace(state, run, 0, pressure);
+    this.setPace(state, run, 0, slack);
     requestStop(state, run, 'harms a serving task');
   }
 
-  private findMostHarmful(
-    state: SchedulerState,
-    serving: RunRow,
-    filling: readonly RunRow[],
-  ): RunRow | undefined {
-    let found: RunRow | undefined;
-    let foundHarm = 0;
-    for (const run of filling) {
-      const pair = getPairPressure(state, serving.step.image, run.step.image);
-      const harm = (pair + Number.EPSILON) * run.pacePercent;
-      if (harm <= foundHarm) continue;
-      found = run;
-      foundHarm = harm;
-    }
-    return found;
-  }
-
-  private setPace(state: SchedulerState, run: RunRow, percent: number, pressure: number): void {
+  private setPace(state: SchedulerState, run: RunRow, percent: number, slack: number): void {
     const worker = state.workers.get(run.workerKey);
     if (worker === undefined || percent === run.pacePercent) return;
     state.runs.update(run.id, { pacePercent: percent });
@@ -142,7 +174,7 @@
       task: run.taskId,
       run: run.run,
       percent,
-      pressure: Math.round(pressure * 100) / 100,
+      slack: Math.round(slack * 100) / 100,
     });
     state.outbox.append({
       kind: 'orderAgent',
--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -1,9 +1,9 @@
 import type { TaskRow, WorkerRow } from '../../model/scheduler/rows.ts';
 
-/** What is known of the effect of filling images on serving ones, in parts of the latency target. */
-export interface PairPressures {
+/** What is known of the slack of serving images, and of what filling images take of it. */
+export interface SlackSource {
   getBase(servingImage: string): number;
-  getPair(servingImage: string, fillingImage: string): number;
+  getCost(servingImage: string, fillingImage: string): number;
 }
 
 /** A worker with the room that its open runs leave. */
@@ -17,10 +17,12 @@
   filling: number;
   /** Whether a serving task is over its target now, or filling tasks are slowed for one. */
   isPressed: boolean;
-  /** Expected tail latency of each serving image here, relative to its target. */
-  readonly pressures: Map<string, number>;
+  /** Least expected slack of each serving image here: latency target over tail latency. */
+  readonly slacks: Map<string, number>;
+  /** Least slack by the latest report. */
+  readonly reportedSlacks: Map<string, number>;
   readonly fillingImages: Map<string, number>;
-  readonly pairs: PairPressures;
+  readonly slackSource: SlackSource;
   /** Open runs by `JOB.K.STEP`. */
   readonly tasksByStep: Map<string, number>;
 }
@@ -47,16 +49,16 @@
 
 /** A run that failed elsewhere should try another worker before anything else is weighed. */
 const AVOIDED_PENALTY = 1_000;
-/** Expected share of a latency target from which a serving task may go over it now and then. */
-const SAFE_PRESSURE = 0.6;
-/** Weight of the expected pressure against the load of a worker, both in parts of their limits. */
-const PRESSURE_WEIGHT = 4;
+/** Expected slack below which a serving task may go over its target when its load swings. */
+const SAFE_SLACK = 1.8;
+/** Weight of missing slack against the load of a worker, both in parts. */
+const SLACK_WEIGHT = 3;
+/** Weight of a worker's load in favour of more serving tasks there. */
+const PACKING_WEIGHT = 6;
+/** Filling tasks share what is left, so a worker without processors left slows all of them. */
+const OVERLOAD_WEIGHT = 2;
 /** A worker whose filling tasks are slowed now has no use for more of them. */
 const PRESSED_PENALTY = 20;
-/** Beside serving tasks at all; pressures change with their load, within seconds. */
-const MIXED_PENALTY = 0.5;
-/** A worker with serving tasks is better for more of them than one that could take filling tasks. */
-const PACKING_BONUS = 2;
 /** Work away from its data takes half as long again or more. */
 const FAR_PENALTY = 50;
 const FAILURE_PENALTY = 5;
@@ -96,27 +98,27 @@
   if (task.avoided.includes(identity.id)) score += AVOIDED_PENALTY;
   if (step.nearRack !== '' && !identity.labels.includes(step.nearRack)) score += FAR_PENALTY;
   if (step.fills && room.isPressed) score += PRESSED_PENALTY;
-  if (step.fills && room.pressures.size > 0) score += MIXED_PENALTY;
   if (step.targetMs > 0 || step.fills)
-    score += PRESSURE_WEIGHT * Math.max(0, estimateWorst(room, task) - SAFE_PRESSURE);
+    score += SLACK_WEIGHT * Math.max(0, SAFE_SLACK - estimateSlackWith(room, task));
   const used = identity.cpuMillis - room.freeCpuMillis + room.fillingCpuMillis;
   const load = used / Math.max(1, identity.cpuMillis);
-  if (step.targetMs > 0 && room.pressures.size > 0) return score + load - PACKING_BONUS;
-  return score + load;
+  // Serving tasks fill up one worker after the other, so that others are left to filling tasks alone.
+  if (step.targetMs > 0) return score - PACKING_WEIGHT * load;
+  return score + load + OVERLOAD_WEIGHT * Math.max(0, load - 1);
 }
 
-/** Highest expected pressure on a serving task of the worker once the task is there too. */
-export function estimateWorst(room: WorkerRoom, { step }: TaskRow): number {
+/** Least expected slack of a serving task of the worker once the task is there too. */
+export function estimateSlackWith(room: WorkerRoom, { step }: TaskRow): number {
   if (step.targetMs > 0) {
-    let pressure = room.pairs.getBase(step.image);
+    let slack = room.slackSource.getBase(step.image);
     for (const [image, count] of room.fillingImages)
-      pressure += count * room.pairs.getPair(step.image, image);
-    return pressure;
+      slack -= count * room.slackSource.getCost(step.image, image);
+    return slack;
   }
-  let worst = 0;
-  for (const [image, pressure] of room.pressures)
-    worst = Math.max(worst, pressure + room.pairs.getPair(image, step.image));
-  return worst;
+  let least = Number.POSITIVE_INFINITY;
+  for (const [image, slack] of room.slacks)
+    least = Math.min(least, slack - room.slackSource.getCost(image, step.image));
+  return least;
 }
 
 /** Whether the worker has the label, the room and a free place of the step. */
@@ -142,8 +144,8 @@
   room.freeMemoryMb -= sign * step.memoryMb;
   room.freeGpus -= sign * step.gpus;
   if (step.fills) addFilling(room, step.image, sign);
-  if (step.targetMs > 0 && sign === 1 && !room.pressures.has(step.image))
-    room.pressures.set(step.image, estimateWorst(room, task));
+  if (step.targetMs > 0 && sign === 1 && !room.slacks.has(step.image))
+    room.slacks.set(step.image, estimateSlackWith(room, task));
   const key = formatStepKey(task);
   room.tasksByStep.set(key, (room.tasksByStep.get(key) ?? 0) + sign);
 }
@@ -151,6 +153,6 @@
 function addFilling(room: WorkerRoom, image: string, sign: 1 | -1): void {
   room.filling += sign;
   room.fillingImages.set(image, (room.fillingImages.get(image) ?? 0) + sign);
-  for (const [serving, pressure] of room.pressures)
-    room.pressures.set(serving, pressure + sign * room.pairs.getPair(serving, image));
+  for (const [serving, slack] of room.slacks)
+    room.slacks.set(serving, slack - sign * room.slackSource.getCost(serving, image));
 }
--- a/src/systems/scheduler/workerRooms.ts
+++ b/src/systems/scheduler/workerRooms.ts
@@ -1,8 +1,8 @@
 import type { WorkerRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { REPORT_FRESH_MS } from './ownershipTimes.ts';
-import { getPairPressure } from './pressureModel.ts';
-import type { PairPressures, WorkerRoom } from './taskPlacementPolicy.ts';
+import { computeSlack, getBaseSlack, getPairCost } from './slackModel.ts';
+import type { SlackSource, WorkerRoom } from './taskPlacementPolicy.ts';
 import { takeRoom } from './taskPlacementPolicy.ts';
 
 const FULL_PERCENT = 100;
@@ -28,9 +28,9 @@
 /** Workers that take work now, with the room that open runs leave; runs count until their end is listed. */
 export function collectRooms(state: SchedulerState, now: number): WorkerRoom[] {
   const rooms: WorkerRoom[] = [];
-  const pairs: PairPressures = {
-    getBase: (serving) => getPairPressure(state, serving, ''),
-    getPair: (serving, filling) => getPairPressure(state, serving, filling),
+  const slackSource: SlackSource = {
+    getBase: (serving) => getBaseSlack(state, serving),
+    getCost: (serving, filling) => getPairCost(state, serving, filling),
   };
   for (const worker of state.workers.values()) {
     if (explainClosedWorker(state, worker, now) !== undefined) continue;
@@ -43,9 +43,10 @@
       fillingCpuMillis: 0,
       filling: 0,
       isPressed: false,
-      pressures: new Map(),
+      slacks: new Map(),
+      reportedSlacks: new Map(),
       fillingImages: new Map(),
-      pairs,
+      slackSource,
       tasksByStep: new Map(),
     };
     for (const run of state.runsByWorker.values(worker.id)) {
@@ -53,6 +54,13 @@
       if (task !== undefined) takeRoom(room, task);
       if (run.overSince !== undefined || run.pacePercent < FULL_PERCENT) room.isPressed = true;
     }
+    // Reported figures know the present load of each serving task, which the estimates do not.
+    for (const run of state.runsByWorker.values(worker.id)) {
+      const slack = run.phase === 'running' ? computeSlack(run) : undefined;
+      const known = room.reportedSlacks.get(run.step.image) ?? Number.POSITIVE_INFINITY;
+      if (slack !== undefined) room.reportedSlacks.set(run.step.image, Math.min(known, slack));
+    }
+    for (const [image, slack] of room.reportedSlacks) room.slacks.set(image, slack);
     rooms.push(room);
   }
   return rooms;
