Carry calls out through the owner and hand the duty over when the store turns an instance away

Change: calls that fail at the store go to the owner over the link; an owner that fails for 350 ms asks its peers and hands the duty to one that the store has just answered. Conclusion: a full outage still refuses. A test of the world replaces 'does not hold a caller when the store refuses everything': it now refuses at every entry, as the title says.

--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -7,14 +7,14 @@
 import type { LogWriter } from '../base/node/logWriter.ts';
 import { Metrics } from '../base/node/metrics.ts';
 import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
-import type {
-  QueueAnswer,
-  QueueCall,
-  SchedulerArrival,
-  SchedulerEffect,
-} from '../model/scheduler/entryMessages.ts';
-import type { AgentMessage, EntryHint, OwnerNews } from '../model/scheduler/links.ts';
-import { agentMessageSchema, entryHintSchema, ownerNewsSchema } from '../model/scheduler/links.ts';
+import type { SchedulerArrival, SchedulerEffect } from '../model/scheduler/entryMessages.ts';
+import type { QueueAnswer, QueueCall } from '../model/scheduler/queueCall.ts';
+import type { AgentMessage, EntryHint, OwnerMessage } from '../model/scheduler/links.ts';
+import {
+  agentMessageSchema,
+  entryHintSchema,
+  ownerMessageSchema,
+} from '../model/scheduler/links.ts';
 import type { SchedulerIdentity, SchedulerState } from '../model/scheduler/schedulerState.ts';
 import { createSchedulerState } from '../model/scheduler/schedulerState.ts';
 import { JsonLink, JsonLinkServer } from '../protocol/node/jsonLinks.ts';
@@ -35,7 +35,7 @@
   private readonly answers = new Map<string, (answer: QueueAnswer) => void>();
   private readonly agents = new Map<string, JsonLink<AgentMessage>>();
   private readonly peers = new Map<string, JsonLink<EntryHint>>();
-  private owner: JsonLink<OwnerNews> | undefined;
+  private owner: JsonLink<OwnerMessage> | undefined;
   private server: JsonLinkServer | undefined;
   private nextId = 1;
   private resolveStopped: () => void = () => undefined;
@@ -138,7 +138,7 @@
     const link = JsonLink.accept<EntryHint>(socket, entryHintSchema, {
       onOpen: () => undefined,
       onMessage: (hint) => {
-        this.loop.receive({ kind: 'peerHint', hint });
+        this.loop.receive({ kind: 'peerHint', peerId, hint });
       },
       onClose: () => {
         this.peers.delete(peerId);
@@ -188,8 +188,8 @@
       case 'hintOwner':
         this.owner?.send(effect.hint);
         return;
-      case 'sendNews':
-        this.peers.get(effect.peerId)?.send(effect.news);
+      case 'sendPeer':
+        this.peers.get(effect.peerId)?.send(effect.message);
         return;
       case 'closePeer':
         this.peers.get(effect.peerId)?.dispose();
@@ -233,12 +233,12 @@
 
   private openOwner(address: string): void {
     this.owner?.dispose();
-    const link = JsonLink.open<OwnerNews>(address, this.state.self.id, ownerNewsSchema, {
+    const link = JsonLink.open<OwnerMessage>(address, this.state.self.id, ownerMessageSchema, {
       onOpen: () => {
         this.loop.receive({ kind: 'ownerLink', isOpen: true });
       },
-      onMessage: (news) => {
-        this.loop.receive({ kind: 'ownerNews', news });
+      onMessage: (message) => {
+        this.loop.receive({ kind: 'ownerMessage', message });
       },
       onClose: () => {
         if (this.owner === link) this.owner = undefined;
--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod/mini';
 import { jobPhaseSchema, submittedJobSchema } from './jobRecord.ts';
+import { queueAnswerSchema, queueCallSchema } from './queueCall.ts';
 
 /** Why a run is over, as its worker reports it. */
 export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']);
@@ -108,8 +109,9 @@
 const jobStatusSchema = z.object({ id: z.string(), queue: z.string(), phase: jobPhaseSchema });
 export type JobStatus = z.infer<typeof jobStatusSchema>;
 
-/** What the owner tells the other entries. */
-export const ownerNewsSchema = z.object({
+/** Phases of jobs, from the owner to the other entries. */
+const ownerNewsSchema = z.object({
+  kind: z.literal('news'),
   epoch: z.int(),
   /** Whether the list holds every job; the receiver then drops the ones it does not name. */
   isComplete: z.boolean(),
@@ -119,7 +121,18 @@
 });
 export type OwnerNews = z.infer<typeof ownerNewsSchema>;
 
-/** What an entry tells the owner; the store holds the same, so a lost message costs only time. */
+/** What the owner tells the other entries. */
+export const ownerMessageSchema = z.discriminatedUnion('kind', [
+  ownerNewsSchema,
+  z.object({ kind: z.literal('answer'), callId: z.string(), answer: queueAnswerSchema }),
+  /** The store turns the owner away; an entry whom it serves may answer that. */
+  z.object({ kind: z.literal('askTakeOver') }),
+  /** The owner has given its duty up; its key may be replaced while it has this version. */
+  z.object({ kind: z.literal('handOver'), keyVersion: z.int() }),
+]);
+export type OwnerMessage = z.infer<typeof ownerMessageSchema>;
+
+/** What an entry tells the owner. What was stored is in the store too; a lost message costs only time. */
 export const entryHintSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('jobStored'),
@@ -128,5 +141,18 @@
     job: submittedJobSchema,
   }),
   z.object({ kind: z.literal('cancelStored'), id: z.string(), version: z.int() }),
+  /** A call that the entry cannot carry out because the store does not answer it. */
+  z.object({
+    kind: z.literal('call'),
+    callId: z.string(),
+    host: z.string(),
+    path: z.string(),
+    call: queueCallSchema,
+    deadlineMs: z.number(),
+  }),
+  /** The store has just answered the entry; it could take the duty over. */
+  z.object({ kind: z.literal('canTakeOver') }),
+  /** The sender has taken the duty over and listens at the address. */
+  z.object({ kind: z.literal('successor'), address: z.string() }),
 ]);
 export type EntryHint = z.infer<typeof entryHintSchema>;
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -3,7 +3,8 @@
 import type { TableIndex } from '../../base/common/table.ts';
 import { Table } from '../../base/common/table.ts';
 import type { PlatformBounds } from './bounds.ts';
-import type { QueueCall, SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
+import type { SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
+import type { QueueCall } from './queueCall.ts';
 import type { QueueConfiguration } from './queueConfiguration.ts';
 import type { JobStatus, EntryHint } from './links.ts';
 import type { AgentRow, JobRow, ListedEnd, RunRow, TaskRow, WorkerRow } from './rows.ts';
@@ -26,6 +27,10 @@
   readonly retryAt: number;
   /** Store version of the job that a cancellation found; 0 until it was looked up. */
   readonly jobVersion: number;
+  readonly host: string;
+  readonly path: string;
+  /** Whether the owner has been asked to carry the call out. */
+  readonly isForwarded: boolean;
 }
 
 /** Learnt slack of a serving image (latency target over tail latency), or what a filling image takes of it. */
@@ -54,6 +59,10 @@
   /** Latest news of an owner that the store had confirmed lately, and latest news of any. */
   ownerHeardAt: number;
   newsAt: number;
+  /** When the owner last asked whether a peer could take over. */
+  askedAt: number;
+  /** Version of an owner key whose holder has handed the duty over; 0 for none. */
+  claimableVersion: number;
   /** When the owner's tables were loaded. */
   loadedAt: number;
 }
@@ -230,6 +239,8 @@
     ownerLink: 'closed',
     ownerHeardAt: NEVER,
     newsAt: NEVER,
+    askedAt: NEVER,
+    claimableVersion: 0,
     loadedAt: NEVER,
   };
 }
--- a/src/platform/wireFront.ts
+++ b/src/platform/wireFront.ts
@@ -5,7 +5,7 @@
 import { openHttpServer } from '../base/node/httpListening.ts';
 import { parseAddress } from '../daemons/schedulerSettings.ts';
 import type { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
-import type { QueueAnswer, QueueCall } from '../model/scheduler/entryMessages.ts';
+import type { QueueAnswer, QueueCall } from '../model/scheduler/queueCall.ts';
 import { readJsonBody } from './wireBody.ts';
 import { decodeJob } from './wireJobs.ts';
 
--- a/src/protocol/node/jsonLinks.ts
+++ b/src/protocol/node/jsonLinks.ts
@@ -76,7 +76,9 @@
 
   dispose(): void {
     this.isClosed = true;
-    this.socket.terminate();
+    // What was sent before still goes out; a peer that does not answer is cut off by the library.
+    if (this.socket.readyState === WebSocket.OPEN) this.socket.close();
+    else this.socket.terminate();
   }
 
   private close(): void {
--- a/src/systems/scheduler/callAnswers.ts
+++ b/src/systems/scheduler/callAnswers.ts
@@ -1,13 +1,23 @@
 import type { ErrorKind } from '../../base/common/errors.ts';
-import type { QueueAnswer } from '../../model/scheduler/entryMessages.ts';
+import type { QueueAnswer } from '../../model/scheduler/queueCall.ts';
 import type { CallRow, SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { logEvent } from './storeCalls.ts';
 import { STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
+/** Separates the entry that forwarded a call from the call's id there. */
+export const PEER_MARK = '!';
+
 /** Answers a call and forgets it. */
 export function answerCall(state: SchedulerState, callId: string, answer: QueueAnswer): void {
   state.calls.remove(callId);
-  state.outbox.append({ kind: 'answerCall', callId, answer });
+  const at = callId.indexOf(PEER_MARK);
+  if (at === -1) state.outbox.append({ kind: 'answerCall', callId, answer });
+  else
+    state.outbox.append({
+      kind: 'sendPeer',
+      peerId: callId.slice(0, at),
+      message: { kind: 'answer', callId: callId.slice(at + 1), answer },
+    });
   state.counters.add('call_answers', { kind: answer.kind });
 }
 
--- a/src/systems/scheduler/callReplies.ts
+++ b/src/systems/scheduler/callReplies.ts
@@ -10,6 +10,7 @@
 import type { CallRow, SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry, StoreReply } from '../../model/store.ts';
 import { answerCall, refuseCall } from './callAnswers.ts';
+import { forwardCall } from './callForwarding.ts';
 import { logEvent } from './storeCalls.ts';
 import { STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
@@ -47,6 +48,7 @@
   now: number,
 ): void {
   const isInDoubt = call.isInDoubt || (isUnknown && purpose === 'submit');
+  if (forwardCall(state, { ...call, isInDoubt }, now)) return;
   if (call.tries >= MAX_FAILED_TRIES && !isInDoubt) {
     const status = call.call.kind === 'read' ? state.statuses.get(call.jobId) : undefined;
     if (status === undefined)
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -6,7 +6,8 @@
 import { findQueue } from '../../model/scheduler/queueConfiguration.ts';
 import type { CallRow, SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreCall } from '../../model/store.ts';
-import { answerCall, answerUndecided, refuseCall } from './callAnswers.ts';
+import { answerCall, answerUndecided, PEER_MARK, refuseCall } from './callAnswers.ts';
+import { applyForwardedAnswer, forwardCall, resumeForwardedCalls } from './callForwarding.ts';
 import { receiveCallReply } from './callReplies.ts';
 import { sendStoreCall } from './storeCalls.ts';
 import { isStoreAway, STORE_RETRY_AFTER_MS } from './storeHealth.ts';
@@ -41,7 +42,12 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     for (const { callId } of state.inbox.list('callerGone')) state.calls.remove(callId);
-    for (const arrival of state.inbox.list('queueCall')) this.receiveCall(state, arrival, tick.now);
+    for (const { isOpen } of state.inbox.list('ownerLink'))
+      if (!isOpen) resumeForwardedCalls(state, tick.now);
+    for (const arrival of this.listCalls(state)) this.receiveCall(state, arrival, tick.now);
+    for (const { message } of state.inbox.list('ownerMessage'))
+      if (message.kind === 'answer')
+        applyForwardedAnswer(state, message.callId, message.answer, tick.now);
     for (const { callId, reply } of state.inbox.list('storeReply')) {
       const match = /^(submit|cancel|read)@(.+)#\d+$/.exec(callId);
       const call = state.calls.get(match?.[2] ?? '');
@@ -50,6 +56,18 @@
     for (const call of state.calls.list()) this.watchCall(state, call, tick);
   }
 
+  /** Calls of callers here, and those that other entries forwarded. */
+  private listCalls(state: SchedulerState): QueueCallArrival[] {
+    const calls = [...state.inbox.list('queueCall')];
+    for (const { peerId, hint } of state.inbox.list('peerHint')) {
+      if (hint.kind !== 'call') continue;
+      const { host, path, call, deadlineMs } = hint;
+      const callId = `${peerId}${PEER_MARK}${hint.callId}`;
+      calls.push({ kind: 'queueCall', callId, host, path, call, deadlineMs });
+    }
+    return calls;
+  }
+
   private receiveCall(state: SchedulerState, arrival: QueueCallArrival, now: number): void {
     const { configuration } = state.operator;
     if (configuration === undefined) {
@@ -89,6 +107,9 @@
       isPending: false,
       retryAt: now,
       jobVersion: 0,
+      host: arrival.host,
+      path: arrival.path,
+      isForwarded: false,
     };
     if (this.answerAtOnce(state, call, now)) return;
     state.calls.set(call);
@@ -96,6 +117,8 @@
 
   /** Answers what needs no store: phases known here, and submissions while the store is away. */
   private answerAtOnce(state: SchedulerState, call: CallRow, now: number): boolean {
+    if (isStoreAway(state, now) && call.call.kind !== 'read' && forwardCall(state, call, now))
+      return true;
     if (call.call.kind === 'submit' && isStoreAway(state, now)) {
       refuseCall(state, call.id, 'store_unavailable', 'the store is away', STORE_RETRY_AFTER_MS);
       return true;
--- /dev/null
+++ b/src/systems/scheduler/handOverSystem.ts
@@ -0,0 +1,88 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import { STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { dropOwnership } from './dropOwnership.ts';
+import { OWNER_LEASE_SLACK_MS } from './ownershipTimes.ts';
+import { listStoreReplies, sendStoreCall } from './storeCalls.ts';
+
+/** Failures of the store before the owner looks for a peer to take over; single ones are common. */
+const ASK_AFTER_MS = 350;
+const ASK_EVERY_MS = 300;
+const PROBE_TIMEOUT_MS = 500;
+
+/**
+ * Hands the duty over from an owner whom the store turns away to an entry whom it serves. In an
+ * outage for all no entry answers, and the owner keeps its duty. Reads messages between entries and
+ * the health of the store; writes `ownership`. Runs before the ownership system.
+ */
+export class HandOverSystem extends System<SchedulerState> {
+  override readonly name = 'handOver';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): HandOverSystem {
+    return new HandOverSystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    this.answerOwner(state, tick.now);
+    this.followSuccessor(state);
+    const { ownership, storeHealth, peers } = state;
+    const isFailing = tick.now - storeHealth.failingSince >= ASK_AFTER_MS;
+    if (ownership.role !== 'owner' || !isFailing) return;
+    for (const { peerId, hint } of state.inbox.list('peerHint')) {
+      if (hint.kind !== 'canTakeOver') continue;
+      this.releaseTo(state, peerId, tick.now);
+      return;
+    }
+    if (tick.now >= ownership.askedAt + ASK_EVERY_MS) {
+      ownership.askedAt = tick.now;
+      for (const peerId of peers)
+        state.outbox.append({ kind: 'sendPeer', peerId, message: { kind: 'askTakeOver' } });
+    }
+    tick.wakeAt(ownership.askedAt + ASK_EVERY_MS);
+  }
+
+  private releaseTo(state: SchedulerState, peerId: string, now: number): void {
+    const { ownership } = state;
+    const { keyVersion } = ownership;
+    state.counters.add('hand_overs');
+    dropOwnership(state, 'the store turns this entry away', now);
+    // Until the lease of the key ends, only the peer may replace it.
+    ownership.claimAt = now + state.bounds.storeLeaseMinMs + OWNER_LEASE_SLACK_MS;
+    state.outbox.append({ kind: 'sendPeer', peerId, message: { kind: 'handOver', keyVersion } });
+  }
+
+  /** At another entry: looks whether the store answers, and claims what is handed over. */
+  private answerOwner(state: SchedulerState, now: number): void {
+    const { ownership } = state;
+    for (const { message } of state.inbox.list('ownerMessage')) {
+      if (ownership.role !== 'follower') continue;
+      if (message.kind === 'askTakeOver') {
+        const expected = [{ key: STORE_KEYS.owner, version: 0 }];
+        const call = { op: 'transact' as const, expected, puts: [], deletes: [] };
+        sendStoreCall(state, 'canTakeOver', call, PROBE_TIMEOUT_MS);
+      } else if (message.kind === 'handOver') {
+        ownership.claimableVersion = message.keyVersion;
+        ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
+        ownership.claimAt = now;
+      }
+    }
+    for (const { reply } of listStoreReplies(state, 'canTakeOver'))
+      if (reply.kind !== 'refused' && reply.kind !== 'unavailable')
+        state.outbox.append({ kind: 'hintOwner', hint: { kind: 'canTakeOver' } });
+  }
+
+  private followSuccessor(state: SchedulerState): void {
+    const { ownership } = state;
+    for (const { hint } of state.inbox.list('peerHint')) {
+      if (hint.kind !== 'successor' || ownership.role !== 'follower') continue;
+      ownership.ownerAddress = hint.address;
+      ownership.ownerLink = 'opening';
+      state.outbox.append({ kind: 'openOwner', address: hint.address });
+    }
+  }
+}
--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -37,11 +37,11 @@
     if (state.ownership.role !== 'owner') return;
     for (const { hint } of state.inbox.list('peerHint')) {
       if (hint.kind === 'jobStored') this.addStoredJob(state, hint.id, hint.job, tick.now, 'hint');
-      else applyCancel(state, hint.id);
+      else if (hint.kind === 'cancelStored') applyCancel(state, hint.id);
     }
     for (const hint of state.hints.splice(0)) {
       if (hint.kind === 'jobStored') this.addStoredJob(state, hint.id, hint.job, tick.now, 'own');
-      else applyCancel(state, hint.id);
+      else if (hint.kind === 'cancelStored') applyCancel(state, hint.id);
     }
     this.receiveWatch(state, tick.now);
     this.receiveList(state, tick.now);
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -57,7 +57,8 @@
     } else {
       this.openingAt = Number.NEGATIVE_INFINITY;
     }
-    for (const { news } of state.inbox.list('ownerNews')) this.applyNews(state, news, tick.now);
+    for (const { message } of state.inbox.list('ownerMessage'))
+      if (message.kind === 'news') this.applyNews(state, message, tick.now);
   }
 
   private applyNews(state: SchedulerState, news: OwnerNews, now: number): void {
@@ -78,7 +79,7 @@
   private sendNews(state: SchedulerState, tick: Tick): void {
     const { ownership, peers, newPeers, changedStatuses } = state;
     const confirmedAgoMs = Math.max(0, Math.round(tick.now - ownership.confirmedAt));
-    const head = { epoch: ownership.epoch, confirmedAgoMs };
+    const head = { kind: 'news' as const, epoch: ownership.epoch, confirmedAgoMs };
     for (const peerId of newPeers)
       this.send(state, peerId, { ...head, isComplete: true, jobs: state.statuses.list() });
     const isDue = tick.now - this.sentAt >= NEWS_EVERY_MS;
@@ -98,6 +99,6 @@
   }
 
   private send(state: SchedulerState, peerId: string, news: OwnerNews): void {
-    state.outbox.append({ kind: 'sendNews', peerId, news });
+    state.outbox.append({ kind: 'sendPeer', peerId, message: news });
   }
 }
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -5,11 +5,9 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { dropOwnership } from './dropOwnership.ts';
-import { GRANT_WINDOW_MS } from './ownershipTimes.ts';
+import { GRANT_WINDOW_MS, OWNER_LEASE_SLACK_MS } from './ownershipTimes.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 
-/** Lease of the owner key over the shortest that the store grants; a slow store needs the slack. */
-const LEASE_SLACK_MS = 500;
 const RENEW_EVERY_MS = 400;
 const RENEW_RETRY_MS = 150;
 /** How often an entry without a live owner looks at the owner key. */
@@ -49,6 +47,7 @@
       dropOwnership(state, 'the store has not confirmed it in time', tick.now);
       return;
     }
+
     if (tick.now >= ownership.renewAt) {
       ownership.renewAt = tick.now + RENEW_EVERY_MS;
       sendStoreCall(
@@ -129,6 +128,10 @@
       else this.startClaim(state, entry.version);
       return;
     }
+    if (ownership.claimableVersion === entry.version) {
+      this.startClaim(state, entry.version);
+      return;
+    }
     if (ownership.ownerAddress === owner.address && ownership.ownerLink === 'opening') return;
     // An owner that sends news but has lost touch with the store keeps its link.
     if (ownership.ownerLink === 'open' && now - ownership.newsAt < OWNER_SILENT_MS) return;
@@ -150,7 +153,7 @@
     const { ownership } = state;
     ownership.role = 'claiming';
     ownership.keyVersion = ownerVersion;
-    const ttlMs = state.bounds.storeLeaseMinMs + LEASE_SLACK_MS;
+    const ttlMs = state.bounds.storeLeaseMinMs + OWNER_LEASE_SLACK_MS;
     sendStoreCall(state, 'lease', { op: 'grantLease', ttlMs }, CALL_TIMEOUT_MS);
   }
 
@@ -213,8 +216,13 @@
     ownership.confirmedAt = confirmedAt;
     ownership.renewAt = confirmedAt;
     ownership.ownerAddress = '';
+    if (ownership.ownerLink === 'open') {
+      const hint = { kind: 'successor' as const, address: state.self.address };
+      state.outbox.append({ kind: 'hintOwner', hint });
+    }
     if (ownership.ownerLink !== 'closed') state.outbox.append({ kind: 'closeOwner' });
     ownership.ownerLink = 'closed';
+    ownership.claimableVersion = 0;
     state.load.prefixes = [STORE_KEYS.intake, STORE_KEYS.progressPrefix];
     state.load.after = undefined;
     state.load.callId = '';
--- a/src/systems/scheduler/ownershipTimes.ts
+++ b/src/systems/scheduler/ownershipTimes.ts
@@ -7,6 +7,9 @@
 /** Longest lease that an owner grants to runs, ms; long enough for a takeover, short enough to move work soon. */
 export const RUN_LEASE_MS = 5_000;
 
+/** Lease of the owner key over the shortest that the store grants, ms; a slow store needs the slack. */
+export const OWNER_LEASE_SLACK_MS = 500;
+
 /** Workers' clocks may be this much slow. */
 export const CLOCK_DRIFT = 1.02;
 
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -86,13 +86,13 @@
     } else if (overMs >= state.bounds.harmMs * HALT_AFTER_PART) {
       for (const run of filling) this.setPace(state, run, 0, leastSlack);
     } else if (leastSlack < SLOW_BELOW_SLACK) {
-      this.slowFilling(state, worst, leastSlack, filling, now);
+      this.limitFilling(state, worst, leastSlack, filling, now);
     } else if (leastSlack > RAISE_ABOVE_SLACK) {
-      this.raiseFilling(state, worst, leastSlack, filling);
+      this.resumeFilling(state, worst, leastSlack, filling);
     }
   }
 
-  private slowFilling(
+  private limitFilling(
     state: SchedulerState,
     serving: RunRow,
     slack: number,
@@ -110,7 +110,7 @@
     }
   }
 
-  private raiseFilling(
+  private resumeFilling(
     state: SchedulerState,
     serving: RunRow,
     slack: number,
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -5,6 +5,7 @@
 import { ClockSystem } from './clockSystem.ts';
 import { CommitSystem } from './commitSystem.ts';
 import { EndSystem } from './endSystem.ts';
+import { HandOverSystem } from './handOverSystem.ts';
 import { IntakeSystem } from './intakeSystem.ts';
 import { NewsSystem } from './newsSystem.ts';
 import { OperatorKeysSystem } from './operatorKeysSystem.ts';
@@ -25,6 +26,7 @@
   return [
     ClockSystem.create(),
     OperatorKeysSystem.create(),
+    HandOverSystem.create(),
     OwnershipSystem.create(),
     TakeoverSystem.create(),
     CallSystem.create(),
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -138,9 +138,10 @@
 
     it('does not hold a caller when the store refuses everything', () => {
       const { world, entry } = createWorld();
-      entry.store = 'refuses';
-      world.run(1_000);
+      for (const node of world.entries) node.store = 'refuses';
+      world.run(1_500);
       const callId = world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(20);
       expect(entry.answers.get(callId)).toMatchObject({
         kind: 'refused',
         error: 'store_unavailable',
@@ -148,6 +149,35 @@
       });
     });
 
+    it('does not refuse a job while the store serves the owner', () => {
+      const { world } = createWorld(3);
+      const entry = world.entries.find((node) => node !== world.owner)!;
+      entry.store = 'refuses';
+      world.run(1_000);
+      const callId = world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(200);
+      expect(entry.answers.get(callId)?.kind).toBe('accepted');
+      world.run(2_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('does not leave the duty with an owner whom the store turns away', () => {
+      const { world } = createWorld(3);
+      const owner = world.owner!;
+      world.submit(owner, JOB, [{ count: 2 }, { count: 2, after: [0] }]);
+      world.run(300);
+      owner.store = 'refuses';
+      world.run(900);
+      expect(world.owner).toBeDefined();
+      expect(world.owner).not.toBe(owner);
+      world.run(3_000);
+      const callId = world.submit(owner, createJobId(5), [{ count: 1 }]);
+      world.run(300);
+      expect(owner.answers.get(callId)?.kind).toBe('accepted');
+      expect(readPhase(world, world.owner!)).toBe('completed');
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+    });
+
     it('does not let running tasks lapse in an outage of 8 s', () => {
       const { world, entry } = createWorld();
       world.behave = () => ({ durationMs: 9_000, how: 'done' });
