Move stalled runs and pause workers that fail what they start

Change: failures in a row, rejections and stalls pause a worker for 0.5 to 8 s and a good run ends that; runs without progress for 2.5 s move. Two tests that fail without it.

--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -5,6 +5,7 @@
 interface MemoryRun {
   readonly task: string;
   readonly run: number;
+  readonly startedAt: number;
   readonly endsAt: number;
   readonly how: RunEnd;
   pacePercent: number;
@@ -14,6 +15,8 @@
 export interface RunBehaviour {
   readonly durationMs: number;
   readonly how: RunEnd;
+  /** Whether the task stands still until it is stopped. */
+  readonly isStalled?: boolean;
 }
 
 /** Stand-in of one incarnation of the platform's worker, as the scheduler speaks to it. */
@@ -79,11 +82,11 @@
       kind: 'lists',
       clockMs: this.clock.now,
       bornMs: this.bornMs,
-      running: [...this.running.values()].map(({ task, run }) => ({
+      running: [...this.running.values()].map(({ task, run, startedAt, endsAt }) => ({
         task,
         run,
         checkpoint: '',
-        percent: 1,
+        percent: Math.floor((100 * (this.clock.now - startedAt)) / (endsAt - startedAt)),
         load: 0,
       })),
       ended: [...this.ended],
@@ -96,12 +99,13 @@
     if (call.leaseUntilMs < this.clock.now) return { kind: 'rejected', reason: 'late' };
     if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
     this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
-    const { durationMs, how } = this.behave(call.task, call.run);
+    const { durationMs, how, isStalled } = this.behave(call.task, call.run);
     this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
     this.running.set(call.task, {
       task: call.task,
       run: call.run,
-      endsAt: this.clock.now + durationMs,
+      startedAt: this.clock.now,
+      endsAt: isStalled === true ? Number.POSITIVE_INFINITY : this.clock.now + durationMs,
       how,
       pacePercent: 100,
     });
--- a/src/systems/scheduler/endSystem.ts
+++ b/src/systems/scheduler/endSystem.ts
@@ -6,6 +6,7 @@
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import { recordJobChange, releaseRun, requestStop, setJobPhase, updateTask } from './jobChanges.ts';
 import { logEvent } from './storeCalls.ts';
+import { clearTrouble, recordFailure } from './workerTrouble.ts';
 
 /**
  * Applies the ends that workers list, each once. Reads the listed ends; writes `tasks`, `runs` and
@@ -38,6 +39,8 @@
       known: run !== undefined,
     });
     state.counters.add('run_ends', { how: end.how });
+    if (end.how === 'done') clearTrouble(state, workerKey);
+    else if (end.how === 'failed') recordFailure(state, workerKey, now);
     if (task !== undefined) {
       if (end.how === 'done') this.applyDone(state, task, run, now);
       else if (run?.workerKey === workerKey) this.applyOther(state, task, run, end, now);
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -9,12 +9,10 @@
 import { CLOCK_DRIFT, LEASE_MARGIN_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { explainClosedWorker } from './workerRooms.ts';
+import { recordTrouble } from './workerTrouble.ts';
 
 type StartResult = Extract<AgentMessage, { kind: 'startResult' }>;
 
-/** Pause before a worker that rejected or failed work gets more; doubles with each trouble in a row. */
-const TROUBLE_FIRST_MS = 250;
-const TROUBLE_MOST_MS = 4_000;
 /** An order that has no effect by then is sent again; orders may be repeated without harm. */
 const REPEAT_MS = 1_000;
 
@@ -141,14 +139,11 @@
     if (worker.identity.bornMs !== result.bornMs) return;
     if (result.outcome === 'started') {
       state.runs.update(run.id, { phase: 'running', progressAt: now });
-      if (worker.recentFailures > 0) state.workers.update(worker.id, { recentFailures: 0 });
       return;
     }
     // An end that the worker lists decides; the run was there.
     if (result.outcome === 'ended') return;
-    const recentFailures = worker.recentFailures + 1;
-    const pauseMs = Math.min(TROUBLE_MOST_MS, TROUBLE_FIRST_MS * 2 ** recentFailures);
-    state.workers.update(worker.id, { recentFailures, troubledUntil: now + pauseMs });
+    recordTrouble(state, worker.id, `rejected: ${result.outcome}`, now);
     state.counters.add('start_rejections', { reason: result.outcome });
     releaseRun(state, run, `rejected: ${result.outcome}`, { now });
   }
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -15,6 +15,7 @@
 import { ProgressSystem } from './progressSystem.ts';
 import { ReportSystem } from './reportSystem.ts';
 import { RetentionSystem } from './retentionSystem.ts';
+import { StallSystem } from './stallSystem.ts';
 import { StopSystem } from './stopSystem.ts';
 import { TakeoverSystem } from './takeoverSystem.ts';
 import { ObjectiveOrder } from './taskOrder.ts';
@@ -34,6 +35,7 @@
     ReportSystem.create(),
     EndSystem.create(),
     ProgressSystem.create(),
+    StallSystem.create(),
     PacingSystem.create(),
     TaskPlacementSystem.create(SeparatingTaskPlacement.create(), ObjectiveOrder.create()),
     CommitSystem.create(),
--- /dev/null
+++ b/src/systems/scheduler/stallSystem.ts
@@ -0,0 +1,75 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { RunRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { requestStop, updateTask } from './jobChanges.ts';
+import { logEvent } from './storeCalls.ts';
+import { recordTrouble } from './workerTrouble.ts';
+
+const LOOK_EVERY_MS = 500;
+/**
+ * Time without progress after which a run counts as stalled. Tasks take a few seconds, so a sound one
+ * shows several percent in this time, also on a worker that is a few times slow.
+ */
+const STALLED_MS = 2_500;
+/** A worker out of touch tells no progress; that says nothing about its runs. */
+const REPORT_FRESH_MS = 1_500;
+/** Times that a task is moved for standing still; a task that stalls everywhere has a fault of its own. */
+const MAX_MOVES = 3;
+const AT_WORK_PERCENT = 100;
+
+/**
+ * Moves runs that stand still on workers that otherwise look sound. Reads the progress of `runs`;
+ * requests stops. Runs after the reports. Filling tasks are left out: without processors left they
+ * stand still rightly.
+ */
+export class StallSystem extends System<SchedulerState> {
+  override readonly name = 'stall';
+  private lookAt = Number.NEGATIVE_INFINITY;
+
+  private constructor() {
+    super();
+  }
+
+  static create(): StallSystem {
+    return new StallSystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    if (state.ownership.role !== 'owner') return;
+    if (tick.now < this.lookAt) {
+      tick.wakeAt(this.lookAt);
+      return;
+    }
+    this.lookAt = tick.now + LOOK_EVERY_MS;
+    tick.wakeAt(this.lookAt);
+    for (const run of [...state.runs.values()])
+      if (this.isStalled(state, run, tick.now)) this.moveAway(state, run, tick.now);
+  }
+
+  private isStalled(state: SchedulerState, run: RunRow, now: number): boolean {
+    if (run.phase !== 'running' || run.stopReason !== undefined || run.step.fills) return false;
+    if (run.step.gang) return false;
+    if (run.step.longRunning && run.percent >= AT_WORK_PERCENT) return false;
+    if (now - run.progressAt < STALLED_MS) return false;
+    const worker = state.workers.get(run.workerKey);
+    return worker !== undefined && now - worker.lastReportAt < REPORT_FRESH_MS;
+  }
+
+  private moveAway(state: SchedulerState, run: RunRow, now: number): void {
+    const task = state.tasks.get(run.taskId);
+    const worker = state.workers.get(run.workerKey);
+    if (task === undefined || worker === undefined || task.avoided.length >= MAX_MOVES) return;
+    logEvent(state, 'warn', 'run_stalled', {
+      task: run.taskId,
+      run: run.run,
+      worker: worker.identity.id,
+      percent: run.percent,
+      stillMs: Math.round(now - run.progressAt),
+    });
+    state.counters.add('stalled_runs');
+    recordTrouble(state, worker.id, 'stalled', now);
+    updateTask(state, task.id, { avoided: [...task.avoided, worker.identity.id] });
+    requestStop(state, run, 'it stands still');
+  }
+}
--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -62,6 +62,8 @@
 /** Work away from its data takes half as long again or more. */
 const FAR_PENALTY = 50;
 const FAILURE_PENALTY = 5;
+/** Failed runs in a row that a sound worker may have; tasks fail by their own fault now and then. */
+export const CHANCE_FAILURES = 2;
 
 /**
  * Keeps filling tasks off the workers of serving tasks, work near its data, and spreads the rest by
@@ -94,7 +96,7 @@
 function computeScore(room: WorkerRoom, task: TaskRow): number {
   const { identity, recentFailures } = room.worker;
   const { step } = task;
-  let score = FAILURE_PENALTY * recentFailures;
+  let score = FAILURE_PENALTY * Math.max(0, recentFailures - CHANCE_FAILURES);
   if (task.avoided.includes(identity.id)) score += AVOIDED_PENALTY;
   if (step.nearRack !== '' && !identity.labels.includes(step.nearRack)) score += FAR_PENALTY;
   if (step.fills && room.isPressed) score += PRESSED_PENALTY;
--- /dev/null
+++ b/src/systems/scheduler/workerTrouble.ts
@@ -0,0 +1,45 @@
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { logEvent } from './storeCalls.ts';
+import { CHANCE_FAILURES } from './taskPlacementPolicy.ts';
+
+/** Pause before a worker in trouble gets more work; doubles with each trouble in a row. */
+const PAUSE_FIRST_MS = 250;
+const PAUSE_MOST_MS = 8_000;
+
+/** Notes that a worker rejected a start, or that a run stood still there. */
+export function recordTrouble(
+  state: SchedulerState,
+  workerKey: string,
+  reason: string,
+  now: number,
+): void {
+  const worker = state.workers.get(workerKey);
+  if (worker === undefined) return;
+  const recentFailures = worker.recentFailures + 1;
+  const pauseMs = Math.min(PAUSE_MOST_MS, PAUSE_FIRST_MS * 2 ** recentFailures);
+  state.workers.update(workerKey, { recentFailures, troubledUntil: now + pauseMs });
+  logEvent(state, 'warn', 'worker_troubled', {
+    worker: worker.identity.id,
+    reason,
+    inARow: recentFailures,
+    pauseMs,
+  });
+}
+
+/** Notes a failed run; only several in a row speak against the worker. */
+export function recordFailure(state: SchedulerState, workerKey: string, now: number): void {
+  const worker = state.workers.get(workerKey);
+  if (worker === undefined) return;
+  if (worker.recentFailures >= CHANCE_FAILURES) recordTrouble(state, workerKey, 'failed', now);
+  else state.workers.update(workerKey, { recentFailures: worker.recentFailures + 1 });
+}
+
+/** Notes that a run went well. */
+export function clearTrouble(state: SchedulerState, workerKey: string): void {
+  const worker = state.workers.get(workerKey);
+  if (worker !== undefined && worker.recentFailures > 0)
+    state.workers.update(workerKey, {
+      recentFailures: 0,
+      troubledUntil: Number.NEGATIVE_INFINITY,
+    });
+}
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -36,6 +36,8 @@
   private readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
   private readonly random = SeededRandom.create(7);
   private nextCall = 0;
+  /** Overrides {@link behave} for single workers. */
+  behaveOn: ((agent: AgentNode, task: string, run: number) => RunBehaviour) | undefined;
   behave: (task: string, run: number) => RunBehaviour = () => ({ durationMs: 1_000, how: 'done' });
 
   private constructor() {
@@ -152,11 +154,12 @@
           this.handleAgentEffect(agent, effect);
         },
       }),
-      runner: this.createRunner(),
+      runner: MemoryRunner.create(this.clock, this.clock.now, () => this.behave('', 0)),
       links: new Map(),
       isReachable: true,
       dropAnswers: 0,
     };
+    agent.runner = this.createRunner(agent);
     this.agents.push(agent);
     this.sendBeat(agent);
     return agent;
@@ -165,7 +168,7 @@
   /** Replaces the worker beside an agent by a new incarnation; what ran on it is gone. */
   restartRunner(agent: AgentNode): void {
     agent.runner.running.clear();
-    agent.runner = this.createRunner();
+    agent.runner = this.createRunner(agent);
     this.sendBeat(agent);
   }
 
@@ -174,8 +177,12 @@
     for (const entry of this.entries) this.closeAgentLink(entry, agent);
   }
 
-  private createRunner(): MemoryRunner {
-    return MemoryRunner.create(this.clock, this.clock.now, (task, run) => this.behave(task, run));
+  private createRunner(agent: AgentNode): MemoryRunner {
+    return MemoryRunner.create(
+      this.clock,
+      this.clock.now,
+      (task, run) => this.behaveOn?.(agent, task, run) ?? this.behave(task, run),
+    );
   }
 
   private sendBeat(agent: AgentNode): void {
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -254,6 +254,36 @@
       expect(readPhase(world, entry)).toBe('completed');
     });
 
+    it('does not leave a task where it stands still', () => {
+      const { world, entry } = createWorld(1, 2);
+      let first = '';
+      world.behave = (task, run) => {
+        if (run === 1) first = task;
+        return { durationMs: 1_000, how: 'done', isStalled: run === 1 };
+      };
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(6_000);
+      expect(new Set(world.listStarts(first).map(({ agent }) => agent)).size).toBe(2);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('does not let a worker that fails everything use up the attempts of many jobs', () => {
+      const { world, entry } = createWorld(1, 3);
+      const bad = world.agents[0]!;
+      world.behaveOn = (agent) => ({
+        durationMs: agent === bad ? 50 : 1_000,
+        how: agent === bad ? 'failed' : 'done',
+      });
+      for (let index = 1; index <= 20; index += 1) {
+        world.submit(entry, createJobId(index), [{ count: 1, cpuMillis: 500 }]);
+        world.run(200);
+      }
+      world.run(6_000);
+      for (let index = 1; index <= 20; index += 1)
+        expect(readPhase(world, entry, createJobId(index))).toBe('completed');
+      expect(bad.runner.starts.length).toBeLessThan(10);
+    });
+
     it('does not wait for the lease of an incarnation that is gone', () => {
       const { world, entry } = createWorld(1, 1);
       world.submit(entry, JOB, [{ count: 1 }]);
