Give up store calls after 0.8 s

Change: time-outs of 0.8 s, twice what a slow store needs; 0.3 s before a forwarded call is tried again.

--- a/src/systems/runnerAgent/agentLifeSystem.ts
+++ b/src/systems/runnerAgent/agentLifeSystem.ts
@@ -4,7 +4,7 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent } from './agentCalls.ts';
 
-const CALL_TIMEOUT_MS = 1_500;
+const CALL_TIMEOUT_MS = 800;
 const RETRY_MS = 250;
 /** Time for the orders in progress when the agent stops; runs go on under their leases. */
 const STOP_MS = 400;
--- a/src/systems/scheduler/callForwarding.ts
+++ b/src/systems/scheduler/callForwarding.ts
@@ -5,7 +5,8 @@
 
 /** News of the owner come every 300 ms; an owner that is silent for longer gets no calls. */
 const OWNER_HEARD_MS = 900;
-const RETRY_MS = 80;
+/** Pause after the owner could not help either; the store is then away for more than this entry. */
+const RETRY_MS = 300;
 
 /**
  * Asks the owner to carry a call out that the store does not answer here: the store may turn single
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -12,7 +12,11 @@
 const PROVE_EVERY_MS = 800;
 /** Pause after a failed call; a store that answers again is noticed within this time. */
 const RETRY_MS = 200;
-const READ_TIMEOUT_MS = 2_000;
+/**
+ * A slow store answers within 0.4 s. A call on a connection that opened while the store was away can
+ * hang, and a process that has just started serves nobody until the first list is there.
+ */
+const READ_TIMEOUT_MS = 800;
 const WATCH_WAIT_MS = 10_000;
 /** A watch that is silent beyond its wait is on a dead connection. */
 const WATCH_TIMEOUT_MS = 11_000;
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -12,7 +12,8 @@
 const RENEW_RETRY_MS = 150;
 /** How often an entry without a live owner looks at the owner key. */
 const CLAIM_EVERY_MS = 200;
-const CALL_TIMEOUT_MS = 1_500;
+/** A slow store answers within 0.4 s; a call on a dead connection must not hold up a takeover. */
+const CALL_TIMEOUT_MS = 800;
 /** News come every 300 ms; two missed ones mean that the owner or the link is gone. */
 const OWNER_SILENT_MS = 900;
 
--- a/src/systems/scheduler/takeoverSystem.ts
+++ b/src/systems/scheduler/takeoverSystem.ts
@@ -14,7 +14,8 @@
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 
-const PAGE_TIMEOUT_MS = 2_000;
+/** A page of a slow store takes up to 0.4 s and the time of its bytes. */
+const PAGE_TIMEOUT_MS = 1_000;
 
 /**
  * Loads the tables of a new owner from the store: jobs, cancellations, agents and progress. Reads
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -209,6 +209,18 @@
     });
   });
 
+  describe('after a restart of everything', () => {
+    it('does not wait long on a first call that the store never answers', () => {
+      const world = SchedulerWorld.create(2, 1);
+      for (const node of world.entries) node.store = 'silent';
+      world.run(300);
+      for (const node of world.entries) node.store = 'up';
+      world.run(1_200);
+      expect(world.owner).toBeDefined();
+      for (const node of world.entries) expect(node.state.self.phase).toBe('serving');
+    });
+  });
+
   describe('with an owner that dies', () => {
     it('does not run its tasks again, and goes on within 3 s', () => {
       const { world } = createWorld(3, 2);
