--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -90,6 +90,19 @@
   sequence: number;
 }
 
+/** When systems that look now and then do so next, and what they remember between turns; clock ms. */
+export interface Timetable {
+  pacingAt: number;
+  stallAt: number;
+  retentionAt: number;
+  newsSentAt: number;
+  /** Since when the link to the owner has been opening. */
+  ownerOpeningAt: number;
+  stopStartedAt: number;
+  /** Wall clock minus monotonic clock in the turn before. */
+  lastOffsetMs: number | undefined;
+}
+
 /** All state of an entry of the scheduler. */
 export interface SchedulerState {
   readonly inbox: Mailbox<SchedulerArrival>;
@@ -108,6 +121,7 @@
   /** Wall clock minus monotonic clock, ms. */
   wallOffsetMs: number;
   nextCall: number;
+  readonly timetable: Timetable;
   readonly storeHealth: { failingSince: number };
   readonly operator: OperatorState;
   readonly ownership: Ownership;
@@ -177,6 +191,7 @@
     zones: identity.zones,
     wallOffsetMs: 0,
     nextCall: 1,
+    timetable: createTimetable(),
     storeHealth: { failingSince: Number.POSITIVE_INFINITY },
     operator: createOperatorState(),
     ownership: createOwnership(),
@@ -212,6 +227,18 @@
   };
 }
 
+function createTimetable(): Timetable {
+  return {
+    pacingAt: NEVER,
+    stallAt: NEVER,
+    retentionAt: NEVER,
+    newsSentAt: NEVER,
+    ownerOpeningAt: NEVER,
+    stopStartedAt: NEVER,
+    lastOffsetMs: undefined,
+  };
+}
+
 function createOperatorState(): OperatorState {
   return {
     configuration: undefined,
--- a/src/systems/scheduler/clockSystem.ts
+++ b/src/systems/scheduler/clockSystem.ts
@@ -14,7 +14,6 @@
  */
 export class ClockSystem extends System<SchedulerState> {
   override readonly name = 'clock';
-  private lastOffsetMs: number | undefined;
 
   private constructor() {
     super();
@@ -26,8 +25,8 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     recordStoreHealth(state, tick.now);
-    const jumpMs = state.wallOffsetMs - (this.lastOffsetMs ?? state.wallOffsetMs);
-    this.lastOffsetMs = state.wallOffsetMs;
+    const jumpMs = state.wallOffsetMs - (state.timetable.lastOffsetMs ?? state.wallOffsetMs);
+    state.timetable.lastOffsetMs = state.wallOffsetMs;
     if (jumpMs < SUSPENSION_MS) return;
     logEvent(state, 'warn', 'clock_jumped', { jumpMs: Math.round(jumpMs) });
     state.ownership.confirmedAt -= jumpMs;
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -15,8 +15,6 @@
  */
 export class NewsSystem extends System<SchedulerState> {
   override readonly name = 'news';
-  private sentAt = Number.NEGATIVE_INFINITY;
-  private openingAt = Number.NEGATIVE_INFINITY;
 
   private constructor() {
     super();
@@ -48,14 +46,15 @@
       tick.wakeAt(tick.now);
     }
     if (ownership.ownerLink === 'opening') {
-      if (this.openingAt === Number.NEGATIVE_INFINITY) this.openingAt = tick.now;
-      if (tick.now - this.openingAt > LINK_OPEN_MS) {
+      if (state.timetable.ownerOpeningAt === Number.NEGATIVE_INFINITY)
+        state.timetable.ownerOpeningAt = tick.now;
+      if (tick.now - state.timetable.ownerOpeningAt > LINK_OPEN_MS) {
         ownership.ownerLink = 'closed';
         state.outbox.append({ kind: 'closeOwner' });
       }
-      tick.wakeAt(this.openingAt + LINK_OPEN_MS + 1);
+      tick.wakeAt(state.timetable.ownerOpeningAt + LINK_OPEN_MS + 1);
     } else {
-      this.openingAt = Number.NEGATIVE_INFINITY;
+      state.timetable.ownerOpeningAt = Number.NEGATIVE_INFINITY;
     }
     for (const { message } of state.inbox.list('ownerMessage'))
       if (message.kind === 'news') this.applyNews(state, message, tick.now);
@@ -82,7 +81,7 @@
     const head = { kind: 'news' as const, epoch: ownership.epoch, confirmedAgoMs };
     for (const peerId of newPeers)
       this.send(state, peerId, { ...head, isComplete: true, jobs: state.statuses.list() });
-    const isDue = tick.now - this.sentAt >= NEWS_EVERY_MS;
+    const isDue = tick.now - state.timetable.newsSentAt >= NEWS_EVERY_MS;
     if (changedStatuses.size > 0 || isDue) {
       const jobs: JobStatus[] = [];
       for (const id of changedStatuses) {
@@ -92,10 +91,10 @@
       for (const peerId of peers)
         if (!newPeers.has(peerId)) this.send(state, peerId, { ...head, isComplete: false, jobs });
       changedStatuses.clear();
-      this.sentAt = tick.now;
+      state.timetable.newsSentAt = tick.now;
     }
     newPeers.clear();
-    tick.wakeAt(this.sentAt + NEWS_EVERY_MS);
+    tick.wakeAt(state.timetable.newsSentAt + NEWS_EVERY_MS);
   }
 
   private send(state: SchedulerState, peerId: string, news: OwnerNews): void {
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -38,7 +38,6 @@
  */
 export class PacingSystem extends System<SchedulerState> {
   override readonly name = 'pacing';
-  private lookAt = Number.NEGATIVE_INFINITY;
 
   private constructor() {
     super();
@@ -50,12 +49,12 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
-    if (tick.now < this.lookAt) {
-      tick.wakeAt(this.lookAt);
+    if (tick.now < state.timetable.pacingAt) {
+      tick.wakeAt(state.timetable.pacingAt);
       return;
     }
-    this.lookAt = tick.now + LOOK_EVERY_MS;
-    tick.wakeAt(this.lookAt);
+    state.timetable.pacingAt = tick.now + LOOK_EVERY_MS;
+    tick.wakeAt(state.timetable.pacingAt);
     for (const worker of state.workers.values()) {
       const runs = state.runsByWorker.list(worker.id).filter((run) => run.phase === 'running');
       const serving = runs.filter((run) => run.step.targetMs > 0);
--- a/src/systems/scheduler/retentionSystem.ts
+++ b/src/systems/scheduler/retentionSystem.ts
@@ -15,7 +15,6 @@
  */
 export class RetentionSystem extends System<SchedulerState> {
   override readonly name = 'retention';
-  private sweepAt = Number.NEGATIVE_INFINITY;
 
   private constructor() {
     super();
@@ -26,9 +25,9 @@
   }
 
   override run(state: SchedulerState, tick: Tick): void {
-    if (state.ownership.role !== 'owner' || tick.now < this.sweepAt) return;
-    this.sweepAt = tick.now + SWEEP_EVERY_MS;
-    tick.wakeAt(this.sweepAt);
+    if (state.ownership.role !== 'owner' || tick.now < state.timetable.retentionAt) return;
+    state.timetable.retentionAt = tick.now + SWEEP_EVERY_MS;
+    tick.wakeAt(state.timetable.retentionAt);
     const expired: string[] = [];
     const wallMs = tick.now + state.wallOffsetMs;
     for (const job of state.jobs.list()) {
--- a/src/systems/scheduler/stallSystem.ts
+++ b/src/systems/scheduler/stallSystem.ts
@@ -25,7 +25,6 @@
  */
 export class StallSystem extends System<SchedulerState> {
   override readonly name = 'stall';
-  private lookAt = Number.NEGATIVE_INFINITY;
 
   private constructor() {
     super();
@@ -37,12 +36,12 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
-    if (tick.now < this.lookAt) {
-      tick.wakeAt(this.lookAt);
+    if (tick.now < state.timetable.stallAt) {
+      tick.wakeAt(state.timetable.stallAt);
       return;
     }
-    this.lookAt = tick.now + LOOK_EVERY_MS;
-    tick.wakeAt(this.lookAt);
+    state.timetable.stallAt = tick.now + LOOK_EVERY_MS;
+    tick.wakeAt(state.timetable.stallAt);
     for (const run of [...state.runs.values()])
       if (this.isStalled(state, run, tick.now)) this.moveAway(state, run, tick.now);
   }
--- a/src/systems/scheduler/stopSystem.ts
+++ b/src/systems/scheduler/stopSystem.ts
@@ -17,7 +17,6 @@
  */
 export class StopSystem extends System<SchedulerState> {
   override readonly name = 'stop';
-  private startedAt = Number.POSITIVE_INFINITY;
 
   private constructor() {
     super();
@@ -45,7 +44,7 @@
   private startStop(state: SchedulerState, tick: Tick): void {
     const { self, ownership } = state;
     self.phase = 'stopping';
-    this.startedAt = tick.now;
+    state.timetable.stopStartedAt = tick.now;
     self.stopAt = tick.now + state.bounds.stopGraceSeconds * 1_000 - KILL_MARGIN_MS;
     logEvent(state, 'info', 'entry_stopping', { role: ownership.role });
     if (ownership.role !== 'owner' && ownership.role !== 'loading') return;
@@ -66,11 +65,13 @@
 
   private advanceStop(state: SchedulerState, tick: Tick): void {
     const { self } = state;
-    const isQuiet = state.calls.size === 0 && tick.now >= this.startedAt + LINGER_MS;
+    const isQuiet = state.calls.size === 0 && tick.now >= state.timetable.stopStartedAt + LINGER_MS;
     if (isQuiet || tick.now >= self.stopAt) {
       state.outbox.append({ kind: 'exit' });
       return;
     }
-    tick.wakeAt(Math.min(self.stopAt, Math.max(tick.now + 50, this.startedAt + LINGER_MS)));
+    tick.wakeAt(
+      Math.min(self.stopAt, Math.max(tick.now + 50, state.timetable.stopStartedAt + LINGER_MS)),
+    );
   }
 }
--- /dev/null
+++ b/test/base/node/boundedLog.test.ts
@@ -0,0 +1,48 @@
+import { Writable } from 'node:stream';
+import { describe, expect, it } from 'vitest';
+import { BoundedLog } from '../../../src/base/node/boundedLog.ts';
+
+class BlockedOutput extends Writable {
+  readonly lines: string[] = [];
+
+  constructor(private readonly isBlocked: boolean) {
+    super({ decodeStrings: false });
+  }
+
+  override _write(chunk: string, _encoding: string, done: () => void): void {
+    this.lines.push(chunk);
+    if (!this.isBlocked) done();
+  }
+}
+
+describe('bounded log', () => {
+  describe('under a burst', () => {
+    it('does not let one event crowd out the others, and tells what it left out', () => {
+      const output = new BlockedOutput(false);
+      const log = BoundedLog.createFor(output);
+      for (let line = 0; line < 1_000; line += 1) log.write('info', 'burst', { line });
+      log.write('info', 'other', {});
+      expect(output.lines.filter((line) => line.includes('event=burst'))).toHaveLength(40);
+      expect(output.lines.at(-1)).toContain('event=other');
+    });
+
+    it('does not forget what was left out', async () => {
+      const output = new BlockedOutput(false);
+      const log = BoundedLog.createFor(output);
+      for (let line = 0; line < 50; line += 1) log.write('info', 'burst', { line });
+      await new Promise((resolve) => setTimeout(resolve, 1_050));
+      log.write('info', 'burst', { line: 50 });
+      expect(output.lines.at(-1)).toContain('leftOut=10');
+    });
+  });
+
+  describe('with an output that nobody reads', () => {
+    it('does not block and does not grow without bound', () => {
+      const output = new BlockedOutput(true);
+      const log = BoundedLog.createFor(output);
+      for (let event = 0; event < 20_000; event += 1)
+        log.write('info', `event_${event}`, { text: 'x'.repeat(100) });
+      expect(output.writableLength).toBeLessThan(300 * 1024);
+    });
+  });
+});
