Build run rows in one place and name the prefixes of the store's keys

Cause: the row of a run was written out twice, prefixes of keys stood as literals, and cancelling a job was found in the system that loads the tables. Change: createRunRow, STORE_KEYS prefixes, applyCancel beside the other changes of jobs. No behaviour.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -136,3 +136,32 @@
   readonly workerKey: string;
   readonly end: EndedRun;
 }
+
+/** A run as it is when it gets its worker, or when its fate is not known after a takeover. */
+export function createRunRow(
+  task: TaskRow,
+  run: number,
+  workerKey: string,
+  phase: 'placed' | 'unknown',
+  placedChange: number,
+  now: number,
+): RunRow {
+  return {
+    id: formatRunId(task.id, run),
+    taskId: task.id,
+    jobId: task.jobId,
+    run,
+    workerKey,
+    phase,
+    placedChange,
+    step: task.step,
+    checkpoint: task.checkpoint,
+    percent: 0,
+    load: 0,
+    pacePercent: 100,
+    placedAt: now,
+    progressAt: now,
+    overSince: undefined,
+    stopReason: undefined,
+  };
+}
--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -8,9 +8,9 @@
 } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { addAgent } from './agentTables.ts';
+import { applyCancel } from './jobChanges.ts';
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
-import { applyCancel } from './takeoverSystem.ts';
 
 /** Short, because the time-out that follows it is what shows a connection that has gone silent. */
 const WATCH_WAIT_MS = 2_000;
@@ -128,13 +128,14 @@
     source: string,
   ): void {
     if (value === undefined) return;
-    const id = key.slice('in/j/'.length);
-    if (key.startsWith('in/c/')) {
+    // The prefixes of jobs, cancellations and agents have one length.
+    const id = key.slice(STORE_KEYS.jobPrefix.length);
+    if (key.startsWith(STORE_KEYS.cancelPrefix)) {
       applyCancel(state, id);
-    } else if (key.startsWith('in/a/')) {
+    } else if (key.startsWith(STORE_KEYS.agentPrefix)) {
       const agent = parseValue(agentRecordSchema, value).toMaybe().extract();
       if (agent !== undefined) addAgent(state, id, agent);
-    } else if (key.startsWith('in/j/') && !state.jobs.has(id)) {
+    } else if (key.startsWith(STORE_KEYS.jobPrefix) && !state.jobs.has(id)) {
       this.addStoredJob(state, id, value, now, source);
     }
   }
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -29,6 +29,14 @@
   for (const run of state.runsByJob.list(job.id)) requestStop(state, run, `job ${phase}`);
 }
 
+/** Cancels a job at its owner; a final job stays as it is. */
+export function applyCancel(state: SchedulerState, jobId: string): void {
+  const job = state.jobs.get(jobId);
+  if (job === undefined || job.isCancelRequested) return;
+  state.jobs.update(jobId, { isCancelRequested: true });
+  if (job.phase === 'pending' || job.phase === 'running') setJobPhase(state, job, 'cancelled');
+}
+
 /** Changes a task and keeps the set of ready tasks. */
 export function updateTask(
   state: SchedulerState,
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -1,7 +1,7 @@
 import type { JobProgress, SubmittedJob, TaskRecord } from '../../model/scheduler/jobRecord.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { JobRow, TaskRow } from '../../model/scheduler/rows.ts';
-import { formatRunId, formatTaskId } from '../../model/scheduler/rows.ts';
+import { createRunRow, formatTaskId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { updateTask } from './jobChanges.ts';
 
@@ -107,40 +107,14 @@
       };
       state.tasks.set(task);
       if (!isDone) openTasks += 1;
-      for (const run of isDone ? [] : open) addUnknownRun(state, task, run.run, run.worker, now);
+      // An earlier owner may have started these; the worker's lists or its lease decide.
+      for (const { run, worker } of isDone ? [] : open)
+        state.runs.set(createRunRow(task, run, worker, 'unknown', 0, now));
     }
   }
   return openTasks;
 }
 
-/** A run that an earlier owner may have started; the worker's lists or its lease decide. */
-function addUnknownRun(
-  state: SchedulerState,
-  task: TaskRow,
-  run: number,
-  workerKey: string,
-  now: number,
-): void {
-  state.runs.set({
-    id: formatRunId(task.id, run),
-    taskId: task.id,
-    jobId: task.jobId,
-    run,
-    workerKey,
-    phase: 'unknown',
-    placedChange: 0,
-    step: task.step,
-    checkpoint: task.checkpoint,
-    percent: 0,
-    load: 0,
-    pacePercent: 100,
-    placedAt: now,
-    progressAt: now,
-    overSince: undefined,
-    stopReason: undefined,
-  });
-}
-
 /** Marks the tasks of a job whose earlier steps are done as ready. */
 export function markReadyTasks(state: SchedulerState, job: JobRow, now: number): void {
   const tasks = state.tasksByJob.list(job.id);
--- a/src/systems/scheduler/takeoverSystem.ts
+++ b/src/systems/scheduler/takeoverSystem.ts
@@ -9,7 +9,7 @@
 } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { addAgent } from './agentTables.ts';
-import { setJobPhase } from './jobChanges.ts';
+import { applyCancel } from './jobChanges.ts';
 import type { StoredProgress } from './jobTables.ts';
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
@@ -74,13 +74,13 @@
     const { load, ownership } = state;
     ownership.role = 'owner';
     ownership.loadedAt = tick.now;
-    for (const { key, value } of this.listEntries(state, 'in/j/'))
-      this.loadJob(state, key.slice('in/j/'.length), value, tick.now);
-    for (const { key } of this.listEntries(state, 'in/c/'))
-      applyCancel(state, key.slice('in/c/'.length));
-    for (const { key, value } of this.listEntries(state, 'in/a/')) {
+    for (const { key, value } of this.listEntries(state, STORE_KEYS.jobPrefix))
+      this.loadJob(state, key.slice(STORE_KEYS.jobPrefix.length), value, tick.now);
+    for (const { key } of this.listEntries(state, STORE_KEYS.cancelPrefix))
+      applyCancel(state, key.slice(STORE_KEYS.cancelPrefix.length));
+    for (const { key, value } of this.listEntries(state, STORE_KEYS.agentPrefix)) {
       const agent = parseValue(agentRecordSchema, value).toMaybe().extract();
-      if (agent !== undefined) addAgent(state, key.slice('in/a/'.length), agent);
+      if (agent !== undefined) addAgent(state, key.slice(STORE_KEYS.agentPrefix.length), agent);
     }
     load.entries.clear();
     state.intake.storeVersion = load.version;
@@ -125,11 +125,3 @@
     return { version: entry.version, progress };
   }
 }
-
-/** Cancels a job at its owner; a final job stays as it is. */
-export function applyCancel(state: SchedulerState, jobId: string): void {
-  const job = state.jobs.get(jobId);
-  if (job === undefined || job.isCancelRequested) return;
-  state.jobs.update(jobId, { isCancelRequested: true });
-  if (job.phase === 'pending' || job.phase === 'running') setJobPhase(state, job, 'cancelled');
-}
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -3,7 +3,7 @@
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
 import type { TaskRow } from '../../model/scheduler/rows.ts';
-import { formatRunId } from '../../model/scheduler/rows.ts';
+import { createRunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { recordJobChange, updateTask } from './jobChanges.ts';
 import { logEvent } from './storeCalls.ts';
@@ -144,24 +144,7 @@
   ): void {
     updateTask(state, task.id, { phase: 'active', lastRun: run });
     const placedChange = recordJobChange(state, task.jobId);
-    state.runs.set({
-      id: formatRunId(task.id, run),
-      taskId: task.id,
-      jobId: task.jobId,
-      run,
-      workerKey: room.worker.id,
-      phase: 'placed',
-      placedChange,
-      step: task.step,
-      checkpoint: task.checkpoint,
-      percent: 0,
-      load: 0,
-      pacePercent: 100,
-      placedAt: now,
-      progressAt: now,
-      overSince: undefined,
-      stopReason: undefined,
-    });
+    state.runs.set(createRunRow(task, run, room.worker.id, 'placed', placedChange, now));
     state.counters.add('placements');
     logEvent(state, 'info', 'task_placed', {
       task: task.id,
