--- a/src/systems/scheduler/callAnswers.ts
+++ b/src/systems/scheduler/callAnswers.ts
@@ -24,12 +24,20 @@
 export function refuseCall(
   state: SchedulerState,
   callId: string,
+  /** The job's id, or the path when it names none. */
+  subject: string,
   error: ErrorKind,
   message: string,
   retryAfterMs?: number,
 ): void {
   state.counters.add('refusals', { kind: error });
-  logEvent(state, 'info', 'call_refused', { call: callId, kind: error, message });
+  logEvent(state, 'info', 'call_refused', {
+    job: subject,
+    call: callId,
+    kind: error,
+    message,
+    configuration: state.operator.configuration?.version ?? 0,
+  });
   answerCall(state, callId, {
     kind: 'refused',
     error,
@@ -42,6 +50,20 @@
 export function answerUndecided(state: SchedulerState, call: CallRow): void {
   const mayBeStored = call.call.kind === 'submit' && (call.isInDoubt || call.isPending);
   if (mayBeStored)
-    refuseCall(state, call.id, 'deadline_exceeded_running', 'the store has not answered in time');
-  else refuseCall(state, call.id, 'store_unavailable', 'the store is away', STORE_RETRY_AFTER_MS);
+    refuseCall(
+      state,
+      call.id,
+      call.jobId,
+      'deadline_exceeded_running',
+      'the store has not answered in time',
+    );
+  else
+    refuseCall(
+      state,
+      call.id,
+      call.jobId,
+      'store_unavailable',
+      'the store is away',
+      STORE_RETRY_AFTER_MS,
+    );
 }
--- a/src/systems/scheduler/callReplies.ts
+++ b/src/systems/scheduler/callReplies.ts
@@ -52,7 +52,14 @@
   if (call.tries >= MAX_FAILED_TRIES && !isInDoubt) {
     const status = call.call.kind === 'read' ? state.statuses.get(call.jobId) : undefined;
     if (status === undefined)
-      refuseCall(state, call.id, 'store_unavailable', 'the store is away', STORE_RETRY_AFTER_MS);
+      refuseCall(
+        state,
+        call.id,
+        call.jobId,
+        'store_unavailable',
+        'the store is away',
+        STORE_RETRY_AFTER_MS,
+      );
     else answerCall(state, call.id, { kind: 'phase', phase: status.phase });
     return;
   }
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -71,12 +71,19 @@
   private receiveCall(state: SchedulerState, arrival: QueueCallArrival, now: number): void {
     const { configuration } = state.operator;
     if (configuration === undefined) {
-      refuseCall(state, arrival.callId, 'store_unavailable', 'no configuration yet', 1_000);
+      refuseCall(
+        state,
+        arrival.callId,
+        arrival.path,
+        'store_unavailable',
+        'no configuration yet',
+        1_000,
+      );
       return;
     }
     const queue = findQueue(configuration, arrival.host, arrival.path);
     if (queue === undefined) {
-      refuseCall(state, arrival.callId, 'no_route', 'no queue at this host and path');
+      refuseCall(state, arrival.callId, arrival.path, 'no_route', 'no queue at this host and path');
       return;
     }
     const jobId = arrival.path.slice(queue.prefix.length).replace(/^\//, '');
@@ -88,7 +95,13 @@
       return;
     }
     if (!JOB_ID.test(jobId)) {
-      refuseCall(state, arrival.callId, 'bad_request', 'a job id has 16 hexadecimal digits');
+      refuseCall(
+        state,
+        arrival.callId,
+        arrival.path,
+        'bad_request',
+        'a job id has 16 hexadecimal digits',
+      );
       return;
     }
     const call: CallRow = {
@@ -120,7 +133,14 @@
     if (isStoreAway(state, now) && call.call.kind !== 'read' && forwardCall(state, call, now))
       return true;
     if (call.call.kind === 'submit' && isStoreAway(state, now)) {
-      refuseCall(state, call.id, 'store_unavailable', 'the store is away', STORE_RETRY_AFTER_MS);
+      refuseCall(
+        state,
+        call.id,
+        call.jobId,
+        'store_unavailable',
+        'the store is away',
+        STORE_RETRY_AFTER_MS,
+      );
       return true;
     }
     if (call.call.kind !== 'read') return false;
