Release the runs of a worker that has left at its agent's word

An owner that does not know that the worker left waits for a lease, and each new owner begins to wait anew. Change: an agent whose worker said that it ends and then fell silent reports it as gone, and the owner releases its runs at once. A test that fails without it.

--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -53,6 +53,8 @@
     kind: z.literal('report'),
     epoch: z.int(),
     worker: z.optional(workerIdentitySchema),
+    /** Whether the incarnation said that it ends and has not answered since; nothing runs there. */
+    isGone: z.optional(z.boolean()),
     /** Worker's monotonic clock, a sample not younger than the lists. */
     clockMs: z.number(),
     running: z.array(runningRunSchema),
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -74,6 +74,8 @@
   nextCall: number;
   worker: WorkerIdentity | undefined;
   workerSequence: number;
+  /** `leaving` once the worker said that it ends, `gone` when it has not answered since. */
+  workerExit: 'none' | 'leaving' | 'gone';
   /** Highest epoch seen, and the link of its owner; empty without one. */
   readonly owner: { epoch: number; linkId: string; reportAt: number };
   readonly lease: { bornMs: number; untilMs: number; lastSeen: number };
@@ -110,6 +112,7 @@
     nextCall: 1,
     worker: undefined,
     workerSequence: 0,
+    workerExit: 'none',
     owner: { epoch: 0, linkId: '', reportAt: NEVER },
     lease: { bornMs: 0, untilMs: 0, lastSeen: 0 },
     hold: {
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -66,6 +66,10 @@
     if (reply.kind !== 'lists') {
       hold.failures += 1;
       hold.nextAt = now + RETRY_MS;
+      if (state.workerExit === 'leaving') {
+        state.workerExit = 'gone';
+        state.owner.reportAt = now;
+      }
       if (hold.failures === 1)
         logAgentEvent(state, 'warn', 'worker_silent', { answer: reply.kind });
       return;
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -40,6 +40,7 @@
         kind: 'report',
         epoch: 0,
         ...(state.worker === undefined ? {} : { worker: state.worker }),
+        ...(state.workerExit === 'gone' ? { isGone: true } : {}),
         clockMs: state.hold.clockMs,
         running: [],
         ended: [],
--- a/src/systems/runnerAgent/workerBeatSystem.ts
+++ b/src/systems/runnerAgent/workerBeatSystem.ts
@@ -23,6 +23,7 @@
       if (state.worker?.id !== workerId) continue;
       logAgentEvent(state, 'info', 'worker_left', { worker: workerId });
       state.worker = { ...state.worker, isDraining: true };
+      state.workerExit = 'leaving';
       state.owner.reportAt = tick.now;
     }
   }
@@ -54,6 +55,7 @@
 
   private startIncarnation(state: RunnerAgentState, now: number): void {
     state.orders.clear();
+    state.workerExit = 'none';
     state.lease.bornMs = 0;
     state.lease.untilMs = 0;
     state.lease.lastSeen = 0;
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -78,7 +78,8 @@
       recentFailures: known?.recentFailures ?? 0,
     };
     state.workers.set(worker);
-    if (isFenced) this.applyLists(state, worker, report, now);
+    if (report.isGone === true) this.releaseGone(state, workerKey, now);
+    else if (isFenced) this.applyLists(state, worker, report, now);
   }
 
   private applyLists(state: SchedulerState, worker: WorkerRow, report: Report, now: number): void {
@@ -127,6 +128,12 @@
     });
   }
 
+  /** A worker that announced its end and fell silent runs nothing; its lease need not be waited for. */
+  private releaseGone(state: SchedulerState, workerKey: string, now: number): void {
+    for (const run of state.runsByWorker.list(workerKey))
+      if (run.phase !== 'placed') releaseRun(state, run, 'worker left', { now });
+  }
+
   /** A new incarnation beside an agent proves that everything on the earlier ones is gone. */
   private releaseOtherIncarnations(
     state: SchedulerState,
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -19,7 +19,7 @@
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { WorldEvents } from './worldEvents.ts';
 import type { AgentNode, EntryNode } from './worldNodes.ts';
-import { BOUNDS, writeWorldConfiguration } from './worldNodes.ts';
+import { BOUNDS, createWorldWorker, writeWorldConfiguration } from './worldNodes.ts';
 import { WorldStore } from './worldStore.ts';
 
 const LINK_MS = 3;
@@ -158,6 +158,7 @@
       links: new Map(),
       isReachable: true,
       dropAnswers: 0,
+      hasLeft: false,
     };
     agent.runner = this.createRunner(agent);
     this.agents.push(agent);
@@ -172,6 +173,13 @@
     this.sendBeat(agent);
   }
 
+  /** The worker beside an agent says that it ends, and ends. */
+  leaveRunner(agent: AgentNode): void {
+    agent.runner.running.clear();
+    agent.hasLeft = true;
+    this.deliverToAgent(0, agent, { kind: 'workerLeft', workerId: `worker-${agent.id}` });
+  }
+
   cutAgent(agent: AgentNode): void {
     agent.isReachable = false;
     for (const entry of this.entries) this.closeAgentLink(entry, agent);
@@ -186,19 +194,7 @@
   }
 
   private sendBeat(agent: AgentNode): void {
-    const identity = {
-      id: `worker-${agent.id}`,
-      bornMs: agent.runner.bornMs,
-      service: 'svc',
-      address: agent.id,
-      zone: 'a',
-      labels: [],
-      cpuMillis: 8_000,
-      memoryMb: 10_000,
-      gpus: 0,
-      isDraining: false,
-      drainLeftMs: 0,
-    };
+    const identity = createWorldWorker(agent);
     this.deliverToAgent(0, agent, { kind: 'workerBeat', beat: { identity, sequence: 1 } });
   }
 
@@ -287,8 +283,8 @@
         this.logs.push({ node: agent.id, event: effect.event });
         return;
       case 'callRunner': {
-        const isDropped = effect.call.op !== 'hold' && agent.dropAnswers > 0;
-        if (isDropped) agent.dropAnswers -= 1;
+        const isDropped = agent.hasLeft || (effect.call.op !== 'hold' && agent.dropAnswers > 0);
+        if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
         const reply: RunnerReply = isDropped
           ? { kind: 'noAnswer', message: 'dropped' }
           : agent.runner.handle(effect.call);
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -6,6 +6,7 @@
   RunnerAgentEffect,
   RunnerAgentState,
 } from '../../src/model/scheduler/runnerAgentState.ts';
+import type { WorkerIdentity } from '../../src/model/scheduler/links.ts';
 import { OPERATOR_KEYS } from '../../src/model/scheduler/queueConfiguration.ts';
 import type { SchedulerState } from '../../src/model/scheduler/schedulerState.ts';
 import type { MemoryRunner } from '../../src/standins/memoryRunner.ts';
@@ -33,6 +34,8 @@
   isReachable: boolean;
   /** What the worker does with the next orders instead of answering. */
   dropAnswers: number;
+  /** Whether the worker has ended and answers nothing. */
+  hasLeft: boolean;
 }
 
 export const BOUNDS = {
@@ -70,3 +73,20 @@
   const value = { kind: 'configuration', configuration };
   store.handle({ op: 'write', key, expectedVersion, value });
 }
+
+/** What the worker beside an agent tells of itself. */
+export function createWorldWorker(agent: AgentNode): WorkerIdentity {
+  return {
+    id: `worker-${agent.id}`,
+    bornMs: agent.runner.bornMs,
+    service: 'svc',
+    address: agent.id,
+    zone: 'a',
+    labels: [],
+    cpuMillis: 8_000,
+    memoryMb: 10_000,
+    gpus: 0,
+    isDraining: false,
+    drainLeftMs: 0,
+  };
+}
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -296,6 +296,19 @@
       expect(bad.runner.starts.length).toBeLessThan(10);
     });
 
+    it('does not wait for a worker that has left when owners follow one another', () => {
+      const { world } = createWorld(3, 2);
+      world.behave = () => ({ durationMs: 60_000, how: 'done' });
+      world.submit(world.entries[0]!, JOB, [{ count: 1, longRunning: true }]);
+      world.run(500);
+      const agent = world.agents.find(({ runner }) => runner.running.size > 0)!;
+      world.leaveRunner(agent);
+      world.run(200);
+      world.kill(world.owner!);
+      world.run(5_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(2);
+    });
+
     it('does not wait for the lease of an incarnation that is gone', () => {
       const { world, entry } = createWorld(1, 1);
       world.submit(entry, JOB, [{ count: 1 }]);
