Store that the worker beside an agent has ended

The agent's word that its worker is gone went only over the link to an owner, which was cut off before it stored the releases; the agent then stopped with its instance and each new owner waited 15.4 s anew. Change: the agent writes the ended incarnation into its record in/a/AGENT, and an owner releases that incarnation's runs when it loads or watches the record.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -53,8 +53,13 @@
 });
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
-/** Where the owner reaches an agent. */
-export const agentRecordSchema = z.object({ address: z.string(), zone: z.string() });
+/** Where the owner reaches an agent, and which incarnation of its worker has ended for certain. */
+export const agentRecordSchema = z.object({
+  address: z.string(),
+  zone: z.string(),
+  /** Stored because the agent may stop with its instance before an owner has stored the releases. */
+  goneWorker: z.optional(z.object({ id: z.string(), bornMs: z.number() })),
+});
 export type AgentRecord = z.infer<typeof agentRecordSchema>;
 
 /** Keys in the platform's store. */
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -67,7 +67,10 @@
     readonly id: string;
     readonly zone: string;
     address: string;
+    /** Whether the store holds what the agent has to say of itself. */
     isRegistered: boolean;
+    /** Latest registration that has been sent; answers to earlier ones count for nothing. */
+    registerCallId: string;
     registerAt: number;
     stopAt: number;
   };
@@ -106,6 +109,7 @@
       zone,
       address: '',
       isRegistered: false,
+      registerCallId: '',
       registerAt: NEVER,
       stopAt: Number.POSITIVE_INFINITY,
     },
--- a/src/systems/runnerAgent/agentLifeSystem.ts
+++ b/src/systems/runnerAgent/agentLifeSystem.ts
@@ -1,5 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import type { AgentRecord } from '../../model/scheduler/jobRecord.ts';
 import { STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent } from './agentCalls.ts';
@@ -29,16 +30,21 @@
       logAgentEvent(state, 'info', 'agent_stopping', { orders: state.orders.size });
     }
     if (self.stopAt === Number.POSITIVE_INFINITY) return;
-    if (state.orders.size === 0 || tick.now >= self.stopAt) state.outbox.append({ kind: 'exit' });
+    const isSettled = state.orders.size === 0 && (self.isRegistered || state.workerExit !== 'gone');
+    if (isSettled || tick.now >= self.stopAt) state.outbox.append({ kind: 'exit' });
     tick.wakeAt(self.stopAt);
   }
 
   private register(state: RunnerAgentState, tick: Tick): void {
     const { self } = state;
-    for (const { reply } of state.inbox.list('storeReply')) {
+    for (const { callId, reply } of state.inbox.list('storeReply')) {
+      if (callId !== self.registerCallId) continue;
       if (reply.kind === 'written') {
         self.isRegistered = true;
-        logAgentEvent(state, 'info', 'agent_registered', { address: self.address });
+        logAgentEvent(state, 'info', 'agent_registered', {
+          address: self.address,
+          goneWorker: state.workerExit === 'gone' ? (state.worker?.id ?? '') : '',
+        });
       } else {
         self.registerAt = tick.now + RETRY_MS;
       }
@@ -50,19 +56,25 @@
     }
     self.registerAt = tick.now + CALL_TIMEOUT_MS + RETRY_MS;
     tick.wakeAt(self.registerAt);
+    self.registerCallId = `register#${state.nextCall}`;
+    state.nextCall += 1;
     state.outbox.append({
       kind: 'callStore',
-      callId: `register#${state.nextCall}`,
+      callId: self.registerCallId,
       call: {
         op: 'transact',
         expected: [],
-        puts: [
-          { key: STORE_KEYS.agent(self.id), value: { address: self.address, zone: self.zone } },
-        ],
+        puts: [{ key: STORE_KEYS.agent(self.id), value: this.buildRecord(state) }],
         deletes: [],
       },
       timeoutMs: CALL_TIMEOUT_MS,
     });
-    state.nextCall += 1;
+  }
+
+  private buildRecord(state: RunnerAgentState): AgentRecord {
+    const { self, worker, workerExit } = state;
+    const record = { address: self.address, zone: self.zone };
+    if (workerExit !== 'gone' || worker === undefined) return record;
+    return { ...record, goneWorker: { id: worker.id, bornMs: worker.bornMs } };
   }
 }
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -14,7 +14,7 @@
 
 /**
  * Keeps one look at the worker waiting, renews the lease with it and reports what it lists. Reads
- * replies of the worker; writes `hold`. Runs after the owner's link.
+ * replies of the worker; writes `hold` and asks for a new registration when the worker is gone. Runs after the owner's link.
  */
 export class HoldSystem extends System<RunnerAgentState> {
   override readonly name = 'hold';
@@ -68,6 +68,8 @@
       hold.nextAt = now + RETRY_MS;
       if (state.workerExit === 'leaving') {
         state.workerExit = 'gone';
+        state.self.isRegistered = false;
+        state.self.registerAt = now;
         state.owner.reportAt = now;
       }
       if (hold.failures === 1)
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -1,8 +1,28 @@
 import type { AgentRecord } from '../../model/scheduler/jobRecord.ts';
+import { formatWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { releaseRun } from './jobChanges.ts';
 
-/** Adds an agent or takes over its new address. */
-export function addAgent(state: SchedulerState, id: string, record: AgentRecord): void {
+/** Takes over an agent's record: its address, and the end of its worker when it tells of one. */
+export function applyAgentRecord(
+  state: SchedulerState,
+  id: string,
+  record: AgentRecord,
+  now: number,
+): void {
+  addAgent(state, id, record);
+  if (record.goneWorker === undefined) return;
+  const { id: workerId, bornMs } = record.goneWorker;
+  releaseGoneWorker(state, formatWorkerKey(id, workerId, bornMs), now);
+}
+
+/** Releases the runs of an incarnation that announced its end and fell silent; nothing runs there. */
+export function releaseGoneWorker(state: SchedulerState, workerKey: string, now: number): void {
+  for (const run of [...state.runsByWorker.list(workerKey)])
+    if (run.phase !== 'placed') releaseRun(state, run, 'worker left', { now });
+}
+
+function addAgent(state: SchedulerState, id: string, record: AgentRecord): void {
   const known = state.agents.get(id);
   if (known?.address === record.address) {
     // It registers when it starts, so a link that is waiting to be tried again can open now.
--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -7,7 +7,7 @@
   submittedJobSchema,
 } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { addAgent } from './agentTables.ts';
+import { applyAgentRecord } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
@@ -134,7 +134,7 @@
       applyCancel(state, id);
     } else if (key.startsWith(STORE_KEYS.agentPrefix)) {
       const agent = parseValue(agentRecordSchema, value).toMaybe().extract();
-      if (agent !== undefined) addAgent(state, id, agent);
+      if (agent !== undefined) applyAgentRecord(state, id, agent, now);
     } else if (key.startsWith(STORE_KEYS.jobPrefix) && !state.jobs.has(id)) {
       this.addStoredJob(state, id, value, now, source);
     }
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -4,6 +4,7 @@
 import type { RunRow, WorkerRow } from '../../model/scheduler/rows.ts';
 import { formatRunId, formatWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { releaseGoneWorker } from './agentTables.ts';
 import { releaseRun } from './jobChanges.ts';
 import { CLOCK_DRIFT, GRANT_WINDOW_MS, LEASE_MARGIN_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
@@ -78,7 +79,7 @@
       recentFailures: known?.recentFailures ?? 0,
     };
     state.workers.set(worker);
-    if (report.isGone === true) this.releaseGone(state, workerKey, now);
+    if (report.isGone === true) releaseGoneWorker(state, workerKey, now);
     else if (isFenced) this.applyLists(state, worker, report, now);
   }
 
@@ -128,12 +129,6 @@
     });
   }
 
-  /** A worker that announced its end and fell silent runs nothing; its lease need not be waited for. */
-  private releaseGone(state: SchedulerState, workerKey: string, now: number): void {
-    for (const run of state.runsByWorker.list(workerKey))
-      if (run.phase !== 'placed') releaseRun(state, run, 'worker left', { now });
-  }
-
   /** A new incarnation beside an agent proves that everything on the earlier ones is gone. */
   private releaseOtherIncarnations(
     state: SchedulerState,
--- a/src/systems/scheduler/takeoverSystem.ts
+++ b/src/systems/scheduler/takeoverSystem.ts
@@ -8,7 +8,7 @@
   submittedJobSchema,
 } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { addAgent } from './agentTables.ts';
+import { applyAgentRecord } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import type { StoredProgress } from './jobTables.ts';
 import { addJob } from './jobTables.ts';
@@ -80,7 +80,8 @@
       applyCancel(state, key.slice(STORE_KEYS.cancelPrefix.length));
     for (const { key, value } of this.listEntries(state, STORE_KEYS.agentPrefix)) {
       const agent = parseValue(agentRecordSchema, value).toMaybe().extract();
-      if (agent !== undefined) addAgent(state, key.slice(STORE_KEYS.agentPrefix.length), agent);
+      if (agent !== undefined)
+        applyAgentRecord(state, key.slice(STORE_KEYS.agentPrefix.length), agent, tick.now);
     }
     load.entries.clear();
     state.intake.storeVersion = load.version;
--- /dev/null
+++ b/test/support/jobWorld.ts
@@ -0,0 +1,24 @@
+import { SchedulerWorld } from './schedulerWorld.ts';
+import type { EntryNode } from './worldNodes.ts';
+
+/** Id of the job in tests that submit one. */
+export const JOB = '00000000000000a1';
+
+/** A world whose owner is ready for jobs. */
+export function createWorld(entries = 2, agents = 2): { world: SchedulerWorld; entry: EntryNode } {
+  const world = SchedulerWorld.create(entries, agents);
+  world.run(2_000);
+  return { world, entry: world.entries[0]! };
+}
+
+/** The phase that an entry tells a caller. */
+export function readPhase(world: SchedulerWorld, entry: EntryNode, jobId = JOB): string {
+  const callId = world.call(entry, jobId, { kind: 'read' });
+  world.run(100);
+  const answer = entry.answers.get(callId);
+  return answer?.kind === 'phase' ? answer.phase : (answer?.kind ?? 'none');
+}
+
+export function createJobId(index: number): string {
+  return index.toString(16).padStart(16, '0');
+}
