Copy runs of steps that allow it when their worker falls silent

Cause: a task on a worker out of reach waits 5.3 s for the lease, also where the step allows copies, and no test covered copies, occurrences, racks, labels and places. Change: CopySystem gives such a task one second run after 1.5 s of silence, or at once when a stop that was ordered is not confirmed.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -94,6 +94,7 @@
 export interface Timetable {
   pacingAt: number;
   stallAt: number;
+  copyAt: number;
   retentionAt: number;
   newsSentAt: number;
   /** Since when the link to the owner has been opening. */
@@ -231,6 +232,7 @@
   return {
     pacingAt: NEVER,
     stallAt: NEVER,
+    copyAt: NEVER,
     retentionAt: NEVER,
     newsSentAt: NEVER,
     ownerOpeningAt: NEVER,
--- /dev/null
+++ b/src/systems/scheduler/copySystem.ts
@@ -0,0 +1,78 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { updateTask } from './jobChanges.ts';
+import { logEvent } from './storeCalls.ts';
+
+/**
+ * Silence of a worker after which its runs are copied. Reports come every second; a copy costs the
+ * work of one task, the lease of the silent worker several seconds.
+ */
+const SILENT_MS = 1_500;
+const LOOK_EVERY_MS = 250;
+
+/**
+ * Gives a second run to tasks whose step allows copies, when the first is out of reach or was told
+ * to stop and has not ended. Reads `runs` and `workers`; makes
+ * tasks ready again. Runs before placement. Answers the loss of workers and of links to them.
+ */
+export class CopySystem extends System<SchedulerState> {
+  override readonly name = 'copy';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): CopySystem {
+    return new CopySystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    if (state.ownership.role !== 'owner') return;
+    if (tick.now < state.timetable.copyAt) {
+      tick.wakeAt(state.timetable.copyAt);
+      return;
+    }
+    state.timetable.copyAt = tick.now + LOOK_EVERY_MS;
+    tick.wakeAt(state.timetable.copyAt);
+    for (const run of state.runs.values()) {
+      if (!run.step.speculative || run.step.longRunning || run.step.gang) continue;
+      const task = state.tasks.get(run.taskId);
+      // One copy is enough: a task that stands still everywhere must not fill the pool.
+      if (task?.phase !== 'active' || state.runsByTask.count(task.id) > 1) continue;
+      const reason = this.findReason(state, run, tick.now);
+      if (reason !== undefined) this.requestCopy(state, task, run, reason, tick.now);
+    }
+  }
+
+  private findReason(state: SchedulerState, run: RunRow, now: number): string | undefined {
+    if (run.phase === 'placed') return undefined;
+    if (run.stopReason !== undefined) return 'its stop is not confirmed';
+    const heardAt = state.workers.get(run.workerKey)?.lastReportAt ?? state.ownership.loadedAt;
+    return now - heardAt > SILENT_MS ? 'its worker is silent' : undefined;
+  }
+
+  private requestCopy(
+    state: SchedulerState,
+    task: TaskRow,
+    run: RunRow,
+    reason: string,
+    now: number,
+  ): void {
+    const workerId = run.workerKey.split('|')[1] ?? '';
+    logEvent(state, 'info', 'run_copied', {
+      task: task.id,
+      run: run.run,
+      worker: workerId,
+      reason,
+      percent: run.percent,
+    });
+    state.counters.add('run_copies', { reason });
+    updateTask(state, task.id, {
+      phase: 'ready',
+      readyAt: now,
+      avoided: [...task.avoided.filter((id) => id !== workerId), workerId],
+    });
+  }
+}
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -4,6 +4,7 @@
 import { CallSystem } from './callSystem.ts';
 import { ClockSystem } from './clockSystem.ts';
 import { CommitSystem } from './commitSystem.ts';
+import { CopySystem } from './copySystem.ts';
 import { EndSystem } from './endSystem.ts';
 import { HandOverSystem } from './handOverSystem.ts';
 import { IntakeSystem } from './intakeSystem.ts';
@@ -36,6 +37,7 @@
     EndSystem.create(),
     ProgressSystem.create(),
     StallSystem.create(),
+    CopySystem.create(),
     PacingSystem.create(),
     TaskPlacementSystem.create(SeparatingTaskPlacement.create(), ObjectiveOrder.create()),
     CommitSystem.create(),
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import type { SchedulerArrival, SchedulerEffect } from '../../src/model/scheduler/entryMessages.ts';
 import type { QueueCall } from '../../src/model/scheduler/queueCall.ts';
-import type { StepSpec } from '../../src/model/scheduler/jobSpec.ts';
+import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
 import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
 import type {
   RunnerAgentArrival,
@@ -18,7 +18,7 @@
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { WorldEvents } from './worldEvents.ts';
-import type { AgentNode, EntryNode } from './worldNodes.ts';
+import type { AgentNode, EntryNode, WorkerShape } from './worldNodes.ts';
 import { BOUNDS, createWorldWorker, writeWorldConfiguration } from './worldNodes.ts';
 import { WorldStore } from './worldStore.ts';
 
@@ -81,8 +81,14 @@
     return callId;
   }
 
-  submit(entry: EntryNode, jobId: string, steps: readonly Partial<StepSpec>[]): string {
+  submit(
+    entry: EntryNode,
+    jobId: string,
+    steps: readonly Partial<StepSpec>[],
+    schedule: Partial<JobSpec> = {},
+  ): string {
     const spec = jobSpecSchema.parse({
+      ...schedule,
       steps: steps.map((step) => stepSpecSchema.parse({ count: 1, cpuMillis: 1_000, ...step })),
     });
     return this.call(entry, jobId, { kind: 'submit', spec });
@@ -139,7 +145,7 @@
     return entry;
   }
 
-  addAgent(id: string): AgentNode {
+  addAgent(id: string, shape: WorkerShape = {}): AgentNode {
     const state = createRunnerAgentState(id, 'a');
     state.self.address = id;
     const agent: AgentNode = {
@@ -159,6 +165,7 @@
       isReachable: true,
       dropAnswers: 0,
       hasLeft: false,
+      shape,
     };
     agent.runner = this.createRunner(agent);
     this.agents.push(agent);
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -36,8 +36,13 @@
   dropAnswers: number;
   /** Whether the worker has ended and answers nothing. */
   hasLeft: boolean;
+  /** Labels and capacity that the worker reports. */
+  readonly shape: WorkerShape;
 }
 
+/** What a test may choose about a worker. */
+export type WorkerShape = Partial<Pick<WorkerIdentity, 'labels' | 'cpuMillis' | 'memoryMb'>>;
+
 export const BOUNDS = {
   holdMaxMs: 6_000,
   stopMs: 200,
@@ -88,5 +93,6 @@
     gpus: 0,
     isDraining: false,
     drainLeftMs: 0,
+    ...agent.shape,
   };
 }
