Ask an adviser where the steps of a queue may run

Cause: a queue may have a placement policy that only a service of the platform knows; its starts need a ticket, and the scheduler sent none, so every one was rejected. Change: AdviceSystem asks about 30 workers at a time, one question at once, for the oldest job with tasks that wait; placement takes only workers with a valid ticket, starts carry it, and a rejected ticket is asked for again without blaming the worker. AdviceClient is the product's interface to the service, the adapter speaks its wire, MemoryAdviser stands in for it in tests.

--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -18,6 +18,7 @@
 import type { SchedulerIdentity, SchedulerState } from '../model/scheduler/schedulerState.ts';
 import { createSchedulerState } from '../model/scheduler/schedulerState.ts';
 import { JsonLink, JsonLinkServer } from '../protocol/node/jsonLinks.ts';
+import type { AdviceClient } from '../protocol/node/adviceClient.ts';
 import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { createSchedulerSystems } from '../systems/scheduler/schedulerSystems.ts';
 
@@ -47,6 +48,7 @@
   private constructor(
     readonly state: SchedulerState,
     private readonly store: StoreClient,
+    private readonly adviser: AdviceClient,
     private readonly log: LogWriter,
   ) {
     this.loop = Loop.create<SchedulerArrival, SchedulerEffect, SchedulerState>(
@@ -70,10 +72,11 @@
     identity: SchedulerIdentity,
     links: LinkAddress,
     store: StoreClient,
+    adviser: AdviceClient,
     log: LogWriter,
   ): Promise<SchedulerDaemon> {
     const state = createSchedulerState(identity);
-    const daemon = new SchedulerDaemon(state, store, log);
+    const daemon = new SchedulerDaemon(state, store, adviser, log);
     daemon.readWallClock();
     daemon.server = await JsonLinkServer.create(links.host, links.port, (socket, peerId) => {
       daemon.acceptPeer(socket, peerId);
@@ -122,6 +125,7 @@
     for (const link of [...this.agents.values(), ...this.peers.values()]) link.dispose();
     this.owner?.dispose();
     this.store.dispose();
+    this.adviser.dispose();
   }
 
   private takeId(): number {
@@ -164,6 +168,9 @@
       case 'callStore':
         this.callStore(effect);
         return;
+      case 'requestAdvice':
+        this.requestAdvice(effect);
+        return;
       case 'answerCall':
         this.answers.get(effect.callId)?.(effect.answer);
         this.answers.delete(effect.callId);
@@ -213,6 +220,17 @@
     });
   }
 
+  private requestAdvice({
+    callId,
+    question,
+    timeoutMs,
+  }: Extract<SchedulerEffect, { kind: 'requestAdvice' }>): void {
+    const sentAt = this.clock.now;
+    void this.adviser.request(question, timeoutMs).then((reply) => {
+      this.loop.receive({ kind: 'adviceReply', callId, reply, sentAt });
+    });
+  }
+
   private openAgent(agentId: string, address: string): void {
     this.agents.get(agentId)?.dispose();
     const link = JsonLink.open<AgentMessage>(address, this.state.self.id, agentMessageSchema, {
--- a/src/daemons/schedulerSettings.ts
+++ b/src/daemons/schedulerSettings.ts
@@ -21,6 +21,8 @@
   callerAddress: addressSchema,
   /** HTTP address for the balancer's readiness check and for metrics. */
   readyAddress: addressSchema,
+  /** The adviser on placement; empty when no queue needs it. */
+  adviserAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
   bounds: platformBoundsSchema,
 });
 export type SchedulerSettings = z.infer<typeof schedulerSettingsSchema>;
--- a/src/model/scheduler/entryMessages.ts
+++ b/src/model/scheduler/entryMessages.ts
@@ -1,6 +1,7 @@
 import type { LogEffect } from '../effects.ts';
 import type { StoreCall, StoreReply } from '../store.ts';
 import type { AgentMessage, EntryHint, OwnerMessage, OwnerOrder } from './links.ts';
+import type { AdviceQuestion, AdviceReply } from './placementAdvice.ts';
 import type { QueueAnswer, QueueCall } from './queueCall.ts';
 
 /** Arrivals at an entry of the scheduler. */
@@ -26,6 +27,12 @@
   | { readonly kind: 'ownerMessage'; readonly message: OwnerMessage }
   | { readonly kind: 'peerLink'; readonly peerId: string; readonly isOpen: boolean }
   | { readonly kind: 'peerHint'; readonly peerId: string; readonly hint: EntryHint }
+  | {
+      readonly kind: 'adviceReply';
+      readonly callId: string;
+      readonly reply: AdviceReply;
+      readonly sentAt: number;
+    }
   | { readonly kind: 'stopRequested' };
 
 /** Effects of an entry of the scheduler. */
@@ -45,5 +52,11 @@
   | { readonly kind: 'hintOwner'; readonly hint: EntryHint }
   | { readonly kind: 'sendPeer'; readonly peerId: string; readonly message: OwnerMessage }
   | { readonly kind: 'closePeer'; readonly peerId: string }
+  | {
+      readonly kind: 'requestAdvice';
+      readonly callId: string;
+      readonly question: AdviceQuestion;
+      readonly timeoutMs: number;
+    }
   | LogEffect
   | { readonly kind: 'exit' };
--- a/src/model/scheduler/queueConfiguration.ts
+++ b/src/model/scheduler/queueConfiguration.ts
@@ -1,5 +1,15 @@
 import * as z from 'zod/mini';
 
+/** Figures of the adviser that decides which workers may run the steps of a queue. */
+export const advicePolicySchema = z.object({
+  /** Time of one answer, and the time more for each worker that is asked about, ms. */
+  decideMs: z.number(),
+  perWorkerMs: z.number(),
+  /** Validity of a ticket, ms. */
+  validMs: z.number(),
+});
+export type AdvicePolicy = z.infer<typeof advicePolicySchema>;
+
 /** A queue: the route of jobs, and how they are treated. */
 export const queueSchema = z.object({
   name: z.string(),
@@ -14,6 +24,8 @@
   /** Objective of a job: this many times its longest chain of work, and the latency objective more. */
   stretch: z.number(),
   latencyObjectiveMs: z.number(),
+  /** Set when starts need a ticket of the adviser. */
+  advice: z.optional(advicePolicySchema),
 });
 export type Queue = z.infer<typeof queueSchema>;
 
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -4,6 +4,7 @@
 import { Table } from '../../base/common/table.ts';
 import type { PlatformBounds } from './bounds.ts';
 import type { SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
+import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
 import type { QueueCall } from './queueCall.ts';
 import type { QueueConfiguration } from './queueConfiguration.ts';
 import type { JobStatus, EntryHint } from './links.ts';
@@ -155,6 +156,9 @@
   readonly workers: Table<WorkerRow>;
   readonly agents: Table<AgentRow>;
   readonly slacks: Table<SlackRow>;
+  readonly advice: Table<AdviceRow>;
+  readonly adviceByJob: TableIndex<AdviceRow>;
+  readonly adviceCall: AdviceCallState;
   readonly listedEnds: ListedEnd[];
   /** Jobs with changes that the store does not hold. */
   readonly dirtyJobs: Set<string>;
@@ -176,6 +180,7 @@
   const statuses = Table.create<JobStatus>('statuses');
   const tasks = Table.create<TaskRow>('tasks');
   const runs = Table.create<RunRow>('runs');
+  const advice = Table.create<AdviceRow>('advice');
   return {
     inbox: Mailbox.create<SchedulerArrival>(),
     outbox: Mailbox.create<SchedulerEffect>(),
@@ -222,12 +227,27 @@
     workers: Table.create<WorkerRow>('workers'),
     agents: Table.create<AgentRow>('agents'),
     slacks: Table.create<SlackRow>('slacks'),
+    advice,
+    adviceByJob: advice.addIndex((row) => row.jobId),
+    adviceCall: createAdviceCall(),
     listedEnds: [],
     dirtyJobs: new Set(),
     touchedJobs: new Set(),
   };
 }
 
+function createAdviceCall(): AdviceCallState {
+  return {
+    callId: '',
+    stepKey: '',
+    jobId: '',
+    validMs: 0,
+    workerKeys: new Map(),
+    retryAt: NEVER,
+    failures: 0,
+  };
+}
+
 function createTimetable(): Timetable {
   return {
     pacingAt: NEVER,
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -7,6 +7,7 @@
 import { schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
 import { loadSettings, watchSettings } from './settingsFile.ts';
+import { WireAdviceClient } from './wireAdviceClient.ts';
 import { WireFront } from './wireFront.ts';
 import { WireStatusServer } from './wireStatusServer.ts';
 
@@ -22,6 +23,7 @@
   },
   { host: settings.host, port: settings.linkPort },
   PlatformStoreClient.create(settings.storeAddress),
+  WireAdviceClient.create(settings.adviserAddress),
   log,
 );
 await WireStatusServer.create(
--- a/src/platform/wireConfiguration.ts
+++ b/src/platform/wireConfiguration.ts
@@ -12,6 +12,14 @@
   stretch: z._default(z.number(), 1),
   /** The latency objective, which a job may take beyond its stretched chain of work. */
   slo_ms: z._default(z.number(), 0),
+  advice: z.optional(
+    z.object({
+      decide_ms: z._default(z.number(), 0),
+      /** Time more for each worker in the question. */
+      each_ms: z._default(z.number(), 0),
+      valid_ms: z.number(),
+    }),
+  ),
 });
 
 const configurationSchema = z.object({
@@ -41,6 +49,15 @@
         attempts: route.attempts,
         stretch: route.stretch,
         latencyObjectiveMs: route.slo_ms,
+        ...(route.advice === undefined
+          ? {}
+          : {
+              advice: {
+                decideMs: route.advice.decide_ms,
+                perWorkerMs: route.advice.each_ms,
+                validMs: route.advice.valid_ms,
+              },
+            }),
       })),
     },
   };
--- /dev/null
+++ b/src/standins/memoryAdviser.ts
@@ -0,0 +1,44 @@
+import type { AdviceQuestion, AdviceReply } from '../model/scheduler/placementAdvice.ts';
+
+/** Stand-in of the adviser: allows some workers and issues tickets that end. */
+export class MemoryAdviser {
+  readonly questions: AdviceQuestion[] = [];
+  /** Answers every question with `busy` while it is set. */
+  isBusy = false;
+  private readonly issued = new Map<string, number>();
+
+  private constructor(
+    private readonly validMs: number,
+    private readonly isAllowed: (stepKey: string, workerId: string) => boolean,
+  ) {}
+
+  static create(
+    validMs: number,
+    isAllowed: (stepKey: string, workerId: string) => boolean,
+  ): MemoryAdviser {
+    return new MemoryAdviser(validMs, isAllowed);
+  }
+
+  answer(question: AdviceQuestion, now: number): AdviceReply {
+    this.questions.push(question);
+    if (this.isBusy) return { kind: 'busy' };
+    const allowed = question.workerIds.filter((id) => this.isAllowed(question.stepKey, id));
+    return {
+      kind: 'advice',
+      tickets: allowed.map((workerId) => {
+        const ticket = `${question.stepKey}/${workerId}/${now}`;
+        this.issued.set(ticket, now + this.validMs);
+        return { workerId, ticket };
+      }),
+    };
+  }
+
+  /** Whether a worker would take the ticket for a task of the step. */
+  isValid(ticket: string, task: string, workerId: string, now: number): boolean {
+    const stepKey = task.split('.').slice(0, 3).join('.');
+    return (
+      ticket.startsWith(`${stepKey}/${workerId}/`) &&
+      now <= (this.issued.get(ticket) ?? Number.NEGATIVE_INFINITY)
+    );
+  }
+}
--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -25,6 +25,8 @@
   readonly ended: EndedRun[] = [];
   /** Every start that was carried out, in order. */
   readonly starts: { readonly task: string; readonly run: number; readonly at: number }[] = [];
+  /** Whether a start's ticket is good; every one is unless a test sets this. */
+  checkTicket: (task: string, ticket: string) => boolean = () => true;
   private readonly blocked = new Map<string, number>();
   private fence = 0;
   private leaseUntil = Number.NEGATIVE_INFINITY;
@@ -98,6 +100,7 @@
     if (known?.run === call.run) return { kind: 'done', clockMs: this.clock.now };
     if (call.leaseUntilMs < this.clock.now) return { kind: 'rejected', reason: 'late' };
     if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
+    if (!this.checkTicket(call.task, call.ticket)) return { kind: 'rejected', reason: 'ticket' };
     this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
     const { durationMs, how, isStalled } = this.behave(call.task, call.run);
     this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
--- /dev/null
+++ b/src/systems/scheduler/adviceSystem.ts
@@ -0,0 +1,154 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { AdviceReply } from '../../model/scheduler/placementAdvice.ts';
+import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
+import type { AdvicePolicy, Queue } from '../../model/scheduler/queueConfiguration.ts';
+import type { TaskRow, WorkerRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { logEvent } from './storeCalls.ts';
+import { formatStepKey } from './taskPlacementPolicy.ts';
+import { findTicket } from './tickets.ts';
+import { explainClosedWorker } from './workerRooms.ts';
+
+/** Workers named in one question. The platform allows 100; the time of an answer grows with each. */
+const WORKERS_PER_QUESTION = 30;
+/** Time over the adviser's own figures that an answer may take. */
+const ANSWER_SLACK_MS = 1_000;
+const RETRY_FIRST_MS = 100;
+const RETRY_MOST_MS = 2_000;
+
+interface Question {
+  readonly task: TaskRow;
+  readonly policy: AdvicePolicy;
+  readonly workers: readonly WorkerRow[];
+}
+
+/**
+ * Asks the adviser which workers may run the steps of queues with a placement policy, one question
+ * at a time, the oldest job first. Reads ready tasks, workers and replies; writes `advice`. Runs before
+ * placement. Under load it asks only for steps that have tasks without a place.
+ */
+export class AdviceSystem extends System<SchedulerState> {
+  override readonly name = 'advice';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): AdviceSystem {
+    return new AdviceSystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    if (state.ownership.role !== 'owner') return;
+    for (const { callId, reply, sentAt } of state.inbox.list('adviceReply'))
+      if (callId === state.adviceCall.callId) this.receiveReply(state, reply, sentAt, tick.now);
+    const { adviceCall } = state;
+    if (adviceCall.callId !== '' || state.readyTasks.size === 0) return;
+    const question = this.findQuestion(state, tick.now);
+    if (question === undefined) return;
+    if (tick.now < adviceCall.retryAt) tick.wakeAt(adviceCall.retryAt);
+    else this.sendQuestion(state, question);
+  }
+
+  private findQuestion(state: SchedulerState, now: number): Question | undefined {
+    const queues = new Map<string, Queue>();
+    for (const queue of state.operator.configuration?.queues ?? [])
+      if (queue.advice !== undefined) queues.set(queue.name, queue);
+    if (queues.size === 0) return undefined;
+    let best: Question | undefined;
+    let bestAcceptedAt = Number.POSITIVE_INFINITY;
+    const seen = new Set<string>();
+    for (const taskId of state.readyTasks) {
+      const task = state.tasks.get(taskId);
+      const job = state.jobs.get(task?.jobId ?? '');
+      const queue = queues.get(job?.job.queue ?? '');
+      if (task === undefined || job === undefined || queue?.advice === undefined) continue;
+      const stepKey = formatStepKey(task);
+      if (seen.has(stepKey) || job.acceptedAt >= bestAcceptedAt) continue;
+      seen.add(stepKey);
+      const workers = this.listUnknown(state, task, queue.service, now);
+      if (workers.length === 0) continue;
+      best = { task, policy: queue.advice, workers: workers.slice(0, WORKERS_PER_QUESTION) };
+      bestAcceptedAt = job.acceptedAt;
+    }
+    return best;
+  }
+
+  /** Workers that could run the step and about which nothing valid is known. */
+  private listUnknown(
+    state: SchedulerState,
+    task: TaskRow,
+    service: string,
+    now: number,
+  ): WorkerRow[] {
+    const { step } = task;
+    const stepKey = formatStepKey(task);
+    return state.workers.list().filter((worker) => {
+      const { identity } = worker;
+      if (identity.service !== service || identity.cpuMillis < step.cpuMillis) return false;
+      if (step.requiredLabel !== '' && !identity.labels.includes(step.requiredLabel)) return false;
+      if (explainClosedWorker(state, worker, now) !== undefined) return false;
+      const known = state.advice.get(formatAdviceId(stepKey, worker.id));
+      if (known === undefined) return true;
+      return known.ticket !== '' && findTicket(state, stepKey, worker.id, now) === undefined;
+    });
+  }
+
+  private sendQuestion(state: SchedulerState, { task, policy, workers }: Question): void {
+    const { adviceCall } = state;
+    const stepKey = formatStepKey(task);
+    adviceCall.callId = `advice#${state.nextCall}`;
+    state.nextCall += 1;
+    adviceCall.stepKey = stepKey;
+    adviceCall.jobId = task.jobId;
+    adviceCall.validMs = policy.validMs;
+    adviceCall.workerKeys.clear();
+    for (const worker of workers) adviceCall.workerKeys.set(worker.identity.id, worker.id);
+    state.counters.add('advice_questions');
+    state.outbox.append({
+      kind: 'requestAdvice',
+      callId: adviceCall.callId,
+      question: { stepKey, workerIds: [...adviceCall.workerKeys.keys()] },
+      timeoutMs: policy.decideMs + workers.length * policy.perWorkerMs + ANSWER_SLACK_MS,
+    });
+  }
+
+  private receiveReply(
+    state: SchedulerState,
+    reply: AdviceReply,
+    sentAt: number,
+    now: number,
+  ): void {
+    const { adviceCall } = state;
+    const { stepKey, jobId, workerKeys } = adviceCall;
+    adviceCall.callId = '';
+    if (reply.kind !== 'advice') {
+      adviceCall.failures += 1;
+      adviceCall.retryAt =
+        now + Math.min(RETRY_MOST_MS, RETRY_FIRST_MS * 2 ** (adviceCall.failures - 1));
+      state.counters.add('advice_failures', { kind: reply.kind });
+      if (adviceCall.failures === 1)
+        logEvent(state, 'warn', 'adviser_lost', { step: stepKey, answer: reply.kind });
+      return;
+    }
+    if (adviceCall.failures > 0)
+      logEvent(state, 'info', 'adviser_answers', { failures: adviceCall.failures });
+    adviceCall.failures = 0;
+    const tickets = new Map(reply.tickets.map(({ workerId, ticket }) => [workerId, ticket]));
+    const validUntil = sentAt + adviceCall.validMs;
+    for (const [workerId, workerKey] of workerKeys)
+      state.advice.set({
+        id: formatAdviceId(stepKey, workerKey),
+        jobId,
+        ticket: tickets.get(workerId) ?? '',
+        validUntil,
+      });
+    logEvent(state, 'info', 'advice_known', {
+      step: stepKey,
+      asked: workerKeys.size,
+      allowed: tickets.size,
+      tookMs: Math.round(now - sentAt),
+    });
+  }
+}
--- a/src/systems/scheduler/dropOwnership.ts
+++ b/src/systems/scheduler/dropOwnership.ts
@@ -12,8 +12,16 @@
   ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
   for (const agent of state.agents.values())
     state.outbox.append({ kind: 'closeAgent', agentId: agent.id });
-  for (const table of [state.jobs, state.tasks, state.runs, state.workers, state.agents])
+  for (const table of [
+    state.jobs,
+    state.tasks,
+    state.runs,
+    state.workers,
+    state.agents,
+    state.advice,
+  ])
     table.clear();
+  state.adviceCall.callId = '';
   state.commit.callId = '';
   state.commit.jobs = [];
   state.intake.isWatching = false;
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -8,6 +8,7 @@
 import { releaseRun } from './jobChanges.ts';
 import { CLOCK_DRIFT, LEASE_MARGIN_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
+import { dropRunTicket, findRunTicket } from './tickets.ts';
 import { explainClosedWorker } from './workerRooms.ts';
 import { recordTrouble } from './workerTrouble.ts';
 
@@ -59,10 +60,10 @@
     }
     state.counters.add('starts_sent');
     state.runs.update(run.id, { phase: 'starting', placedAt: tick.now, progressAt: tick.now });
-    this.sendStart(state, run, worker);
+    this.sendStart(state, run, worker, tick.now);
   }
 
-  private sendStart(state: SchedulerState, run: RunRow, worker: WorkerRow): void {
+  private sendStart(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
     const job = state.jobs.get(run.jobId);
     const leaseMs = getRunLeaseMs(state);
     state.workers.update(worker.id, {
@@ -81,7 +82,7 @@
         run: run.run,
         payload: job?.job.spec.payload ?? '',
         checkpoint: run.checkpoint,
-        ticket: '',
+        ticket: findRunTicket(state, run, now),
         leaseUntilMs: Math.floor(worker.clockMs + leaseMs),
       },
     });
@@ -99,7 +100,7 @@
     const isDue = tick.now - run.placedAt >= REPEAT_MS;
     if (run.phase === 'starting' && (isReopened || isDue)) {
       state.runs.update(run.id, { placedAt: tick.now });
-      this.sendStart(state, run, worker);
+      this.sendStart(state, run, worker, tick.now);
     }
     if (run.phase === 'starting') tick.wakeAt(run.placedAt + REPEAT_MS);
     if (run.stopReason === undefined) return;
@@ -143,7 +144,9 @@
     }
     // An end that the worker lists decides; the run was there.
     if (result.outcome === 'ended') return;
-    recordTrouble(state, worker.id, `rejected: ${result.outcome}`, now);
+    // A ticket that ended on the way says nothing about the worker.
+    if (result.outcome === 'ticket') dropRunTicket(state, run);
+    else recordTrouble(state, worker.id, `rejected: ${result.outcome}`, now);
     state.counters.add('start_rejections', { reason: result.outcome });
     releaseRun(state, run, `rejected: ${result.outcome}`, { now });
   }
--- a/src/systems/scheduler/retentionSystem.ts
+++ b/src/systems/scheduler/retentionSystem.ts
@@ -11,7 +11,7 @@
 
 /**
  * Forgets final jobs: their tasks once nothing of them runs, and all of them when their state need
- * not stay readable any longer. Reads and writes `jobs`, `tasks` and `statuses`. Runs near the end.
+ * not stay readable any longer. Reads and writes `jobs`, `tasks`, `advice` and `statuses`. Runs near the end.
  */
 export class RetentionSystem extends System<SchedulerState> {
   override readonly name = 'retention';
@@ -34,6 +34,7 @@
       if (!isFinalPhase(job.phase) || state.dirtyJobs.has(job.id)) continue;
       if (state.runsByJob.count(job.id) > 0) continue;
       for (const task of state.tasksByJob.list(job.id)) state.tasks.remove(task.id);
+      for (const row of state.adviceByJob.list(job.id)) state.advice.remove(row.id);
       const isExpired = wallMs - (job.endedAtWallMs ?? wallMs) > 2_000 * state.bounds.statusSeconds;
       if (isExpired && expired.length < MAX_JOBS_PER_SWEEP) expired.push(job.id);
     }
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -1,5 +1,6 @@
 import type { System } from '../../base/common/system.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { AdviceSystem } from './adviceSystem.ts';
 import { AgentLinkSystem } from './agentLinkSystem.ts';
 import { CallSystem } from './callSystem.ts';
 import { ClockSystem } from './clockSystem.ts';
@@ -39,6 +40,7 @@
     StallSystem.create(),
     CopySystem.create(),
     PacingSystem.create(),
+    AdviceSystem.create(),
     TaskPlacementSystem.create(SeparatingTaskPlacement.create(), ObjectiveOrder.create()),
     CommitSystem.create(),
     OrderSystem.create(),
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -10,6 +10,7 @@
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
+import { findTicket } from './tickets.ts';
 import { collectRooms } from './workerRooms.ts';
 
 /** Age of the proof that zones and configuration are current, beyond which nothing is placed. */
@@ -52,11 +53,17 @@
     const placedGangs = new Set<string>();
     for (const ready of this.order.sort(this.listReady(state), tick.now)) {
       const service = ready.queue?.service ?? ready.job.job.service;
-      const candidates = byService.get(service) ?? [];
+      const open = byService.get(service) ?? [];
+      const stepKey = formatStepKey(ready.task);
+      const candidates =
+        ready.queue?.advice === undefined
+          ? open
+          : open.filter(
+              ({ worker }) => findTicket(state, stepKey, worker.id, tick.now) !== undefined,
+            );
       if (ready.task.step.gang) {
-        const key = formatStepKey(ready.task);
-        if (placedGangs.has(key)) continue;
-        placedGangs.add(key);
+        if (placedGangs.has(stepKey)) continue;
+        placedGangs.add(stepKey);
         this.placeGang(state, ready.task, candidates, tick.now);
       } else {
         const room = this.policy.choose(ready.task, candidates);
--- /dev/null
+++ b/src/systems/scheduler/tickets.ts
@@ -0,0 +1,32 @@
+import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
+import type { RunRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { formatStepKey } from './taskPlacementPolicy.ts';
+
+/** Time that a start needs to reach its worker: the write before it, the links and the order. */
+const TICKET_MARGIN_MS = 300;
+
+/** The ticket with which a step may start on a worker now, or undefined. */
+export function findTicket(
+  state: SchedulerState,
+  stepKey: string,
+  workerKey: string,
+  now: number,
+): string | undefined {
+  const known = state.advice.get(formatAdviceId(stepKey, workerKey));
+  if (known === undefined || known.ticket === '') return undefined;
+  return now + TICKET_MARGIN_MS < known.validUntil ? known.ticket : undefined;
+}
+
+/** The ticket that the start of a run carries; empty where none is needed. */
+export function findRunTicket(state: SchedulerState, run: RunRow, now: number): string {
+  const task = state.tasks.get(run.taskId);
+  if (task === undefined) return '';
+  return findTicket(state, formatStepKey(task), run.workerKey, now) ?? '';
+}
+
+/** Forgets a ticket that a worker rejected, so that the adviser is asked again. */
+export function dropRunTicket(state: SchedulerState, run: RunRow): void {
+  const task = state.tasks.get(run.taskId);
+  if (task !== undefined) state.advice.remove(formatAdviceId(formatStepKey(task), run.workerKey));
+}
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -6,6 +6,7 @@
 import { SchedulerDaemon } from '../../src/daemons/schedulerDaemon.ts';
 import { PlatformStoreClient } from '../../src/platform/platformStoreClient.ts';
 import { receiveBeat } from '../../src/platform/wireBeats.ts';
+import { WireAdviceClient } from '../../src/platform/wireAdviceClient.ts';
 import { WireFront } from '../../src/platform/wireFront.ts';
 import { WireRunnerClient } from '../../src/platform/wireRunnerClient.ts';
 import { WireStatusServer } from '../../src/platform/wireStatusServer.ts';
@@ -107,6 +108,7 @@
       { id: 'e-1', bootId: 'b-1', zone: 'a', zones: ['a', 'b'], bounds: { ...BOUNDS } },
       { host: '127.0.0.1', port: 0 },
       PlatformStoreClient.create(store.address),
+      WireAdviceClient.create(''),
       LOG,
     );
     agent = await RunnerAgentDaemon.create(
--- a/test/support/platformStandIn.ts
+++ b/test/support/platformStandIn.ts
@@ -238,7 +238,8 @@
   if (path.endsWith('run-stop')) return { op: 'stop', task, run, fence };
   if (path.endsWith('pace')) return { op: 'pace', task, run, fence, percent: Number(body.percent) };
   const leaseUntilMs = Number(body.deadline_ms);
-  return { op: 'start', task, run, fence, payload: '', leaseUntilMs, checkpoint: '', ticket: '' };
+  const ticket = typeof body.ticket === 'string' ? body.ticket : '';
+  return { op: 'start', task, run, fence, payload: '', leaseUntilMs, checkpoint: '', ticket };
 }
 
 async function readBody(request: IncomingMessage): Promise<unknown> {
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -10,20 +10,26 @@
   RunnerAgentEffect,
 } from '../../src/model/scheduler/runnerAgentState.ts';
 import { createRunnerAgentState } from '../../src/model/scheduler/runnerAgentState.ts';
-import type { RunnerReply } from '../../src/model/scheduler/runnerCall.ts';
-import { createSchedulerState } from '../../src/model/scheduler/schedulerState.ts';
 import type { RunBehaviour } from '../../src/standins/memoryRunner.ts';
 import { MemoryRunner } from '../../src/standins/memoryRunner.ts';
+import type { MemoryAdviser } from '../../src/standins/memoryAdviser.ts';
 import { MemoryStore } from '../../src/standins/memoryStore.ts';
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { WorldEvents } from './worldEvents.ts';
 import type { AgentNode, EntryNode, WorkerShape } from './worldNodes.ts';
-import { BOUNDS, createWorldWorker, writeWorldConfiguration } from './worldNodes.ts';
+import {
+  answerAdvice,
+  answerRunnerCall,
+  createWorldEntryState,
+  createWorldWorker,
+  writeWorldConfiguration,
+} from './worldNodes.ts';
 import { WorldStore } from './worldStore.ts';
 
 const LINK_MS = 3;
 const WATCH_POLL_MS = 20;
+const ADVICE_MS = 40;
 
 /** Entries, agents, workers and the store of the scheduler on a manual clock, in one process. */
 export class SchedulerWorld {
@@ -36,6 +42,8 @@
   private readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
   private readonly random = SeededRandom.create(7);
   private nextCall = 0;
+  /** Answers questions about placement; without one they go unanswered. */
+  adviser: MemoryAdviser | undefined;
   /** Overrides {@link behave} for single workers. */
   behaveOn: ((agent: AgentNode, task: string, run: number) => RunBehaviour) | undefined;
   behave: (task: string, run: number) => RunBehaviour = () => ({ durationMs: 1_000, how: 'done' });
@@ -113,14 +121,7 @@
   }
 
   addEntry(id: string): EntryNode {
-    const state = createSchedulerState({
-      id,
-      bootId: `${id}-${this.clock.now}`,
-      zone: 'a',
-      zones: ['a', 'b'],
-      bounds: { ...BOUNDS },
-    });
-    state.self.address = id;
+    const state = createWorldEntryState(id, this.clock.now);
     const entry: EntryNode = {
       id,
       state,
@@ -201,8 +202,8 @@
   }
 
   private sendBeat(agent: AgentNode): void {
-    const identity = createWorldWorker(agent);
-    this.deliverToAgent(0, agent, { kind: 'workerBeat', beat: { identity, sequence: 1 } });
+    const beat = { identity: createWorldWorker(agent), sequence: 1 };
+    this.deliverToAgent(0, agent, { kind: 'workerBeat', beat });
   }
 
   private deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void {
@@ -238,6 +239,13 @@
           this.deliver(0, entry, { kind: 'storeReply', callId: effect.callId, reply, sentAt });
         });
         return;
+      case 'requestAdvice':
+        this.deliver(
+          this.adviser === undefined ? effect.timeoutMs : ADVICE_MS,
+          entry,
+          answerAdvice(this.adviser, effect, this.clock.now),
+        );
+        return;
       case 'answerCall':
         entry.answers.set(effect.callId, effect.answer);
         return;
@@ -278,8 +286,7 @@
       case 'closeOwner':
         entry.ownerId = '';
         return;
-      case 'closePeer':
-      case 'exit':
+      default:
         return;
     }
   }
@@ -290,13 +297,9 @@
         this.logs.push({ node: agent.id, event: effect.event });
         return;
       case 'callRunner': {
-        const isDropped = agent.hasLeft || (effect.call.op !== 'hold' && agent.dropAnswers > 0);
-        if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
-        const reply: RunnerReply = isDropped
-          ? { kind: 'noAnswer', message: 'dropped' }
-          : agent.runner.handle(effect.call);
+        const reply = answerRunnerCall(agent, effect.call);
         const waitMs = effect.call.op === 'hold' && effect.call.waitMs > 0 ? WATCH_POLL_MS : 1;
-        this.deliverToAgent(isDropped ? effect.timeoutMs : waitMs, agent, {
+        this.deliverToAgent(reply.kind === 'noAnswer' ? effect.timeoutMs : waitMs, agent, {
           kind: 'runnerReply',
           callId: effect.callId,
           reply,
@@ -319,8 +322,7 @@
           this.deliverToAgent(0, agent, { kind: 'storeReply', callId: effect.callId, reply });
         });
         return;
-      case 'closeOwner':
-      case 'exit':
+      default:
         return;
     }
   }
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -7,8 +7,12 @@
   RunnerAgentState,
 } from '../../src/model/scheduler/runnerAgentState.ts';
 import type { WorkerIdentity } from '../../src/model/scheduler/links.ts';
+import type { Queue } from '../../src/model/scheduler/queueConfiguration.ts';
 import { OPERATOR_KEYS } from '../../src/model/scheduler/queueConfiguration.ts';
+import type { RunnerCall, RunnerReply } from '../../src/model/scheduler/runnerCall.ts';
 import type { SchedulerState } from '../../src/model/scheduler/schedulerState.ts';
+import { createSchedulerState } from '../../src/model/scheduler/schedulerState.ts';
+import type { MemoryAdviser } from '../../src/standins/memoryAdviser.ts';
 import type { MemoryRunner } from '../../src/standins/memoryRunner.ts';
 import type { MemoryStore } from '../../src/standins/memoryStore.ts';
 import type { StoreMode } from './worldStore.ts';
@@ -55,11 +59,45 @@
   statusSeconds: 120,
 };
 
+/** State of an entry of the world that starts now. */
+export function createWorldEntryState(id: string, now: number): SchedulerState {
+  const state = createSchedulerState({
+    id,
+    bootId: `${id}-${now}`,
+    zone: 'a',
+    zones: ['a', 'b'],
+    bounds: { ...BOUNDS },
+  });
+  state.self.address = id;
+  return state;
+}
+
+/** What arrives at an entry that asked the adviser; a world without one leaves it unanswered. */
+export function answerAdvice(
+  adviser: MemoryAdviser | undefined,
+  { callId, question }: Extract<SchedulerEffect, { kind: 'requestAdvice' }>,
+  sentAt: number,
+): SchedulerArrival {
+  const reply = adviser?.answer(question, sentAt);
+  const noReply = { kind: 'unavailable' as const, message: 'no answer in time' };
+  return { kind: 'adviceReply', callId, reply: reply ?? noReply, sentAt };
+}
+
+/** The worker's answer to its agent; one that has left or drops its answers gives none. */
+export function answerRunnerCall(agent: AgentNode, call: RunnerCall): RunnerReply {
+  const isDropped = call.op !== 'hold' && agent.dropAnswers > 0;
+  if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
+  return agent.hasLeft || isDropped
+    ? { kind: 'noAnswer', message: 'dropped' }
+    : agent.runner.handle(call);
+}
+
 /** Writes the operator's configuration with one queue at `/q/` for the workers of a service. */
 export function writeWorldConfiguration(
   store: MemoryStore,
   version: number,
   service = 'svc',
+  more: Partial<Queue> = {},
 ): void {
   const key = OPERATOR_KEYS.configuration;
   const read = store.handle({ op: 'read', key });
@@ -73,6 +111,7 @@
     attempts: 3,
     stretch: 2,
     latencyObjectiveMs: 500,
+    ...more,
   };
   const configuration = { version, maxBodyBytes: 100_000, queues: [queue] };
   const value = { kind: 'configuration', configuration };
