Let urgent queues preempt batch work

Cause: a queue's priority only ordered what waits; a full pool of less urgent work held an urgent job up for as long as that work took. Copies were also requested for runs that were stopped for another reason and for jobs that are over. CopySystem copies only runs that stand still or whose worker is silent, of jobs that are not over.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -96,6 +96,7 @@
   pacingAt: number;
   stallAt: number;
   copyAt: number;
+  preemptionAt: number;
   retentionAt: number;
   newsSentAt: number;
   /** Since when the link to the owner has been opening. */
@@ -253,6 +254,7 @@
     pacingAt: NEVER,
     stallAt: NEVER,
     copyAt: NEVER,
+    preemptionAt: NEVER,
     retentionAt: NEVER,
     newsSentAt: NEVER,
     ownerOpeningAt: NEVER,
--- a/src/systems/scheduler/copySystem.ts
+++ b/src/systems/scheduler/copySystem.ts
@@ -1,8 +1,10 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { updateTask } from './jobChanges.ts';
+import { STALLED_REASON } from './stallSystem.ts';
 import { logEvent } from './storeCalls.ts';
 
 /**
@@ -13,8 +15,8 @@
 const LOOK_EVERY_MS = 250;
 
 /**
- * Gives a second run to tasks whose step allows copies, when the first is out of reach or was told
- * to stop and has not ended. Reads `runs` and `workers`; makes
+ * Gives a second run to tasks whose step allows copies, when the first is out of reach or stands
+ * still. Reads `runs` and `workers`; makes
  * tasks ready again. Runs before placement. Answers the loss of workers and of links to them.
  */
 export class CopySystem extends System<SchedulerState> {
@@ -39,6 +41,7 @@
     for (const run of state.runs.values()) {
       if (!run.step.speculative || run.step.longRunning || run.step.gang) continue;
       const task = state.tasks.get(run.taskId);
+      if (isFinalPhase(state.jobs.get(run.jobId)?.phase ?? 'cancelled')) continue;
       // One copy is enough: a task that stands still everywhere must not fill the pool.
       if (task?.phase !== 'active' || state.runsByTask.count(task.id) > 1) continue;
       const reason = this.findReason(state, run, tick.now);
@@ -48,7 +51,8 @@
 
   private findReason(state: SchedulerState, run: RunRow, now: number): string | undefined {
     if (run.phase === 'placed') return undefined;
-    if (run.stopReason !== undefined) return 'its stop is not confirmed';
+    if (run.stopReason === STALLED_REASON) return 'it stands still';
+    if (run.stopReason !== undefined) return undefined;
     const heardAt = state.workers.get(run.workerKey)?.lastReportAt ?? state.ownership.loadedAt;
     return now - heardAt > SILENT_MS ? 'its worker is silent' : undefined;
   }
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -14,6 +14,7 @@
 import { OrderSystem } from './orderSystem.ts';
 import { OwnershipSystem } from './ownershipSystem.ts';
 import { PacingSystem } from './pacingSystem.ts';
+import { PreemptionSystem } from './preemptionSystem.ts';
 import { ProgressSystem } from './progressSystem.ts';
 import { ReportSystem } from './reportSystem.ts';
 import { RetentionSystem } from './retentionSystem.ts';
@@ -42,6 +43,7 @@
     PacingSystem.create(),
     AdviceSystem.create(),
     TaskPlacementSystem.create(SeparatingTaskPlacement.create(), ObjectiveOrder.create()),
+    PreemptionSystem.create(),
     CommitSystem.create(),
     OrderSystem.create(),
     AgentLinkSystem.create(),
--- a/src/systems/scheduler/stallSystem.ts
+++ b/src/systems/scheduler/stallSystem.ts
@@ -17,6 +17,8 @@
 /** Times that a task is moved for standing still; a task that stalls everywhere has a fault of its own. */
 const MAX_MOVES = 3;
 const AT_WORK_PERCENT = 100;
+/** Reason of the stops of stalled runs. */
+export const STALLED_REASON = 'it stands still';
 
 /**
  * Moves runs that stand still on workers that otherwise look sound. Reads the progress of `runs`;
@@ -69,6 +71,6 @@
     state.counters.add('stalled_runs');
     recordTrouble(state, worker.id, 'stalled', now);
     updateTask(state, task.id, { avoided: [...task.avoided, worker.identity.id] });
-    requestStop(state, run, 'it stands still');
+    requestStop(state, run, STALLED_REASON);
   }
 }
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -17,7 +17,7 @@
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { WorldEvents } from './worldEvents.ts';
-import type { AgentNode, EntryNode, WorkerShape } from './worldNodes.ts';
+import type { AgentNode, CallShape, EntryNode, WorkerShape } from './worldNodes.ts';
 import {
   answerAdvice,
   answerRunnerCall,
@@ -74,16 +74,16 @@
   }
 
   /** Calls an entry and returns the id under which its answer appears. */
-  call(entry: EntryNode, jobId: string, call: QueueCall, deadlineMs = 3_000): string {
+  call(entry: EntryNode, jobId: string, call: QueueCall, how: CallShape = {}): string {
     this.nextCall += 1;
     const callId = `call${this.nextCall}`;
     entry.loop.receive({
       kind: 'queueCall',
       callId,
       host: 'host',
-      path: `/q/${jobId}`,
+      path: `${how.prefix ?? '/q/'}${jobId}`,
       call,
-      deadlineMs,
+      deadlineMs: how.deadlineMs ?? 3_000,
     });
     this.runTurn(entry);
     return callId;
@@ -94,12 +94,13 @@
     jobId: string,
     steps: readonly Partial<StepSpec>[],
     schedule: Partial<JobSpec> = {},
+    how: CallShape = {},
   ): string {
     const spec = jobSpecSchema.parse({
       ...schedule,
       steps: steps.map((step) => stepSpecSchema.parse({ count: 1, cpuMillis: 1_000, ...step })),
     });
-    return this.call(entry, jobId, { kind: 'submit', spec });
+    return this.call(entry, jobId, { kind: 'submit', spec }, how);
   }
 
   /** Stops an entry at once, as a kill does. */
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -44,6 +44,12 @@
   readonly shape: WorkerShape;
 }
 
+/** Where a call goes, `/q/` unless told, and how long its caller waits. */
+export interface CallShape {
+  readonly prefix?: string;
+  readonly deadlineMs?: number;
+}
+
 /** What a test may choose about a worker. */
 export type WorkerShape = Partial<Pick<WorkerIdentity, 'labels' | 'cpuMillis' | 'memoryMb'>>;
 
@@ -98,22 +104,31 @@
   version: number,
   service = 'svc',
   more: Partial<Queue> = {},
+): void {
+  writeWorldQueues(store, version, [{ service, ...more }]);
+}
+
+/** Writes the operator's configuration; queues that say nothing else are at `/q/`. */
+export function writeWorldQueues(
+  store: MemoryStore,
+  version: number,
+  differences: readonly Partial<Queue>[],
 ): void {
   const key = OPERATOR_KEYS.configuration;
   const read = store.handle({ op: 'read', key });
   const expectedVersion = read.kind === 'entry' ? read.entry.version : 0;
-  const queue = {
+  const queues = differences.map((difference) => ({
     name: 'queue',
     host: 'host',
     prefix: '/q/',
-    service,
+    service: 'svc',
     priority: 0,
     attempts: 3,
     stretch: 2,
     latencyObjectiveMs: 500,
-    ...more,
-  };
-  const configuration = { version, maxBodyBytes: 100_000, queues: [queue] };
+    ...difference,
+  }));
+  const configuration = { version, maxBodyBytes: 100_000, queues };
   const value = { kind: 'configuration', configuration };
   store.handle({ op: 'write', key, expectedVersion, value });
 }
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -108,7 +108,7 @@
       const { world, entry } = createWorld();
       entry.store = 'answerLost';
       const spec = { payload: '', steps: [], occurrences: 0, startAtMs: 0, intervalMs: 0 };
-      const callId = world.call(entry, JOB, { kind: 'submit', spec }, 20);
+      const callId = world.call(entry, JOB, { kind: 'submit', spec }, { deadlineMs: 20 });
       world.run(100);
       const answer = entry.answers.get(callId);
       expect(answer).toMatchObject({ kind: 'refused', error: 'deadline_exceeded_running' });
--- a/test/systems/scheduler/stepKinds.test.ts
+++ b/test/systems/scheduler/stepKinds.test.ts
@@ -140,6 +140,18 @@
       expect(world.agents.flatMap(({ runner }) => [...runner.running])).toHaveLength(0);
     });
 
+    it('does not copy the runs of a cancelled job', () => {
+      const { world, entry } = createWorld(1, 2);
+      world.submit(entry, JOB, [{ count: 1, speculative: true }]);
+      world.run(500);
+      const agent = world.agents.find(({ runner }) => runner.running.size > 0)!;
+      world.call(entry, JOB, { kind: 'cancel' });
+      world.cutAgent(agent);
+      world.run(4_000);
+      expect(entry.state.counters.get('run_copies')).toBe(0);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+    });
+
     it('does not run more than two copies', () => {
       const { world, entry } = createWorld(1, 4);
       world.behave = () => ({ durationMs: 1_000, how: 'done', isStalled: true });
