Queue filling tasks instead of starting a burst all at once

Change: HoldingTaskPlacement keeps a filling task waiting while no worker's serving tasks have an expected slack of 2.3, runs younger than a report are counted in, the job with the least work left goes first (LeastWorkOrder), and a job with nothing running starts one task after 1.5 s. Tests: test/systems/scheduler/fillingTasks.test.ts plays a burst beside a serving task (12 at once before, under 6 now), and a burst of six jobs in both orders. The stand-in of the worker reports latencies.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -96,6 +96,8 @@
   pacingAt: number;
   stallAt: number;
   copyAt: number;
+  /** Latest start of a filling task that had been held for long. */
+  heldStartAt: number;
   preemptionAt: number;
   retentionAt: number;
   newsSentAt: number;
@@ -254,6 +256,7 @@
     pacingAt: NEVER,
     stallAt: NEVER,
     copyAt: NEVER,
+    heldStartAt: NEVER,
     preemptionAt: NEVER,
     retentionAt: NEVER,
     newsSentAt: NEVER,
--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -8,6 +8,7 @@
   readonly startedAt: number;
   readonly endsAt: number;
   readonly how: RunEnd;
+  readonly computeLatency: ((others: number) => number) | undefined;
   pacePercent: number;
 }
 
@@ -17,6 +18,8 @@
   readonly how: RunEnd;
   /** Whether the task stands still until it is stopped. */
   readonly isStalled?: boolean;
+  /** Tail latency that a serving task reports beside this many others at full pace, ms. */
+  readonly computeLatency?: (others: number) => number;
 }
 
 /** Stand-in of one incarnation of the platform's worker, as the scheduler speaks to it. */
@@ -84,13 +87,15 @@
       kind: 'lists',
       clockMs: this.clock.now,
       bornMs: this.bornMs,
-      running: [...this.running.values()].map(({ task, run, startedAt, endsAt }) => ({
-        task,
-        run,
-        checkpoint: '',
-        percent: Math.floor((100 * (this.clock.now - startedAt)) / (endsAt - startedAt)),
-        load: 0,
-      })),
+      running: [...this.running.values()].map(
+        ({ task, run, startedAt, endsAt, computeLatency }) => ({
+          task,
+          run,
+          checkpoint: '',
+          percent: computeLatency === undefined ? this.computePercent(startedAt, endsAt) : 100,
+          load: Math.round(computeLatency?.(this.countOthers(task)) ?? 0),
+        }),
+      ),
       ended: [...this.ended],
     };
   }
@@ -102,7 +107,7 @@
     if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
     if (!this.checkTicket(call.task, call.ticket)) return { kind: 'rejected', reason: 'ticket' };
     this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
-    const { durationMs, how, isStalled } = this.behave(call.task, call.run);
+    const { durationMs, how, isStalled, computeLatency } = this.behave(call.task, call.run);
     this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
     this.running.set(call.task, {
       task: call.task,
@@ -110,11 +115,23 @@
       startedAt: this.clock.now,
       endsAt: isStalled === true ? Number.POSITIVE_INFINITY : this.clock.now + durationMs,
       how,
+      computeLatency,
       pacePercent: 100,
     });
     return { kind: 'done', clockMs: this.clock.now };
   }
 
+  private computePercent(startedAt: number, endsAt: number): number {
+    return Math.floor((100 * (this.clock.now - startedAt)) / (endsAt - startedAt));
+  }
+
+  /** Other tasks at work, each counted by its pace. */
+  private countOthers(task: string): number {
+    let others = 0;
+    for (const run of this.running.values()) if (run.task !== task) others += run.pacePercent / 100;
+    return others;
+  }
+
   private stop(task: string, run: number): void {
     this.blocked.set(task, Math.max(run, this.blocked.get(task) ?? 0));
     const known = this.running.get(task);
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -21,8 +21,8 @@
 import { StallSystem } from './stallSystem.ts';
 import { StopSystem } from './stopSystem.ts';
 import { TakeoverSystem } from './takeoverSystem.ts';
-import { ObjectiveOrder } from './taskOrder.ts';
-import { SeparatingTaskPlacement } from './taskPlacementPolicy.ts';
+import { LeastWorkOrder } from './taskOrder.ts';
+import { HoldingTaskPlacement, SeparatingTaskPlacement } from './taskPlacementPolicy.ts';
 import { TaskPlacementSystem } from './taskPlacementSystem.ts';
 
 /** The systems of an entry of the scheduler, in the order in which a turn runs them. */
@@ -42,7 +42,11 @@
     CopySystem.create(),
     PacingSystem.create(),
     AdviceSystem.create(),
-    TaskPlacementSystem.create(SeparatingTaskPlacement.create(), ObjectiveOrder.create()),
+    TaskPlacementSystem.create(
+      HoldingTaskPlacement.create(SeparatingTaskPlacement.create()),
+      SeparatingTaskPlacement.create(),
+      LeastWorkOrder.create(),
+    ),
     PreemptionSystem.create(),
     CommitSystem.create(),
     OrderSystem.create(),
--- a/src/systems/scheduler/taskOrder.ts
+++ b/src/systems/scheduler/taskOrder.ts
@@ -35,16 +35,16 @@
 const HOPELESS_FACTOR = 3;
 
 /**
- * By priority, then by the time of the objective; jobs past any credit come last. In a burst of
- * large jobs this serves first what can still be in time.
+ * By priority, then by the least work left; jobs past any credit come last. In a burst of large jobs
+ * this brings the most of them to their end in time.
  */
-export class ObjectiveOrder extends TaskOrder {
+export class LeastWorkOrder extends TaskOrder {
   private constructor() {
     super();
   }
 
-  static create(): ObjectiveOrder {
-    return new ObjectiveOrder();
+  static create(): LeastWorkOrder {
+    return new LeastWorkOrder();
   }
 
   override sort(ready: ReadyTask[], now: number): ReadyTask[] {
@@ -52,9 +52,8 @@
     const getKey = ({ job, queue }: ReadyTask): number => {
       let key = keys.get(job);
       if (key === undefined) {
-        const objectiveMs = estimateObjectiveMs(job, queue);
-        const isHopeless = now > job.acceptedAt + HOPELESS_FACTOR * objectiveMs;
-        key = isHopeless ? Number.MAX_SAFE_INTEGER : job.acceptedAt + objectiveMs;
+        const isHopeless = now > job.acceptedAt + HOPELESS_FACTOR * estimateObjectiveMs(job, queue);
+        key = isHopeless ? Number.MAX_SAFE_INTEGER : estimateWorkLeft(job);
         keys.set(job, key);
       }
       return key;
@@ -65,6 +64,17 @@
   }
 }
 
+/** Work that a job has left, from the submitter's estimates, thousandths of a core times ms. */
+function estimateWorkLeft({ job, openTasks }: JobRow): number {
+  let tasks = 0;
+  let work = 0;
+  for (const step of job.spec.steps) {
+    tasks += step.count;
+    work += step.count * step.cpuMillis * step.estimatedMs;
+  }
+  return (work * openTasks) / Math.max(1, tasks);
+}
+
 function getPriority({ queue }: ReadyTask): number {
   return queue?.priority ?? 0;
 }
--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -62,6 +62,11 @@
 /** Work away from its data takes half as long again or more. */
 const FAR_PENALTY = 50;
 const FAILURE_PENALTY = 5;
+/**
+ * Expected slack of serving tasks below which a worker takes no more filling tasks. More keeps serving
+ * tasks safer and starves large jobs; docs/decisions/filling-tasks.md has the trials.
+ */
+const HOLD_BELOW_SLACK = 2.3;
 /** Failed runs in a row that a sound worker may have; tasks fail by their own fault now and then. */
 export const CHANCE_FAILURES = 2;
 
@@ -93,6 +98,29 @@
   }
 }
 
+/**
+ * Keeps filling tasks waiting while every worker's serving tasks would come near their targets. In
+ * a burst of large jobs the first ones then finish, instead of all of them slowing each other and the
+ * serving tasks.
+ */
+export class HoldingTaskPlacement extends TaskPlacementPolicy {
+  private constructor(private readonly inner: TaskPlacementPolicy) {
+    super();
+  }
+
+  static create(inner: TaskPlacementPolicy): HoldingTaskPlacement {
+    return new HoldingTaskPlacement(inner);
+  }
+
+  override choose(task: TaskRow, rooms: readonly WorkerRoom[]): WorkerRoom | undefined {
+    if (!task.step.fills) return this.inner.choose(task, rooms);
+    return this.inner.choose(
+      task,
+      rooms.filter((room) => !room.isPressed && estimateSlackWith(room, task) >= HOLD_BELOW_SLACK),
+    );
+  }
+}
+
 function computeScore(room: WorkerRoom, task: TaskRow): number {
   const { identity, recentFailures } = room.worker;
   const { step } = task;
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -19,6 +19,12 @@
 const CONFIRMED_FRESH_MS = 1_500;
 /** Room freed by ends wakes the system; this only covers workers that become usable by time alone. */
 const RETRY_MS = 250;
+/** Time for which a job of filling tasks may have nothing running while there is room. */
+const MAX_HOLD_MS = 1_500;
+/** Pause between two starts of tasks that were held for long. */
+const HELD_START_EVERY_MS = 500;
+/** Part of the cores in use below which held tasks start without a pause; callers then see idle workers. */
+const MOSTLY_FREE_PART = 0.6;
 
 /**
  * Assigns ready tasks to workers. Reads `tasks`, `runs`, `workers` and the operator's keys; writes
@@ -29,13 +35,19 @@
 
   private constructor(
     private readonly policy: TaskPlacementPolicy,
+    private readonly fallback: TaskPlacementPolicy,
     private readonly order: TaskOrder,
   ) {
     super();
   }
 
-  static create(policy: TaskPlacementPolicy, order: TaskOrder): TaskPlacementSystem {
-    return new TaskPlacementSystem(policy, order);
+  /** `fallback` places filling tasks that the policy has held for long. */
+  static create(
+    policy: TaskPlacementPolicy,
+    fallback: TaskPlacementPolicy,
+    order: TaskOrder,
+  ): TaskPlacementSystem {
+    return new TaskPlacementSystem(policy, fallback, order);
   }
 
   override run(state: SchedulerState, tick: Tick): void {
@@ -66,7 +78,9 @@
         placedGangs.add(stepKey);
         this.placeGang(state, ready.task, candidates, tick.now);
       } else {
-        const room = this.policy.choose(ready.task, candidates);
+        const room =
+          this.policy.choose(ready.task, candidates) ??
+          this.chooseForHeld(state, ready.task, candidates, tick.now);
         if (room !== undefined) {
           takeRoom(room, ready.task);
           this.placeTask(state, ready.task, room, ready.task.lastRun + 1, tick.now);
@@ -75,6 +89,26 @@
     }
   }
 
+  /**
+   * A filling task that was held for long starts wherever there is room, so that every job gets on;
+   * on workers that are mostly in use one such task at a time.
+   */
+  private chooseForHeld(
+    state: SchedulerState,
+    task: TaskRow,
+    rooms: readonly WorkerRoom[],
+    now: number,
+  ): WorkerRoom | undefined {
+    const { timetable } = state;
+    if (!task.step.fills || now - task.readyAt <= MAX_HOLD_MS) return undefined;
+    if (state.runsByJob.count(task.jobId) > 0) return undefined;
+    const isSoon = now - timetable.heldStartAt < HELD_START_EVERY_MS;
+    if (isSoon && computeUsedPart(rooms) >= MOSTLY_FREE_PART) return undefined;
+    const room = this.fallback.choose(task, rooms);
+    if (room !== undefined) timetable.heldStartAt = now;
+    return room;
+  }
+
   private listReady(state: SchedulerState): ReadyTask[] {
     const queues = new Map<string, Queue>();
     for (const queue of state.operator.configuration?.queues ?? []) queues.set(queue.name, queue);
@@ -163,6 +197,17 @@
   }
 }
 
+/** Part of the workers' cores that tasks have reserved. */
+function computeUsedPart(rooms: readonly WorkerRoom[]): number {
+  let free = 0;
+  let all = 0;
+  for (const room of rooms) {
+    free += Math.max(0, room.freeCpuMillis);
+    all += room.worker.identity.cpuMillis;
+  }
+  return all === 0 ? 1 : 1 - free / all;
+}
+
 /** Labels that look like racks are those that more than one worker shares and some lack. */
 function listRacks(candidates: readonly WorkerRoom[]): string[] {
   const counts = new Map<string, number>();
--- a/src/systems/scheduler/workerRooms.ts
+++ b/src/systems/scheduler/workerRooms.ts
@@ -6,6 +6,8 @@
 import { takeRoom } from './taskPlacementPolicy.ts';
 
 const FULL_PERCENT = 100;
+/** A report covers half a second and comes every second; younger runs are not in it. */
+const SETTLING_MS = 1_500;
 
 /** Whether a worker may be told to start something now, with the reason when it may not. */
 export function explainClosedWorker(
@@ -60,7 +62,13 @@
       const known = room.reportedSlacks.get(run.step.image) ?? Number.POSITIVE_INFINITY;
       if (slack !== undefined) room.reportedSlacks.set(run.step.image, Math.min(known, slack));
     }
-    for (const [image, slack] of room.reportedSlacks) room.slacks.set(image, slack);
+    for (const [image, slack] of room.reportedSlacks) {
+      let left = slack;
+      for (const run of state.runsByWorker.values(worker.id))
+        if (run.step.fills && now - run.placedAt < SETTLING_MS)
+          left -= slackSource.getCost(image, run.step.image);
+      room.slacks.set(image, left);
+    }
     rooms.push(room);
   }
   return rooms;
--- /dev/null
+++ b/test/systems/scheduler/fillingTasks.test.ts
@@ -0,0 +1,115 @@
+import { describe, expect, it } from 'vitest';
+import { jobSpecSchema, stepSpecSchema } from '../../../src/model/scheduler/jobSpec.ts';
+import type { JobRow, TaskRow } from '../../../src/model/scheduler/rows.ts';
+import type { ReadyTask, TaskOrder } from '../../../src/systems/scheduler/taskOrder.ts';
+import { AgeOrder, LeastWorkOrder } from '../../../src/systems/scheduler/taskOrder.ts';
+import { createJobId, createWorld } from '../../support/jobWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+
+const SERVING = createJobId(1);
+const TARGET_MS = 100;
+const FILLING_JOBS = 12;
+
+/** One worker with a serving task whose slack is 3 alone and falls by a half with each neighbour. */
+function createServingWorld(): SchedulerWorld {
+  const { world, entry } = createWorld(1, 1);
+  world.behave = (task) =>
+    task.startsWith(SERVING)
+      ? {
+          durationMs: 1_000,
+          how: 'done',
+          isStalled: true,
+          computeLatency: (others) => TARGET_MS / Math.max(0.2, 3 - 0.5 * others),
+        }
+      : { durationMs: 1_500, how: 'done' };
+  // Most of the worker is in use, as on a day with many serving tasks.
+  const serving = { longRunning: true, targetMs: TARGET_MS, image: 'serving' };
+  world.submit(entry, SERVING, [{ count: 1, cpuMillis: 6_000, ...serving }]);
+  world.run(3_000);
+  for (let index = 0; index < FILLING_JOBS; index += 1)
+    world.submit(entry, createJobId(10 + index), [
+      { count: 1, cpuMillis: 500, fills: true, image: 'filling' },
+    ]);
+  return world;
+}
+
+function createReady(id: string, tasks: number, acceptedAt: number, priority = 0): ReadyTask {
+  const step = stepSpecSchema.parse({ count: tasks, cpuMillis: 1_000, estimatedMs: 1_000 });
+  const spec = jobSpecSchema.parse({ steps: [step] });
+  const queue = {
+    name: 'queue',
+    host: 'host',
+    prefix: '/q/',
+    service: 'svc',
+    priority,
+    attempts: 3,
+    stretch: 2,
+    latencyObjectiveMs: 1_000,
+  };
+  const job = { queue: 'queue', service: 'svc', spec, acceptedAtMs: 0 };
+  return {
+    task: { id: `${id}.0.0.0`, jobId: id, step } as TaskRow,
+    job: { id, job, openTasks: tasks, acceptedAt } as JobRow,
+    queue,
+  };
+}
+
+/** Jobs of a burst that end within their objective when one task runs at a time. */
+function countInTime(order: TaskOrder, sizes: readonly number[]): number {
+  const left = new Map(sizes.map((size, index) => [`job-${index}`, size]));
+  let now = 0;
+  let inTime = 0;
+  while (left.size > 0) {
+    const ready = [...left].map(([id, tasks]) => createReady(id, tasks, 0));
+    const [first] = order.sort(ready, now);
+    if (first === undefined) break;
+    now += 250;
+    const rest = (left.get(first.job.id) ?? 0) - 1;
+    if (rest > 0) left.set(first.job.id, rest);
+    else left.delete(first.job.id);
+    if (rest === 0 && now <= 3_000) inTime += 1;
+  }
+  return inTime;
+}
+
+describe('filling tasks', () => {
+  describe('beside serving tasks', () => {
+    it('does not start a burst all at once where a serving task needs the slack', () => {
+      const world = createServingWorld();
+      let most = 0;
+      for (let step = 0; step < 400; step += 1) {
+        world.run(100);
+        most = Math.max(most, (world.agents[0]?.runner.running.size ?? 0) - 1);
+      }
+      expect(most).toBeGreaterThan(0);
+      expect(most).toBeLessThan(FILLING_JOBS / 2);
+    });
+
+    it('does not hold a job for ever', () => {
+      const world = createServingWorld();
+      world.run(40_000);
+      for (let index = 0; index < FILLING_JOBS; index += 1)
+        expect(world.owner!.state.jobs.get(createJobId(10 + index))?.phase).toBe('completed');
+    });
+  });
+
+  describe('order of a burst', () => {
+    it('does not make every job late when some can be in time', () => {
+      const sizes = [16, 9, 3, 14, 2, 6];
+      expect(countInTime(LeastWorkOrder.create(), sizes)).toBe(3);
+      expect(countInTime(AgeOrder.create(), sizes)).toBeLessThan(3);
+    });
+
+    it('does not put haste for a hopeless job before one that can be in time', () => {
+      const hopeless = createReady('hopeless', 1, -60_000);
+      const large = createReady('large', 50, 0);
+      expect(LeastWorkOrder.create().sort([hopeless, large], 0)[0]?.job.id).toBe('large');
+    });
+
+    it('does not put a small job of a less urgent queue first', () => {
+      const small = createReady('small', 1, 0, 2);
+      const urgent = createReady('urgent', 50, 0, 0);
+      expect(LeastWorkOrder.create().sort([small, urgent], 0)[0]?.job.id).toBe('urgent');
+    });
+  });
+});
