Learn the cost of filling tasks only from reports that cover them

Cause: the new test of a burst beside a serving task started 6 tasks where the threshold and the assumed cost allow 3. The learnt cost fell from 0.2 to 0.11 at once, because the slack reported before the tasks started was taken as their effect. Change: the slack model learns from a report only if every filling task of the worker has had its present pace for 0.6 s before it.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -65,6 +65,8 @@
   readonly percent: number;
   readonly load: number;
   readonly pacePercent: number;
+  /** When the pace last changed or the run was placed, owner's clock ms. */
+  readonly pacedAt: number;
   readonly placedAt: number;
   /** When the percentage last grew, owner's clock ms. */
   readonly progressAt: number;
@@ -159,6 +161,7 @@
     percent: 0,
     load: 0,
     pacePercent: 100,
+    pacedAt: now,
     placedAt: now,
     progressAt: now,
     overSince: undefined,
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -30,6 +30,8 @@
 const MOVE_BELOW_PERCENT = 60;
 /** Times that a task is moved; each move costs what it has not saved. */
 const MAX_MOVES = 2;
+/** A load figure covers half a second, and a pace holds 0.1 s after its order. */
+const SETTLING_MS = 600;
 
 /**
  * Slows filling tasks beside a serving task whose slack runs out, the most costly first and only by
@@ -59,7 +61,9 @@
       const runs = state.runsByWorker.list(worker.id).filter((run) => run.phase === 'running');
       const serving = runs.filter((run) => run.step.targetMs > 0);
       const filling = runs.filter((run) => run.step.fills);
-      for (const run of serving) learnSlack(state, run, filling);
+      // Before a report covers the present filling tasks it would teach that they cost nothing.
+      if (filling.every((run) => run.pacedAt + SETTLING_MS < worker.lastReportAt))
+        for (const run of serving) learnSlack(state, run, filling);
       if (filling.length > 0) this.paceWorker(state, serving, filling, tick.now);
     }
   }
@@ -81,13 +85,13 @@
       leastSlack = slack;
     }
     if (worst === undefined) {
-      for (const run of filling) this.setPace(state, run, FULL_PERCENT, leastSlack);
+      for (const run of filling) this.setPace(state, run, FULL_PERCENT, leastSlack, now);
     } else if (overMs >= state.bounds.harmMs * HALT_AFTER_PART) {
-      for (const run of filling) this.setPace(state, run, 0, leastSlack);
+      for (const run of filling) this.setPace(state, run, 0, leastSlack, now);
     } else if (leastSlack < SLOW_BELOW_SLACK) {
       this.limitFilling(state, worst, leastSlack, filling, now);
     } else if (leastSlack > RAISE_ABOVE_SLACK) {
-      this.resumeFilling(state, worst, leastSlack, filling);
+      this.resumeFilling(state, worst, leastSlack, filling, now);
     }
   }
 
@@ -104,8 +108,8 @@
       const percent = Math.max(0, Math.floor(run.pacePercent - (missing / cost) * FULL_PERCENT));
       missing -= (cost * (run.pacePercent - percent)) / FULL_PERCENT;
       if (percent < MOVE_BELOW_PERCENT && this.canMove(state, run, now))
-        this.moveAway(state, run, slack);
-      else this.setPace(state, run, percent, slack);
+        this.moveAway(state, run, slack, now);
+      else this.setPace(state, run, percent, slack, now);
     }
   }
 
@@ -114,6 +118,7 @@
     serving: RunRow,
     slack: number,
     filling: readonly RunRow[],
+    now: number,
   ): void {
     let left = slack - AIM_SLACK;
     for (const { run, cost } of this.sortByCost(state, serving, filling)) {
@@ -124,7 +129,7 @@
         Math.ceil((left / cost) * FULL_PERCENT),
       );
       left -= (cost * risePercent) / FULL_PERCENT;
-      this.setPace(state, run, run.pacePercent + risePercent, slack);
+      this.setPace(state, run, run.pacePercent + risePercent, slack, now);
     }
   }
 
@@ -155,19 +160,25 @@
     );
   }
 
-  private moveAway(state: SchedulerState, run: RunRow, slack: number): void {
+  private moveAway(state: SchedulerState, run: RunRow, slack: number, now: number): void {
     const task = state.tasks.get(run.taskId);
     const workerId = state.workers.get(run.workerKey)?.identity.id;
     if (task === undefined || workerId === undefined) return;
     updateTask(state, task.id, { avoided: [...task.avoided, workerId] });
-    this.setPace(state, run, 0, slack);
+    this.setPace(state, run, 0, slack, now);
     requestStop(state, run, 'harms a serving task');
   }
 
-  private setPace(state: SchedulerState, run: RunRow, percent: number, slack: number): void {
+  private setPace(
+    state: SchedulerState,
+    run: RunRow,
+    percent: number,
+    slack: number,
+    now: number,
+  ): void {
     const worker = state.workers.get(run.workerKey);
     if (worker === undefined || percent === run.pacePercent) return;
-    state.runs.update(run.id, { pacePercent: percent });
+    state.runs.update(run.id, { pacePercent: percent, pacedAt: now });
     state.counters.add('pace_orders');
     logEvent(state, 'info', 'run_paced', {
       task: run.taskId,
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -35,6 +35,8 @@
     percent: 100,
     load,
     pacePercent: 100,
+    pacedAt: 0,
+    pacedAt: 0,
     placedAt: 0,
     progressAt: 0,
     overSince: undefined,
