--- a/src/daemons/runnerAgentDaemon.ts
+++ b/src/daemons/runnerAgentDaemon.ts
@@ -1,5 +1,6 @@
 import { randomInt } from 'node:crypto';
 import type { WebSocket } from 'ws';
+import type { Clock } from '../base/common/clock.ts';
 import type { Disposable } from '../base/common/disposable.ts';
 import { Loop } from '../base/common/loop.ts';
 import { SeededRandom } from '../base/common/seededRandom.ts';
@@ -24,6 +25,7 @@
 /** Runs an agent beside a worker: connects the loop to the worker, the owner and the store. */
 export class RunnerAgentDaemon implements Disposable {
   readonly metrics = Metrics.create();
+  private readonly clock: Clock = NodeClock.create();
   private readonly loop: Loop<RunnerAgentArrival, RunnerAgentEffect, RunnerAgentState>;
   private readonly links = new Map<string, JsonLink<OwnerOrder>>();
   private server: JsonLinkServer | undefined;
@@ -44,7 +46,7 @@
       {
         state,
         systems: createRunnerAgentSystems(),
-        clock: NodeClock.create(),
+        clock: this.clock,
         random: SeededRandom.create(randomInt(0x7fffffff)),
         handleEffect: (effect) => {
           this.handleEffect(effect);
@@ -122,13 +124,20 @@
       case 'log':
         this.log.write(effect.level, effect.event, effect.fields);
         return;
-      case 'callRunner':
+      case 'callRunner': {
+        const sentAt = this.clock.now;
         void this.runner
           .send(effect.address, effect.workerId, effect.call, effect.timeoutMs)
           .then((reply) => {
+            this.metrics.recordDuration(
+              'worker_call_duration_ms',
+              { op: effect.call.op, result: reply.kind },
+              this.clock.now - sentAt,
+            );
             this.loop.receive({ kind: 'runnerReply', callId: effect.callId, reply });
           });
         return;
+      }
       case 'sendOwner':
         this.links.get(effect.linkId)?.send(effect.message);
         return;
--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -165,6 +165,9 @@
       case 'log':
         this.log.write(effect.level, effect.event, effect.fields);
         return;
+      case 'duration':
+        this.metrics.recordDuration(effect.name, effect.labels, effect.durationMs);
+        return;
       case 'callStore':
         this.callStore(effect);
         return;
@@ -216,6 +219,13 @@
     const sentAt = this.clock.now;
     void this.store.send(call, timeoutMs).then((reply) => {
       this.readWallClock();
+      // A watch waits for changes; its time says nothing about the store.
+      if (call.op !== 'watchPrefix')
+        this.metrics.recordDuration(
+          'store_call_duration_ms',
+          { op: call.op, result: reply.kind },
+          this.clock.now - sentAt,
+        );
       this.loop.receive({ kind: 'storeReply', callId, reply, sentAt });
     });
   }
--- a/src/model/effects.ts
+++ b/src/model/effects.ts
@@ -15,6 +15,14 @@
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
+/** A duration for the histogram of its name and labels. */
+export interface DurationEffect {
+  readonly kind: 'duration';
+  readonly name: string;
+  readonly labels: Readonly<Record<string, string>>;
+  readonly durationMs: number;
+}
+
 /** What an operator asks an entry. */
 export type OperatorCall =
   | { readonly kind: 'showConfig' }
--- a/src/model/scheduler/entryMessages.ts
+++ b/src/model/scheduler/entryMessages.ts
@@ -1,4 +1,4 @@
-import type { LogEffect } from '../effects.ts';
+import type { DurationEffect, LogEffect } from '../effects.ts';
 import type { StoreCall, StoreReply } from '../store.ts';
 import type { AgentMessage, EntryHint, OwnerMessage, OwnerOrder } from './links.ts';
 import type { AdviceQuestion, AdviceReply } from './placementAdvice.ts';
@@ -59,4 +59,5 @@
       readonly timeoutMs: number;
     }
   | LogEffect
+  | DurationEffect
   | { readonly kind: 'exit' };
--- a/src/systems/scheduler/callReplies.ts
+++ b/src/systems/scheduler/callReplies.ts
@@ -11,7 +11,7 @@
 import type { StoreEntry, StoreReply } from '../../model/store.ts';
 import { answerCall, refuseCall } from './callAnswers.ts';
 import { forwardCall } from './callForwarding.ts';
-import { logEvent } from './storeCalls.ts';
+import { logEvent, recordDuration } from './storeCalls.ts';
 import { STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
 const RETRY_MS = 80;
@@ -88,6 +88,7 @@
     repeated: reply.kind === 'mismatch',
     configuration: state.operator.configuration?.version ?? 0,
   });
+  recordDuration(state, 'job_submit_duration_ms', now - call.startedAt);
   if (reply.kind === 'written') {
     const job = {
       queue: call.queue,
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -7,7 +7,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { dropOwnership } from './dropOwnership.ts';
-import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { listStoreReplies, logEvent, recordDuration, sendStoreCall } from './storeCalls.ts';
 
 /** The store takes 32 entries in a transaction: a comparison and a value for each job, and the owner key. */
 export const MAX_JOBS_PER_COMMIT = 15;
@@ -47,6 +47,7 @@
     const { commit } = state;
     for (const { callId, reply, sentAt } of listStoreReplies(state, 'commit')) {
       if (callId !== commit.callId) continue;
+      recordDuration(state, 'commit_duration_ms', tick.now - sentAt, { result: reply.kind });
       const { jobs } = commit;
       commit.callId = '';
       commit.jobs = [];
--- a/src/systems/scheduler/endSystem.ts
+++ b/src/systems/scheduler/endSystem.ts
@@ -5,7 +5,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import { recordJobChange, releaseRun, requestStop, setJobPhase, updateTask } from './jobChanges.ts';
-import { logEvent } from './storeCalls.ts';
+import { logEvent, recordDuration } from './storeCalls.ts';
 import { clearTrouble, recordFailure } from './workerTrouble.ts';
 
 /**
@@ -39,6 +39,8 @@
       known: run !== undefined,
     });
     state.counters.add('run_ends', { how: end.how });
+    if (run !== undefined)
+      recordDuration(state, 'run_duration_ms', now - run.placedAt, { how: end.how });
     if (end.how === 'done') clearTrouble(state, workerKey);
     else if (end.how === 'failed') recordFailure(state, workerKey, now);
     if (task !== undefined) {
--- a/src/systems/scheduler/progressSystem.ts
+++ b/src/systems/scheduler/progressSystem.ts
@@ -2,8 +2,11 @@
 import { System } from '../../base/common/system.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import type { JobRow } from '../../model/scheduler/rows.ts';
 import { setJobPhase } from './jobChanges.ts';
 import { addDueOccurrences, computeDueAt, countOccurrences, markReadyTasks } from './jobTables.ts';
+import { recordDuration } from './storeCalls.ts';
+import { estimateObjectiveMs } from './taskOrder.ts';
 
 /**
  * Moves jobs on: adds the tasks of due occurrences, readies steps whose predecessors are done and
@@ -40,8 +43,28 @@
     markReadyTasks(state, job, now);
     if (job.openTasks === 0 && job.occurrences >= countOccurrences(job.job)) {
       setJobPhase(state, job, 'completed');
+      this.recordCompletion(state, job, now);
     } else if (job.phase === 'pending' && state.runsByJob.count(jobId) > 0) {
       setJobPhase(state, job, 'running');
+      recordDuration(state, 'job_first_start_duration_ms', now - job.acceptedAt);
     }
   }
+
+  /** Jobs with a schedule are left out: their objective counts from each due time. */
+  private recordCompletion(state: SchedulerState, job: JobRow, now: number): void {
+    if (job.job.spec.occurrences > 0) return;
+    const { name, objectiveMs } = this.findObjective(state, job);
+    const tookMs = now - job.acceptedAt;
+    const result = tookMs <= objectiveMs ? 'met' : 'missed';
+    recordDuration(state, 'job_duration_ms', tookMs, { queue: name, objective: result });
+  }
+
+  private findObjective(
+    state: SchedulerState,
+    job: JobRow,
+  ): { readonly name: string; readonly objectiveMs: number } {
+    const { queue: name } = job.job;
+    const queue = state.operator.configuration?.queues.find((known) => known.name === name);
+    return { name, objectiveMs: estimateObjectiveMs(job, queue) };
+  }
 }
--- a/src/systems/scheduler/storeCalls.ts
+++ b/src/systems/scheduler/storeCalls.ts
@@ -35,3 +35,13 @@
 ): void {
   state.outbox.append({ kind: 'log', level, event, fields });
 }
+
+/** Queues a duration for the metrics page. */
+export function recordDuration(
+  state: SchedulerState,
+  name: string,
+  durationMs: number,
+  labels: Readonly<Record<string, string>> = {},
+): void {
+  state.outbox.append({ kind: 'duration', name, labels, durationMs });
+}
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -6,7 +6,7 @@
 import { createRunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { recordJobChange, updateTask } from './jobChanges.ts';
-import { logEvent } from './storeCalls.ts';
+import { logEvent, recordDuration } from './storeCalls.ts';
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
@@ -187,6 +187,7 @@
     const placedChange = recordJobChange(state, task.jobId);
     state.runs.set(createRunRow(task, run, room.worker.id, 'placed', placedChange, now));
     state.counters.add('placements');
+    recordDuration(state, 'task_wait_duration_ms', now - task.readyAt);
     logEvent(state, 'info', 'task_placed', {
       task: task.id,
       run,
--- a/test/docs/operatorsPage.test.ts
+++ b/test/docs/operatorsPage.test.ts
@@ -51,7 +51,9 @@
   });
 
   it('does not leave out a duration of the metrics page', () => {
-    expect(listMissing(listNames(/recordDuration\(\s*'([a-z_]+)'/g))).toEqual([]);
+    const durations = listNames(/recordDuration\(\s*(?:state,\s*)?'([a-z_]+)'/g);
+    expect(durations.length).toBeGreaterThan(8);
+    expect(listMissing(durations)).toEqual([]);
   });
 
   it('does not leave out a log event', () => {
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -36,7 +36,6 @@
     load,
     pacePercent: 100,
     pacedAt: 0,
-    pacedAt: 0,
     placedAt: 0,
     progressAt: 0,
     overSince: undefined,
