Hold filling tasks by what they cost, and pace only on settled reports

Change: the slack that a worker has to keep is 1.2 and 2.5 for each unit of the task's learnt cost, at most 2.6. Paces change only on a report that covers the last change, but for the halt before harm.

--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -62,9 +62,9 @@
       const serving = runs.filter((run) => run.step.targetMs > 0);
       const filling = runs.filter((run) => run.step.fills);
       // Before a report covers the present filling tasks it would teach that they cost nothing.
-      if (filling.every((run) => run.pacedAt + SETTLING_MS < worker.lastReportAt))
-        for (const run of serving) learnSlack(state, run, filling);
-      if (filling.length > 0) this.paceWorker(state, serving, filling, tick.now);
+      const isSettled = filling.every((run) => run.pacedAt + SETTLING_MS < worker.lastReportAt);
+      if (isSettled) for (const run of serving) learnSlack(state, run, filling);
+      if (filling.length > 0) this.paceWorker(state, serving, filling, isSettled, tick.now);
     }
   }
 
@@ -72,6 +72,7 @@
     state: SchedulerState,
     serving: readonly RunRow[],
     filling: readonly RunRow[],
+    isSettled: boolean,
     now: number,
   ): void {
     let worst: RunRow | undefined;
@@ -88,6 +89,9 @@
       for (const run of filling) this.setPace(state, run, FULL_PERCENT, leastSlack, now);
     } else if (overMs >= state.bounds.harmMs * HALT_AFTER_PART) {
       for (const run of filling) this.setPace(state, run, 0, leastSlack, now);
+    } else if (!isSettled) {
+      // The reported loads do not show the latest change of pace; another one would overshoot.
+      return;
     } else if (leastSlack < SLOW_BELOW_SLACK) {
       this.limitFilling(state, worst, leastSlack, filling, now);
     } else if (leastSlack > RAISE_ABOVE_SLACK) {
--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -63,10 +63,13 @@
 const FAR_PENALTY = 50;
 const FAILURE_PENALTY = 5;
 /**
- * Expected slack of serving tasks below which a worker takes no more filling tasks. More keeps serving
- * tasks safer and starves large jobs; docs/decisions/filling-tasks.md has the trials.
+ * Expected slack of serving tasks below which a worker takes no more filling tasks: for a task that
+ * costs them nothing, how much more for each unit of its cost, and at most. Holding a task back that
+ * costs little helps nobody; docs/decisions/filling-tasks.md has the trials.
  */
-const HOLD_BELOW_SLACK = 2.3;
+const HOLD_BELOW_SLACK = 1.2;
+const HOLD_PER_COST = 2.5;
+const HOLD_BELOW_MOST = 2.6;
 /** Failed runs in a row that a sound worker may have; tasks fail by their own fault now and then. */
 export const CHANCE_FAILURES = 2;
 
@@ -116,11 +119,21 @@
     if (!task.step.fills) return this.inner.choose(task, rooms);
     return this.inner.choose(
       task,
-      rooms.filter((room) => !room.isPressed && estimateSlackWith(room, task) >= HOLD_BELOW_SLACK),
+      rooms.filter(
+        (room) => !room.isPressed && estimateSlackWith(room, task) >= computeLeastSlack(room, task),
+      ),
     );
   }
 }
 
+/** Slack that the serving tasks of a worker have to keep beside the task. */
+function computeLeastSlack(room: WorkerRoom, { step }: TaskRow): number {
+  let cost = 0;
+  for (const serving of room.slacks.keys())
+    cost = Math.max(cost, room.slackSource.getCost(serving, step.image));
+  return Math.min(HOLD_BELOW_MOST, HOLD_BELOW_SLACK + HOLD_PER_COST * cost);
+}
+
 function computeScore(room: WorkerRoom, task: TaskRow): number {
   const { identity, recentFailures } = room.worker;
   const { step } = task;
