Do not hold filling tasks that last

A filling task that lasts was held while another task of its job ran, without end, and such a task has to be at work again within seconds. Change: the holding policy leaves tasks that last to the policy it wraps. Test: 'does not hold filling tasks that last while others of their job run', which failed before.

--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -116,7 +116,8 @@
   }
 
   override choose(task: TaskRow, rooms: readonly WorkerRoom[]): WorkerRoom | undefined {
-    if (!task.step.fills) return this.inner.choose(task, rooms);
+    // A task that lasts has no end to wait for and has to be back within seconds.
+    if (!task.step.fills || task.step.longRunning) return this.inner.choose(task, rooms);
     return this.inner.choose(
       task,
       rooms.filter(
--- a/test/systems/scheduler/fillingTasks.test.ts
+++ b/test/systems/scheduler/fillingTasks.test.ts
@@ -12,7 +12,7 @@
 const FILLING_JOBS = 12;
 
 /** One worker with a serving task whose slack is 3 alone and falls by a half with each neighbour. */
-function createServingWorld(): SchedulerWorld {
+function createServingWorld(fillingJobs = FILLING_JOBS, fillingMs = 1_500): SchedulerWorld {
   const { world, entry } = createWorld(1, 1);
   world.behave = (task) =>
     task.startsWith(SERVING)
@@ -22,12 +22,12 @@
           isStalled: true,
           computeLatency: (others) => TARGET_MS / Math.max(0.2, 3 - 0.5 * others),
         }
-      : { durationMs: 1_500, how: 'done' };
+      : { durationMs: fillingMs, how: 'done' };
   // Most of the worker is in use, as on a day with many serving tasks.
   const serving = { longRunning: true, targetMs: TARGET_MS, image: 'serving' };
   world.submit(entry, SERVING, [{ count: 1, cpuMillis: 6_000, ...serving }]);
   world.run(3_000);
-  for (let index = 0; index < FILLING_JOBS; index += 1)
+  for (let index = 0; index < fillingJobs; index += 1)
     world.submit(entry, createJobId(10 + index), [
       { count: 1, cpuMillis: 500, fills: true, image: 'filling' },
     ]);
@@ -104,6 +104,17 @@
       }
     });
 
+    it('does not hold filling tasks that last while others of their job run', () => {
+      const world = createServingWorld(0, 60_000);
+      const lasting = createJobId(50);
+      world.submit(world.owner!, lasting, [
+        { count: 8, cpuMillis: 500, fills: true, longRunning: true, image: 'filling' },
+      ]);
+      world.run(6_000);
+      for (let index = 0; index < 8; index += 1)
+        expect(world.listStarts(`${lasting}.0.0.${index}`)).not.toHaveLength(0);
+    });
+
     it('does not hold a job for ever', () => {
       const world = createServingWorld();
       world.run(40_000);
