Index the queues of a configuration once

Cause: five systems searched the queues by name, three of them by building a map in each turn; with hundreds of routes that is work done many times a second. Change: the operator's state keeps the map beside the configuration.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -6,7 +6,7 @@
 import type { SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
 import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
 import type { QueueCall } from './queueCall.ts';
-import type { QueueConfiguration } from './queueConfiguration.ts';
+import type { Queue, QueueConfiguration } from './queueConfiguration.ts';
 import type { JobStatus, EntryHint } from './links.ts';
 import type { AgentRow, JobRow, ListedEnd, RunRow, TaskRow, WorkerRow } from './rows.ts';
 
@@ -71,6 +71,8 @@
 /** What an entry knows of the operator's keys. */
 export interface OperatorState {
   configuration: QueueConfiguration | undefined;
+  /** Queues of the configuration by name. */
+  queues: ReadonlyMap<string, Queue>;
   /** Versions of the operator's keys, for the comparison that proves them current. */
   readonly versions: Map<string, number>;
   readonly zonesOut: Set<string>;
@@ -269,6 +271,7 @@
 function createOperatorState(): OperatorState {
   return {
     configuration: undefined,
+    queues: new Map(),
     versions: new Map(),
     zonesOut: new Set(),
     storeVersion: 0,
--- a/src/systems/scheduler/adviceSystem.ts
+++ b/src/systems/scheduler/adviceSystem.ts
@@ -2,7 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { AdviceReply } from '../../model/scheduler/placementAdvice.ts';
 import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
-import type { AdvicePolicy, Queue } from '../../model/scheduler/queueConfiguration.ts';
+import type { AdvicePolicy } from '../../model/scheduler/queueConfiguration.ts';
 import type { TaskRow, WorkerRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { logEvent } from './storeCalls.ts';
@@ -52,17 +52,13 @@
   }
 
   private findQuestion(state: SchedulerState, now: number): Question | undefined {
-    const queues = new Map<string, Queue>();
-    for (const queue of state.operator.configuration?.queues ?? [])
-      if (queue.advice !== undefined) queues.set(queue.name, queue);
-    if (queues.size === 0) return undefined;
     let best: Question | undefined;
     let bestAcceptedAt = Number.POSITIVE_INFINITY;
     const seen = new Set<string>();
     for (const taskId of state.readyTasks) {
       const task = state.tasks.get(taskId);
       const job = state.jobs.get(task?.jobId ?? '');
-      const queue = queues.get(job?.job.queue ?? '');
+      const queue = state.operator.queues.get(job?.job.queue ?? '');
       if (task === undefined || job === undefined || queue?.advice === undefined) continue;
       const stepKey = formatStepKey(task);
       if (seen.has(stepKey) || job.acceptedAt >= bestAcceptedAt) continue;
--- a/src/systems/scheduler/endSystem.ts
+++ b/src/systems/scheduler/endSystem.ts
@@ -108,8 +108,7 @@
   }
 
   private getAttempts(state: SchedulerState, queueName: string): number {
-    const queue = state.operator.configuration?.queues.find(({ name }) => name === queueName);
-    return queue?.attempts ?? Number.POSITIVE_INFINITY;
+    return state.operator.queues.get(queueName)?.attempts ?? Number.POSITIVE_INFINITY;
   }
 
   private recordPendingEnd(
--- a/src/systems/scheduler/preemptionSystem.ts
+++ b/src/systems/scheduler/preemptionSystem.ts
@@ -41,8 +41,6 @@
       return;
     }
     state.timetable.preemptionAt = tick.now + LOOK_EVERY_MS;
-    const queues = new Map<string, Queue>();
-    for (const queue of state.operator.configuration?.queues ?? []) queues.set(queue.name, queue);
     const waiting = this.listWaiting(state, tick.now);
     if (waiting.length === 0) return;
     // What is being stopped already will free room for as many tasks as it was stopped for.
@@ -50,9 +48,9 @@
     if (isStopping) return;
     const rooms = collectRooms(state, tick.now);
     for (const task of waiting) {
-      const queue = queues.get(state.jobs.get(task.jobId)?.job.queue ?? '');
+      const queue = findQueue(state, task.jobId);
       if (queue === undefined) continue;
-      this.evictFor(state, task, queue, queues, rooms);
+      this.evictFor(state, task, queue, rooms);
     }
   }
 
@@ -71,13 +69,12 @@
     state: SchedulerState,
     task: TaskRow,
     queue: Queue,
-    queues: ReadonlyMap<string, Queue>,
     rooms: readonly WorkerRoom[],
   ): void {
     let best: { readonly room: WorkerRoom; readonly victims: readonly RunRow[] } | undefined;
     for (const room of rooms) {
       if (room.worker.identity.service !== queue.service) continue;
-      const victims = this.findVictims(state, task, queue, queues, room);
+      const victims = this.findVictims(state, task, queue, room);
       if (victims === undefined) continue;
       if (best === undefined || victims.length < best.victims.length) best = { room, victims };
     }
@@ -102,12 +99,11 @@
     state: SchedulerState,
     task: TaskRow,
     queue: Queue,
-    queues: ReadonlyMap<string, Queue>,
     room: WorkerRoom,
   ): readonly RunRow[] | undefined {
     const candidates = state.runsByWorker
       .list(room.worker.id)
-      .filter((run) => this.canStop(state, run, queue, queues))
+      .filter((run) => this.canStop(state, run, queue))
       .sort((left, right) => left.percent - right.percent);
     const victims: RunRow[] = [];
     for (const run of candidates) {
@@ -120,17 +116,12 @@
     return isEnough ? victims : undefined;
   }
 
-  private canStop(
-    state: SchedulerState,
-    run: RunRow,
-    queue: Queue,
-    queues: ReadonlyMap<string, Queue>,
-  ): boolean {
+  private canStop(state: SchedulerState, run: RunRow, queue: Queue): boolean {
     const { step } = run;
     if (run.phase !== 'running' || run.stopReason !== undefined) return false;
     if (step.longRunning || step.gang) return false;
     if (!step.savesProgress && run.percent >= KEEP_FROM_PERCENT) return false;
-    const victimQueue = queues.get(state.jobs.get(run.jobId)?.job.queue ?? '');
+    const victimQueue = findQueue(state, run.jobId);
     return victimQueue !== undefined && victimQueue.priority > queue.priority;
   }
 
@@ -144,3 +135,7 @@
     if (task !== undefined) takeRoom(room, task, sign);
   }
 }
+
+function findQueue(state: SchedulerState, jobId: string): Queue | undefined {
+  return state.operator.queues.get(state.jobs.get(jobId)?.job.queue ?? '');
+}
--- a/src/systems/scheduler/progressSystem.ts
+++ b/src/systems/scheduler/progressSystem.ts
@@ -53,18 +53,10 @@
   /** Jobs with a schedule are left out: their objective counts from each due time. */
   private recordCompletion(state: SchedulerState, job: JobRow, now: number): void {
     if (job.job.spec.occurrences > 0) return;
-    const { name, objectiveMs } = this.findObjective(state, job);
-    const tookMs = now - job.acceptedAt;
-    const result = tookMs <= objectiveMs ? 'met' : 'missed';
-    recordDuration(state, 'job_duration_ms', tookMs, { queue: name, objective: result });
-  }
-
-  private findObjective(
-    state: SchedulerState,
-    job: JobRow,
-  ): { readonly name: string; readonly objectiveMs: number } {
     const { queue: name } = job.job;
-    const queue = state.operator.configuration?.queues.find((known) => known.name === name);
-    return { name, objectiveMs: estimateObjectiveMs(job, queue) };
+    const objectiveMs = estimateObjectiveMs(job, state.operator.queues.get(name));
+    const tookMs = now - job.acceptedAt;
+    const objective = tookMs <= objectiveMs ? 'met' : 'missed';
+    recordDuration(state, 'job_duration_ms', tookMs, { queue: name, objective });
   }
 }
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -1,7 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
-import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
 import type { TaskRow } from '../../model/scheduler/rows.ts';
 import { createRunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
@@ -110,15 +109,13 @@
   }
 
   private listReady(state: SchedulerState): ReadyTask[] {
-    const queues = new Map<string, Queue>();
-    for (const queue of state.operator.configuration?.queues ?? []) queues.set(queue.name, queue);
     const ready: ReadyTask[] = [];
     for (const taskId of [...state.readyTasks]) {
       const task = state.tasks.get(taskId);
       const job = task === undefined ? undefined : state.jobs.get(task.jobId);
       if (task === undefined || job === undefined || isFinalPhase(job.phase))
         state.readyTasks.delete(taskId);
-      else ready.push({ task, job, queue: queues.get(job.job.queue) });
+      else ready.push({ task, job, queue: state.operator.queues.get(job.job.queue) });
     }
     return ready;
   }
