Share the wiring of the scheduler's daemons

Cause: both daemons built their loop, clock, metrics and end by copy, and one read the wall clock itself. Change: the abstract class LoopDaemon holds what is the same; readWallClock stands beside the monotonic clock of the process.

--- a/src/base/node/nodeClock.ts
+++ b/src/base/node/nodeClock.ts
@@ -18,6 +18,11 @@
   }
 }
 
+/** Wall-clock time, milliseconds since 1970; it may step, so it is only compared with stored times. */
+export function readWallClock(): number {
+  return Date.now();
+}
+
 /** Timers of the Node.js event loop. A zero delay runs after pending I/O of the same turn. */
 export class NodeTimer extends Timer {
   private constructor() {
--- /dev/null
+++ b/src/daemons/loopDaemon.ts
@@ -0,0 +1,75 @@
+import { randomInt } from 'node:crypto';
+import type { Clock } from '../base/common/clock.ts';
+import type { Disposable } from '../base/common/disposable.ts';
+import type { LoopState } from '../base/common/loop.ts';
+import { Loop } from '../base/common/loop.ts';
+import type { KindedMessage } from '../base/common/mailbox.ts';
+import { SeededRandom } from '../base/common/seededRandom.ts';
+import type { System } from '../base/common/system.ts';
+import type { LogWriter } from '../base/node/logWriter.ts';
+import { Metrics } from '../base/node/metrics.ts';
+import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
+
+/** Longest reason of an invalid message that goes into a log line, characters. */
+const MAX_REASON_LENGTH = 200;
+
+/** A process of the scheduler: one loop over its state, with metrics and a log. */
+export abstract class LoopDaemon<
+  Arrival extends KindedMessage,
+  Effect extends KindedMessage,
+  State extends LoopState<Arrival, Effect>,
+> implements Disposable {
+  readonly metrics = Metrics.create();
+  protected readonly clock: Clock = NodeClock.create();
+  protected readonly loop: Loop<Arrival, Effect, State>;
+  private resolveStopped: () => void = () => undefined;
+  /** Resolves when the loop has asked to exit. */
+  readonly stopped = new Promise<void>((resolve) => {
+    this.resolveStopped = resolve;
+  });
+
+  protected constructor(
+    readonly state: State,
+    systems: readonly System<State>[],
+    protected readonly log: LogWriter,
+  ) {
+    this.loop = Loop.create<Arrival, Effect, State>(
+      {
+        state,
+        systems,
+        clock: this.clock,
+        random: SeededRandom.create(randomInt(0x7fffffff)),
+        handleEffect: (effect) => {
+          this.handleEffect(effect);
+        },
+        recordTurn: (durationMs) => {
+          this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
+        },
+      },
+      NodeTimer.create(),
+    );
+  }
+
+  /** Starts the graceful shutdown; {@link stopped} resolves at its end. */
+  abstract stop(): void;
+
+  abstract dispose(): void;
+
+  /** Carries out one effect of the loop. */
+  protected abstract handleEffect(effect: Effect): void;
+
+  /** Lets {@link stopped} resolve. */
+  protected settleStopped(): void {
+    this.resolveStopped();
+  }
+
+  /** Logs messages of a peer that do not have the form of the protocol. */
+  protected logInvalid(peer: string): (reason: string) => void {
+    return (reason) => {
+      this.log.write('warn', 'message_invalid', {
+        peer,
+        reason: reason.slice(0, MAX_REASON_LENGTH),
+      });
+    };
+  }
+}
--- a/src/daemons/runnerAgentDaemon.ts
+++ b/src/daemons/runnerAgentDaemon.ts
@@ -1,12 +1,5 @@
-import { randomInt } from 'node:crypto';
 import type { WebSocket } from 'ws';
-import type { Clock } from '../base/common/clock.ts';
-import type { Disposable } from '../base/common/disposable.ts';
-import { Loop } from '../base/common/loop.ts';
-import { SeededRandom } from '../base/common/seededRandom.ts';
 import type { LogWriter } from '../base/node/logWriter.ts';
-import { Metrics } from '../base/node/metrics.ts';
-import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
 import type { OwnerOrder } from '../model/scheduler/links.ts';
 import { ownerOrderSchema } from '../model/scheduler/links.ts';
 import type {
@@ -20,43 +13,26 @@
 import type { RunnerClient } from '../protocol/node/runnerClient.ts';
 import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { createRunnerAgentSystems } from '../systems/runnerAgent/runnerAgentSystems.ts';
+import { LoopDaemon } from './loopDaemon.ts';
 import type { LinkAddress } from './schedulerDaemon.ts';
 
 /** Runs an agent beside a worker: connects the loop to the worker, the owner and the store. */
-export class RunnerAgentDaemon implements Disposable {
-  readonly metrics = Metrics.create();
-  private readonly clock: Clock = NodeClock.create();
-  private readonly loop: Loop<RunnerAgentArrival, RunnerAgentEffect, RunnerAgentState>;
+export class RunnerAgentDaemon extends LoopDaemon<
+  RunnerAgentArrival,
+  RunnerAgentEffect,
+  RunnerAgentState
+> {
   private readonly links = new Map<string, JsonLink<OwnerOrder>>();
   private server: JsonLinkServer | undefined;
   private nextLink = 1;
-  private resolveStopped: () => void = () => undefined;
-  /** Resolves when the loop has asked to exit. */
-  readonly stopped = new Promise<void>((resolve) => {
-    this.resolveStopped = resolve;
-  });
 
   private constructor(
-    readonly state: RunnerAgentState,
+    state: RunnerAgentState,
     private readonly store: StoreClient,
     private readonly runner: RunnerClient,
-    private readonly log: LogWriter,
+    log: LogWriter,
   ) {
-    this.loop = Loop.create<RunnerAgentArrival, RunnerAgentEffect, RunnerAgentState>(
-      {
-        state,
-        systems: createRunnerAgentSystems(),
-        clock: this.clock,
-        random: SeededRandom.create(randomInt(0x7fffffff)),
-        handleEffect: (effect) => {
-          this.handleEffect(effect);
-        },
-        recordTurn: (durationMs) => {
-          this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
-        },
-      },
-      NodeTimer.create(),
-    );
+    super(state, createRunnerAgentSystems(), log);
   }
 
   static async create(
@@ -87,12 +63,11 @@
     this.loop.receive({ kind: 'workerLeft', workerId });
   }
 
-  /** Starts the graceful shutdown; {@link stopped} resolves at its end. */
-  stop(): void {
+  override stop(): void {
     this.loop.receive({ kind: 'stopRequested' });
   }
 
-  dispose(): void {
+  override dispose(): void {
     this.loop.dispose();
     this.server?.dispose();
     for (const link of this.links.values()) link.dispose();
@@ -112,14 +87,12 @@
         this.links.delete(linkId);
         this.loop.receive({ kind: 'ownerLink', linkId, isOpen: false });
       },
-      onInvalid: (reason) => {
-        this.log.write('warn', 'message_invalid', { peer: linkId, reason: reason.slice(0, 200) });
-      },
+      onInvalid: this.logInvalid(linkId),
     });
     this.links.set(linkId, link);
   }
 
-  private handleEffect(effect: RunnerAgentEffect): void {
+  protected override handleEffect(effect: RunnerAgentEffect): void {
     switch (effect.kind) {
       case 'log':
         this.log.write(effect.level, effect.event, effect.fields);
@@ -151,7 +124,7 @@
         });
         return;
       case 'exit':
-        this.resolveStopped();
+        this.settleStopped();
         return;
     }
   }
--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -1,12 +1,6 @@
-import { randomInt } from 'node:crypto';
 import type { WebSocket } from 'ws';
-import type { Clock } from '../base/common/clock.ts';
-import type { Disposable } from '../base/common/disposable.ts';
-import { Loop } from '../base/common/loop.ts';
-import { SeededRandom } from '../base/common/seededRandom.ts';
 import type { LogWriter } from '../base/node/logWriter.ts';
-import { Metrics } from '../base/node/metrics.ts';
-import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
+import { readWallClock } from '../base/node/nodeClock.ts';
 import type { SchedulerArrival, SchedulerEffect } from '../model/scheduler/entryMessages.ts';
 import type { QueueAnswer, QueueCall } from '../model/scheduler/queueCall.ts';
 import type { AgentMessage, EntryHint, OwnerMessage } from '../model/scheduler/links.ts';
@@ -21,6 +15,7 @@
 import type { AdviceClient } from '../protocol/node/adviceClient.ts';
 import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { createSchedulerSystems } from '../systems/scheduler/schedulerSystems.ts';
+import { LoopDaemon } from './loopDaemon.ts';
 
 /** Where a daemon of the scheduler listens for the others. */
 export interface LinkAddress {
@@ -29,43 +24,21 @@
 }
 
 /** Runs an entry of the scheduler: connects the loop to callers, the store and the links. */
-export class SchedulerDaemon implements Disposable {
-  readonly metrics = Metrics.create();
-  private readonly clock: Clock = NodeClock.create();
-  private readonly loop: Loop<SchedulerArrival, SchedulerEffect, SchedulerState>;
+export class SchedulerDaemon extends LoopDaemon<SchedulerArrival, SchedulerEffect, SchedulerState> {
   private readonly answers = new Map<string, (answer: QueueAnswer) => void>();
   private readonly agents = new Map<string, JsonLink<AgentMessage>>();
   private readonly peers = new Map<string, JsonLink<EntryHint>>();
   private owner: JsonLink<OwnerMessage> | undefined;
   private server: JsonLinkServer | undefined;
   private nextId = 1;
-  private resolveStopped: () => void = () => undefined;
-  /** Resolves when the loop has asked to exit. */
-  readonly stopped = new Promise<void>((resolve) => {
-    this.resolveStopped = resolve;
-  });
 
   private constructor(
-    readonly state: SchedulerState,
+    state: SchedulerState,
     private readonly store: StoreClient,
     private readonly adviser: AdviceClient,
-    private readonly log: LogWriter,
+    log: LogWriter,
   ) {
-    this.loop = Loop.create<SchedulerArrival, SchedulerEffect, SchedulerState>(
-      {
-        state,
-        systems: createSchedulerSystems(),
-        clock: this.clock,
-        random: SeededRandom.create(randomInt(0x7fffffff)),
-        handleEffect: (effect) => {
-          this.handleEffect(effect);
-        },
-        recordTurn: (durationMs) => {
-          this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
-        },
-      },
-      NodeTimer.create(),
-    );
+    super(state, createSchedulerSystems(), log);
   }
 
   static async create(
@@ -114,12 +87,11 @@
     };
   }
 
-  /** Starts the graceful shutdown; {@link stopped} resolves at its end. */
-  stop(): void {
+  override stop(): void {
     this.loop.receive({ kind: 'stopRequested' });
   }
 
-  dispose(): void {
+  override dispose(): void {
     this.loop.dispose();
     this.server?.dispose();
     for (const link of [...this.agents.values(), ...this.peers.values()]) link.dispose();
@@ -134,7 +106,7 @@
   }
 
   private readWallClock(): void {
-    this.state.wallOffsetMs = Date.now() - this.clock.now;
+    this.state.wallOffsetMs = readWallClock() - this.clock.now;
   }
 
   private acceptPeer(socket: WebSocket, name: string): void {
@@ -154,13 +126,7 @@
     this.loop.receive({ kind: 'peerLink', peerId, isOpen: true });
   }
 
-  private logInvalid(peer: string): (reason: string) => void {
-    return (reason) => {
-      this.log.write('warn', 'message_invalid', { peer, reason: reason.slice(0, 200) });
-    };
-  }
-
-  private handleEffect(effect: SchedulerEffect): void {
+  protected override handleEffect(effect: SchedulerEffect): void {
     switch (effect.kind) {
       case 'log':
         this.log.write(effect.level, effect.event, effect.fields);
@@ -206,7 +172,7 @@
         this.peers.delete(effect.peerId);
         return;
       case 'exit':
-        this.resolveStopped();
+        this.settleStopped();
         return;
     }
   }
