Keep the logs of the README walk's processes and draw its ports elsewhere

Cause: test/docs/readme.test.ts failed once without other load (no answer of kit-1 among 60; status lists it as sound in 200 such bursts played by hand, 15 answers or more each) and once in five runs beside ten busy processes (the endpoint of agent-2 was missing for 20 s). The processes' output was thrown away, and their ports came from the range of outgoing connections, so one could be taken between the draw and the start. Change: a failed check shows each process's last lines; ports are drawn below that range and differ. No check or bound is changed.

--- a/test/docs/readme.test.ts
+++ b/test/docs/readme.test.ts
@@ -1,27 +1,46 @@
 import type { ChildProcess } from 'node:child_process';
 import { execFile, spawn } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { randomInt } from 'node:crypto';
+import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { basename, join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { buildBundle } from '../support/builtBundle.ts';
 
 const READY_MS = 20_000;
+/** Characters of each process's log in the message of a failed check. */
+const LOG_TAIL = 600;
 
-async function findFreePort(): Promise<number> {
+/** Below the ports that the system gives to outgoing connections, which could take one meanwhile. */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 10_000;
+
+async function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
       server.close(() => {
-        resolve(port);
+        resolve(true);
       });
     });
   });
 }
 
+/** Ports that nobody uses and that differ from each other. */
+async function findFreePorts(count: number): Promise<string[]> {
+  const found: string[] = [];
+  let port = FIRST_PORT + randomInt(PORT_COUNT);
+  while (found.length < count) {
+    if (await isFree(port)) found.push(String(port));
+    port += 1;
+  }
+  return found;
+}
+
 function listCommands(): string[] {
   const text = readFileSync('README.md', 'utf8');
   return [...text.matchAll(/```sh\n([\s\S]*?)```/g)]
@@ -29,11 +48,15 @@
     .filter((line) => line.startsWith('node dist/') || line.startsWith('curl '));
 }
 
-async function waitFor(label: string, check: () => Promise<boolean>): Promise<void> {
+async function waitFor(
+  label: string,
+  check: () => Promise<boolean>,
+  describeState: () => string,
+): Promise<void> {
   const until = Date.now() + READY_MS;
   for (;;) {
     if (await check().catch(() => false)) return;
-    if (Date.now() > until) throw new Error(`not ready: ${label}`);
+    if (Date.now() > until) throw new Error(`not ready: ${label}\n${describeState()}`);
     await new Promise((resolve) => setTimeout(resolve, 100));
   }
 }
@@ -72,6 +95,13 @@
     return fetch(url, { method: 'POST', body: readFileSync(words[1]!.replace('@', ''), 'utf8') });
   }
 
+  /** The last lines of every process, for the message of a failed check. */
+  function readLogs(): string {
+    return children
+      .map((_, index) => readFileSync(join(folder, `log-${index}`), 'utf8').slice(-LOG_TAIL))
+      .join('\n');
+  }
+
   async function runCommand(line: string): Promise<{ code: number; output: string }> {
     const [, ...args] = parseCommand(line);
     return new Promise((resolve) => {
@@ -88,9 +118,9 @@
       readFileSync('README.md', 'utf8') +
       [0, 1].map((i) => readFileSync(`examples/settings/entry-${i}.json`, 'utf8')).join('') +
       [0, 1, 2, 3].map((i) => readFileSync(`examples/settings/agent-${i}.json`, 'utf8')).join('');
-    for (const [port] of text.matchAll(/\b7\d{3}\b/g)) {
-      if (!ports.has(port)) ports.set(port, String(await findFreePort()));
-    }
+    const written = [...new Set([...text.matchAll(/\b7\d{3}\b/g)].map(([port]) => port))];
+    const free = await findFreePorts(written.length);
+    written.forEach((port, index) => ports.set(port, free[index]!));
   });
 
   afterAll(() => {
@@ -104,20 +134,25 @@
     expect(commands.length).toBeGreaterThan(15);
     for (const line of commands.filter((command) => daemons.test(command))) {
       const [, ...args] = parseCommand(line);
-      const child = spawn(process.execPath, args, { stdio: 'ignore' });
+      const log = openSync(join(folder, `log-${children.length}`), 'w');
+      const child = spawn(process.execPath, args, { stdio: ['ignore', log, log] });
       children.push(child);
       if (/ (entry|agent) |bramleyladder-agent/.test(line)) daemonChildren.push(child);
       // The store and the entries first: a reader also waits for the first log line.
       if (line.includes(' store ')) await new Promise((resolve) => setTimeout(resolve, 500));
     }
     for (const port of ['7102', '7112'])
-      await waitFor(`entry ${port}`, async () => {
-        const answer = await fetch(setPorts(`http://127.0.0.1:${port}/v1/status`));
-        return ((await answer.json()) as { endpoints: unknown[] }).endpoints.length === 3;
-      });
+      await waitFor(
+        `entry ${port}`,
+        async () => {
+          const answer = await fetch(setPorts(`http://127.0.0.1:${port}/v1/status`));
+          return ((await answer.json()) as { endpoints: unknown[] }).endpoints.length === 3;
+        },
+        readLogs,
+      );
     for (const line of commands.filter((command) => !daemons.test(command))) {
       if (line.startsWith('curl ')) {
-        await waitFor(line, async () => (await sendCurl(line)).status === 200);
+        await waitFor(line, async () => (await sendCurl(line)).status === 200, readLogs);
         continue;
       }
       const { code, output } = await runCommand(line);
@@ -133,16 +168,20 @@
       names.add(((await answer.json()) as { endpoint: string }).endpoint);
     });
     await Promise.all(requests);
-    expect([...names].sort()).toEqual(['kit-0', 'kit-1', 'kit-2']);
+    expect([...names].sort(), readLogs()).toEqual(['kit-0', 'kit-1', 'kit-2']);
   });
 
   it('does not lose the job that was submitted twice, or run it twice', async () => {
     const line = listCommands().find((command) => /\/v1\/jobs\/\S+$/.test(command))!;
     let job = { jobId: '', phase: '', attempts: 0 };
-    await waitFor(line, async () => {
-      job = (await (await sendCurl(line)).json()) as typeof job;
-      return job.phase === 'finished';
-    });
+    await waitFor(
+      line,
+      async () => {
+        job = (await (await sendCurl(line)).json()) as typeof job;
+        return job.phase === 'finished';
+      },
+      readLogs,
+    );
     expect(line.endsWith(job.jobId)).toBe(true);
     expect(job.attempts).toBe(1);
   });
