Replace the platform's bundles in one step

Cause: the build removed target/ before it wrote the bundles, so a process that restarted meanwhile found no program.

Change: each bundle is written beside its place and renamed over it.

--- a/tools/buildPlatform.mjs
+++ b/tools/buildPlatform.mjs
@@ -1,12 +1,12 @@
 import { build } from 'esbuild';
-import { rm } from 'node:fs/promises';
-import { argv } from 'node:process';
+import { mkdir, rename, writeFile } from 'node:fs/promises';
+import { basename, join } from 'node:path';
+import { argv, pid } from 'node:process';
 
 /** Bundles the two programs of the users' platform; each holds only what its role needs. */
 const outdir = argv[2] ?? 'target';
 
-await rm(outdir, { recursive: true, force: true });
-await build({
+const { outputFiles } = await build({
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -21,4 +21,13 @@
     js: "import { createRequire as createNodeRequire } from 'node:module';\nconst require = createNodeRequire(import.meta.url);",
   },
   logLevel: 'warning',
+  write: false,
 });
+
+// A process may start from these files at any time, also while another build runs.
+await mkdir(outdir, { recursive: true });
+for (const { path, contents } of outputFiles) {
+  const temporary = `${path}.${pid}`;
+  await writeFile(temporary, contents);
+  await rename(temporary, join(outdir, basename(path)));
+}
