Keep the log lines that decide between causes under load

Change: warnings of an event have a bound of their own, 200 a second beside 40 ordinary lines. A release without a listed end is a warning and names the worker and the phase of the run. The agent writes run_started, start_unanswered and stop_answered; with one worker each it stays far below the bound, so every start and stop of a task can be read there.

Evidence: test/base/node/boundedLog.test.ts; both new cases fail without the change (warnings among 1,000 lines of a burst: 4 of 100 written).

--- a/src/base/node/boundedLog.ts
+++ b/src/base/node/boundedLog.ts
@@ -3,15 +3,18 @@
 import { formatLogLine, LogWriter } from './logWriter.ts';
 import type { LogFields, LogLevel } from './logWriter.ts';
 
-/** Lines of one event in a window; a burst of one event leaves room for the others. */
-const MAX_LINES_PER_EVENT = 40;
+/**
+ * Lines of one event and level in a window; a burst of one event leaves room for the others. Warnings
+ * decide between causes and are few among ordinary events, so they get a larger share of their own.
+ */
+const MAX_LINES: Readonly<Record<LogLevel, number>> = { info: 40, warn: 200, error: 200 };
 const WINDOW_MS = 1_000;
 /** Output that nobody reads is dropped beyond this many waiting bytes, so that memory stays bounded. */
 const MAX_WAITING_BYTES = 256 * 1024;
 
 /**
- * Writes events to a stream with a bound per event and window. What was left out is counted in the
- * event's next line. Never waits for the stream.
+ * Writes events to a stream with a bound per event, level and window. What was left out is counted in the
+ * event's next line of that level. Never waits for the stream.
  */
 export class BoundedLog extends LogWriter {
   private readonly windows = new Map<string, { startMs: number; lines: number; dropped: number }>();
@@ -26,17 +29,18 @@
 
   override write(level: LogLevel, event: string, fields: LogFields): void {
     const now = performance.now();
-    let window = this.windows.get(event);
+    const key = `${level} ${event}`;
+    let window = this.windows.get(key);
     if (window === undefined) {
       window = { startMs: now, lines: 0, dropped: 0 };
-      this.windows.set(event, window);
+      this.windows.set(key, window);
     }
     if (now - window.startMs >= WINDOW_MS) {
       window.startMs = now;
       window.lines = 0;
     }
     const isFull = this.output.writableLength > MAX_WAITING_BYTES;
-    if (window.lines >= MAX_LINES_PER_EVENT || isFull) {
+    if (window.lines >= MAX_LINES[level] || isFull) {
       window.dropped += 1;
       return;
     }
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -91,6 +91,12 @@
       this.settle(state, { ...row, outcome: 'started' });
     } else if (reply.kind === 'noAnswer') {
       state.counters.add('unanswered_orders', { kind: 'start' });
+      logAgentEvent(state, 'warn', 'start_unanswered', {
+        task: row.order.task,
+        run: row.order.run,
+        tries: row.tries,
+        answer: reply.message,
+      });
       const isGivenUp = row.tries >= MAX_START_TRIES;
       state.orders.update(row.id, {
         callId: '',
@@ -133,6 +139,14 @@
     const isOver =
       reply.kind === 'done' || reply.kind === 'otherIncarnation' || reply.kind === 'rejected';
     const isGivenUp = row.order.kind === 'pace' && row.tries >= MAX_PACE_TRIES;
+    if (isOver && row.order.kind !== 'pace')
+      logAgentEvent(state, 'info', 'stop_answered', {
+        task: row.order.task,
+        run: row.order.run,
+        answer: reply.kind,
+        order: row.order.kind,
+        tries: row.tries,
+      });
     if (isOver || isGivenUp) this.settle(state, row);
     else state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
   }
@@ -141,7 +155,9 @@
     state.orders.remove(row.id);
     if (row.order.kind !== 'start') return;
     const { task, run, bornMs } = row.order;
-    if (row.outcome !== 'started')
+    if (row.outcome === 'started')
+      logAgentEvent(state, 'info', 'run_started', { task, run, tries: row.tries });
+    else
       logAgentEvent(state, 'warn', 'start_rejected', {
         task,
         run,
--- a/src/systems/scheduler/endSystem.ts
+++ b/src/systems/scheduler/endSystem.ts
@@ -90,7 +90,12 @@
     now: number,
   ): void {
     const failed = end.how === 'failed';
-    releaseRun(state, run, end.how, { checkpoint: end.checkpoint, failed, now });
+    releaseRun(state, run, end.how, {
+      isListed: true,
+      checkpoint: end.checkpoint,
+      failed,
+      now,
+    });
     const job = state.jobs.get(task.jobId);
     if (!failed || task.step.longRunning || job === undefined || isFinalPhase(job.phase)) return;
     const failures = task.step.gang
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -66,7 +66,13 @@
   state: SchedulerState,
   run: RunRow,
   reason: string,
-  outcome: { readonly checkpoint?: string; readonly failed?: boolean; readonly now?: number } = {},
+  outcome: {
+    /** Whether the worker listed the run's end; a release without one is worth a warning. */
+    readonly isListed?: boolean;
+    readonly checkpoint?: string;
+    readonly failed?: boolean;
+    readonly now?: number;
+  } = {},
 ): void {
   state.runs.remove(run.id);
   const task = state.tasks.get(run.taskId);
@@ -88,7 +94,13 @@
     readyAt: isFree && outcome.now !== undefined ? outcome.now : task.readyAt,
   });
   state.counters.add('runs_released', { reason });
-  logEvent(state, 'info', 'run_released', { task: run.taskId, run: run.run, reason });
+  logEvent(state, outcome.isListed === true ? 'info' : 'warn', 'run_released', {
+    task: run.taskId,
+    run: run.run,
+    worker: run.workerKey,
+    phase: run.phase,
+    reason,
+  });
   if (run.step.gang) stopGang(state, run, reason);
 }
 
--- a/test/base/node/boundedLog.test.ts
+++ b/test/base/node/boundedLog.test.ts
@@ -26,6 +26,21 @@
       expect(output.lines.at(-1)).toContain('event=other');
     });
 
+    it('does not lose warnings of an event among its ordinary lines', () => {
+      const output = new BlockedOutput(false);
+      const log = BoundedLog.createFor(output);
+      for (let line = 0; line < 1_000; line += 1)
+        log.write(line % 10 === 0 ? 'warn' : 'info', 'burst', { line });
+      expect(output.lines.filter((line) => line.includes('level=warn'))).toHaveLength(100);
+    });
+
+    it('does not write warnings without bound', () => {
+      const output = new BlockedOutput(false);
+      const log = BoundedLog.createFor(output);
+      for (let line = 0; line < 1_000; line += 1) log.write('warn', 'burst', { line });
+      expect(output.lines).toHaveLength(200);
+    });
+
     it('does not forget what was left out', async () => {
       const output = new BlockedOutput(false);
       const log = BoundedLog.createFor(output);
