Reproduce two runs of one task after lost answers

Change: the stand-in of the worker takes time to end a stopped run, as the platform's does, and the test world loses, refuses or leaves undone single calls.

Conclusion: the cause is a class, a run that is released on less than a proof that it does not run.

--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -10,6 +10,8 @@
   readonly how: RunEnd;
   readonly computeLatency: ((others: number) => number) | undefined;
   pacePercent: number;
+  /** When a stopped run ends at the latest; it is listed as running until then. */
+  stopsAt: number;
 }
 
 /** How a task behaves on the stand-in. */
@@ -30,6 +32,8 @@
   readonly starts: { readonly task: string; readonly run: number; readonly at: number }[] = [];
   /** Whether a start's ticket is good; every one is unless a test sets this. */
   checkTicket: (task: string, ticket: string) => boolean = () => true;
+  /** Time that a stopped run takes to end, ms; the stop is answered at once. */
+  stopMs = 0;
   private readonly blocked = new Map<string, number>();
   private fence = 0;
   private leaseUntil = Number.NEGATIVE_INFINITY;
@@ -73,8 +77,10 @@
   /** Ends what is over by now, and everything when the lease has lapsed. */
   advance(): void {
     for (const run of [...this.running.values()]) {
+      const isStopping = run.stopsAt < Number.POSITIVE_INFINITY;
       if (this.clock.now > this.leaseUntil) this.recordEnd(run, 'lapsed');
-      else if (run.endsAt <= this.clock.now) this.recordEnd(run, run.how);
+      else if (Math.min(run.endsAt, run.stopsAt) <= this.clock.now)
+        this.recordEnd(run, isStopping ? 'stopped' : run.how);
     }
   }
 
@@ -120,6 +126,7 @@
       how,
       computeLatency,
       pacePercent: 100,
+      stopsAt: Number.POSITIVE_INFINITY,
     });
     return { kind: 'done', clockMs: this.clock.now };
   }
@@ -138,7 +145,9 @@
   private stop(task: string, run: number): void {
     this.blocked.set(task, Math.max(run, this.blocked.get(task) ?? 0));
     const known = this.running.get(task);
-    if (known !== undefined && known.run <= run) this.recordEnd(known, 'stopped');
+    if (known === undefined || known.run > run) return;
+    known.stopsAt = Math.min(known.stopsAt, this.clock.now + this.stopMs);
+    this.advance();
   }
 
   private recordEnd({ task, run }: MemoryRun, how: RunEnd): void {
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -4,14 +4,13 @@
 import type { SchedulerArrival, SchedulerEffect } from '../../src/model/scheduler/entryMessages.ts';
 import type { QueueCall } from '../../src/model/scheduler/queueCall.ts';
 import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
-import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
 import type {
   RunnerAgentArrival,
   RunnerAgentEffect,
 } from '../../src/model/scheduler/runnerAgentState.ts';
 import { createRunnerAgentState } from '../../src/model/scheduler/runnerAgentState.ts';
 import type { RunBehaviour } from '../../src/standins/memoryRunner.ts';
-import { MemoryRunner } from '../../src/standins/memoryRunner.ts';
+import type { MemoryRunner } from '../../src/standins/memoryRunner.ts';
 import type { MemoryAdviser } from '../../src/standins/memoryAdviser.ts';
 import { MemoryStore } from '../../src/standins/memoryStore.ts';
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
@@ -21,14 +20,15 @@
 import {
   answerAdvice,
   answerRunnerCall,
+  createJobSpec,
   createWorldEntryState,
+  createWorldRunner,
   createWorldWorker,
   writeWorldConfiguration,
 } from './worldNodes.ts';
 import { WorldStore } from './worldStore.ts';
 
 const LINK_MS = 3;
-const WATCH_POLL_MS = 20;
 const ADVICE_MS = 40;
 
 /** Entries, agents, workers and the store of the scheduler on a manual clock, in one process. */
@@ -96,10 +96,7 @@
     schedule: Partial<JobSpec> = {},
     how: CallShape = {},
   ): string {
-    const spec = jobSpecSchema.parse({
-      ...schedule,
-      steps: steps.map((step) => stepSpecSchema.parse({ count: 1, cpuMillis: 1_000, ...step })),
-    });
+    const spec = createJobSpec(steps, schedule);
     return this.call(entry, jobId, { kind: 'submit', spec }, how);
   }
 
@@ -162,11 +159,13 @@
           this.handleAgentEffect(agent, effect);
         },
       }),
-      runner: MemoryRunner.create(this.clock, this.clock.now, () => this.behave('', 0)),
+      runner: createWorldRunner(this.clock, (task, run) => this.behave(task, run)),
       links: new Map(),
       isReachable: true,
       dropAnswers: 0,
+      disturb: () => undefined,
       hasLeft: false,
+      beats: 0,
       shape,
     };
     agent.runner = this.createRunner(agent);
@@ -175,10 +174,16 @@
     return agent;
   }
 
-  /** Replaces the worker beside an agent by a new incarnation; what ran on it is gone. */
-  restartRunner(agent: AgentNode): void {
+  /** Replaces the worker beside an agent by a new incarnation of the same id; what ran on it is gone. */
+  restartRunner(agent: AgentNode, beatAfterMs = 0): void {
     agent.runner.running.clear();
     agent.runner = this.createRunner(agent);
+    this.sendBeat(agent, beatAfterMs);
+  }
+
+  /** The worker beside an agent says that it drains. */
+  drainRunner(agent: AgentNode): void {
+    agent.shape = { ...agent.shape, isDraining: true };
     this.sendBeat(agent);
   }
 
@@ -195,16 +200,16 @@
   }
 
   private createRunner(agent: AgentNode): MemoryRunner {
-    return MemoryRunner.create(
+    return createWorldRunner(
       this.clock,
-      this.clock.now,
       (task, run) => this.behaveOn?.(agent, task, run) ?? this.behave(task, run),
     );
   }
 
-  private sendBeat(agent: AgentNode): void {
-    const beat = { identity: createWorldWorker(agent), sequence: 1 };
-    this.deliverToAgent(0, agent, { kind: 'workerBeat', beat });
+  private sendBeat(agent: AgentNode, delayMs = 0): void {
+    agent.beats += 1;
+    const beat = { identity: createWorldWorker(agent), sequence: agent.beats };
+    this.deliverToAgent(delayMs, agent, { kind: 'workerBeat', beat });
   }
 
   private deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void {
@@ -298,13 +303,9 @@
         this.logs.push({ node: agent.id, event: effect.event });
         return;
       case 'callRunner': {
-        const reply = answerRunnerCall(agent, effect.call);
-        const waitMs = effect.call.op === 'hold' && effect.call.waitMs > 0 ? WATCH_POLL_MS : 1;
-        this.deliverToAgent(reply.kind === 'noAnswer' ? effect.timeoutMs : waitMs, agent, {
-          kind: 'runnerReply',
-          callId: effect.callId,
-          reply,
-        });
+        const { callId, call, timeoutMs } = effect;
+        const { reply, delayMs } = answerRunnerCall(agent, call, timeoutMs);
+        this.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
         return;
       }
       case 'sendOwner': {
@@ -337,7 +338,8 @@
     });
   }
 
-  private closeAgentLink(entry: EntryNode, agent: AgentNode): void {
+  /** Closes the link from an entry to an agent; an owner opens it again. */
+  closeAgentLink(entry: EntryNode, agent: AgentNode): void {
     const linkId = agent.links.get(entry.id);
     if (linkId === undefined) return;
     agent.links.delete(entry.id);
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../../src/base/common/clock.ts';
 import type { Loop } from '../../src/base/common/loop.ts';
 import type { SchedulerArrival, SchedulerEffect } from '../../src/model/scheduler/entryMessages.ts';
 import type { QueueAnswer } from '../../src/model/scheduler/queueCall.ts';
@@ -6,6 +7,8 @@
   RunnerAgentEffect,
   RunnerAgentState,
 } from '../../src/model/scheduler/runnerAgentState.ts';
+import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
+import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
 import type { WorkerIdentity } from '../../src/model/scheduler/links.ts';
 import type { Queue } from '../../src/model/scheduler/queueConfiguration.ts';
 import { OPERATOR_KEYS } from '../../src/model/scheduler/queueConfiguration.ts';
@@ -13,7 +16,8 @@
 import type { SchedulerState } from '../../src/model/scheduler/schedulerState.ts';
 import { createSchedulerState } from '../../src/model/scheduler/schedulerState.ts';
 import type { MemoryAdviser } from '../../src/standins/memoryAdviser.ts';
-import type { MemoryRunner } from '../../src/standins/memoryRunner.ts';
+import type { RunBehaviour } from '../../src/standins/memoryRunner.ts';
+import { MemoryRunner } from '../../src/standins/memoryRunner.ts';
 import type { MemoryStore } from '../../src/standins/memoryStore.ts';
 import type { StoreMode } from './worldStore.ts';
 
@@ -36,14 +40,24 @@
   readonly links: Map<string, string>;
   /** Links from entries are cut while it is false. */
   isReachable: boolean;
-  /** What the worker does with the next orders instead of answering. */
+  /** How many of the next orders the worker leaves undone and unanswered. */
   dropAnswers: number;
+  /** What goes wrong with a call to the worker. */
+  disturb: (call: RunnerCall) => RunnerDisturbance | undefined;
   /** Whether the worker has ended and answers nothing. */
   hasLeft: boolean;
+  /** Beats that the worker has sent. */
+  beats: number;
   /** Labels and capacity that the worker reports. */
-  readonly shape: WorkerShape;
+  shape: WorkerShape;
 }
 
+/**
+ * What may go wrong with a call to a worker. `dropped`: it is left undone and hangs. `lost`: it is
+ * carried out and its connection reset. `refused`: the worker answers that it did nothing.
+ */
+export type RunnerDisturbance = 'dropped' | 'lost' | 'refused';
+
 /** Where a call goes, `/q/` unless told, and how long its caller waits. */
 export interface CallShape {
   readonly prefix?: string;
@@ -51,7 +65,13 @@
 }
 
 /** What a test may choose about a worker. */
-export type WorkerShape = Partial<Pick<WorkerIdentity, 'labels' | 'cpuMillis' | 'memoryMb'>>;
+export type WorkerShape = Partial<
+  Pick<WorkerIdentity, 'labels' | 'cpuMillis' | 'memoryMb' | 'isDraining'>
+>;
+
+/** Time of a worker's answer, and of a look that waits for an end. */
+const ANSWER_MS = 1;
+const LOOK_MS = 20;
 
 export const BOUNDS = {
   holdMaxMs: 6_000,
@@ -65,6 +85,17 @@
   statusSeconds: 120,
 };
 
+/** A job of steps; what a step does not say is one task of one core. */
+export function createJobSpec(
+  steps: readonly Partial<StepSpec>[],
+  schedule: Partial<JobSpec>,
+): JobSpec {
+  return jobSpecSchema.parse({
+    ...schedule,
+    steps: steps.map((step) => stepSpecSchema.parse({ count: 1, cpuMillis: 1_000, ...step })),
+  });
+}
+
 /** State of an entry of the world that starts now. */
 export function createWorldEntryState(id: string, now: number): SchedulerState {
   const state = createSchedulerState({
@@ -89,13 +120,24 @@
   return { kind: 'adviceReply', callId, reply: reply ?? noReply, sentAt };
 }
 
-/** The worker's answer to its agent; one that has left or drops its answers gives none. */
-export function answerRunnerCall(agent: AgentNode, call: RunnerCall): RunnerReply {
+/** The worker's answer to its agent and the time until it comes. */
+export function answerRunnerCall(
+  agent: AgentNode,
+  call: RunnerCall,
+  timeoutMs: number,
+): { readonly reply: RunnerReply; readonly delayMs: number } {
   const isDropped = call.op !== 'hold' && agent.dropAnswers > 0;
   if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
-  return agent.hasLeft || isDropped
-    ? { kind: 'noAnswer', message: 'dropped' }
-    : agent.runner.handle(call);
+  const disturbance = agent.hasLeft || isDropped ? 'dropped' : agent.disturb(call);
+  if (disturbance === 'dropped')
+    return { reply: { kind: 'noAnswer', message: 'no answer in time' }, delayMs: timeoutMs };
+  if (disturbance === 'refused')
+    return { reply: { kind: 'refused', message: 'the worker answered 503' }, delayMs: ANSWER_MS };
+  const reply = agent.runner.handle(call);
+  if (disturbance === 'lost')
+    return { reply: { kind: 'noAnswer', message: 'ECONNRESET' }, delayMs: ANSWER_MS };
+  const isWaiting = call.op === 'hold' && call.waitMs > 0;
+  return { reply, delayMs: isWaiting ? LOOK_MS : ANSWER_MS };
 }
 
 /** Writes the operator's configuration with one queue at `/q/` for the workers of a service. */
@@ -133,6 +175,16 @@
   store.handle({ op: 'write', key, expectedVersion, value });
 }
 
+/** An incarnation of a worker that starts now. */
+export function createWorldRunner(
+  clock: Clock,
+  behave: (task: string, run: number) => RunBehaviour,
+): MemoryRunner {
+  const runner = MemoryRunner.create(clock, clock.now, behave);
+  runner.stopMs = BOUNDS.stopMs;
+  return runner;
+}
+
 /** What the worker beside an agent tells of itself. */
 export function createWorldWorker(agent: AgentNode): WorkerIdentity {
   return {
