Wait for the worker's lists after a start is given up

Cause: an agent that gave a start up stopped the run and told its owner that the run does not exist as soon as the stop was answered.

Change: after the stop the agent asks for a look at the worker that does not wait for an end, and tells the outcome after it. A run that the look lists counts as running at the owner until its end is listed.

Ruled out: waiting for the grace period instead of a look, which would hold back tasks that never ran, and would not know that the run had ended done.

--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -90,6 +90,8 @@
     lastListed: number;
     clockMs: number;
     failures: number;
+    /** Whether the next look must not wait for an end. */
+    isUrgent: boolean;
     /** Looks sent, and the number of the latest that is over. */
     sent: number;
     finished: number;
@@ -126,6 +128,7 @@
       lastListed: 0,
       clockMs: 0,
       failures: 0,
+      isUrgent: false,
       sent: 0,
       finished: 0,
     },
--- a/src/systems/runnerAgent/agentCalls.ts
+++ b/src/systems/runnerAgent/agentCalls.ts
@@ -25,6 +25,15 @@
   return callId;
 }
 
+/** Abandons a look that waits for an end and asks for one that does not; returns its number. */
+export function requestLook(state: RunnerAgentState, now: number): number {
+  const { hold } = state;
+  hold.callId = '';
+  hold.isUrgent = true;
+  hold.nextAt = now;
+  return hold.sent + 1;
+}
+
 /** Sends a message to the owner; without a link it is dropped, the owner asks again. */
 export function sendOwner(state: RunnerAgentState, message: AgentMessage): void {
   if (state.owner.linkId === '') return;
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -43,8 +43,9 @@
     const { hold, owner, lease, worker } = state;
     const isGranted = lease.bornMs === worker?.bornMs && lease.untilMs > 0;
     const isFirst = hold.epoch !== owner.epoch;
-    const waitMs = isFirst || hold.lastListed > lease.lastSeen ? 0 : WAIT_MS;
+    const waitMs = isFirst || hold.isUrgent || hold.lastListed > lease.lastSeen ? 0 : WAIT_MS;
     hold.epoch = owner.epoch;
+    hold.isUrgent = false;
     hold.sent += 1;
     hold.callId = sendRunnerCall(
       state,
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -2,7 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { OrderRow, RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import type { RunnerCall, RunnerReply } from '../../model/scheduler/runnerCall.ts';
-import { logAgentEvent, sendOwner, sendRunnerCall } from './agentCalls.ts';
+import { logAgentEvent, requestLook, sendOwner, sendRunnerCall } from './agentCalls.ts';
 
 /** Answers come within milliseconds; an order without one is repeated, which is harmless. */
 const ORDER_TIMEOUT_MS = 300;
@@ -13,8 +13,8 @@
 
 /**
  * Carries the owner's orders to the worker until they are certain. A start without an answer may
- * be carried out seconds later, so it is repeated, and stopped before it is reported as not started.
- * Reads replies; writes `orders`. Runs after the looks at the worker.
+ * be carried out seconds later, so it is repeated, and before it is reported as not started it is
+ * stopped and the worker's lists are read. Reads replies; writes `orders`. Runs after the looks at the worker.
  */
 export class WorkerOrderSystem extends System<RunnerAgentState> {
   override readonly name = 'workerOrder';
@@ -40,9 +40,8 @@
 
   private sendRow(state: RunnerAgentState, row: OrderRow, tick: Tick): void {
     if (row.step === 'listing') {
-      // Told after a later look, so that the owner has the end of the run first.
       if (state.hold.finished >= row.afterLook) this.settle(state, row);
-      else tick.wakeAt(tick.now + RETRY_MS);
+      else if (state.hold.callId === '') tick.wakeAt(Math.max(tick.now + 1, state.hold.nextAt));
       return;
     }
     if (row.callId !== '') return;
@@ -120,9 +119,7 @@
   ): void {
     const outcome = reply.kind === 'rejected' ? reply.reason : reply.kind;
     if (outcome === 'old') {
-      state.hold.nextAt = Math.min(state.hold.nextAt, now);
-      const afterLook = state.hold.sent + 1;
-      state.orders.update(row.id, { step: 'listing', callId: '', outcome, afterLook });
+      this.waitForLook(state, row, outcome, now);
     } else if (row.isInDoubt) {
       state.orders.update(row.id, { step: 'stopping', callId: '', retryAt: now, outcome });
     } else {
@@ -147,10 +144,19 @@
         order: row.order.kind,
         tries: row.tries,
       });
-    if (isOver || isGivenUp) this.settle(state, row);
+    // A stopped run goes on for up to its grace period, so only a later look tells whether it was there.
+    if (row.order.kind === 'start' && reply.kind === 'done')
+      this.waitForLook(state, row, row.outcome, now);
+    else if (isOver || isGivenUp) this.settle(state, row);
     else state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
   }
 
+  /** Tells the owner the outcome after a look that starts now, so that it has the worker's lists first. */
+  private waitForLook(state: RunnerAgentState, row: OrderRow, outcome: string, now: number): void {
+    const afterLook = requestLook(state, now);
+    state.orders.update(row.id, { step: 'listing', callId: '', outcome, afterLook });
+  }
+
   private settle(state: RunnerAgentState, row: OrderRow): void {
     state.orders.remove(row.id);
     if (row.order.kind !== 'start') return;
