Keep the doubt about a start over a new link

Cause: whether a start may have been carried out stood in the agent's row of the order, which a broken link, a new owner or a restart of the agent drops. The owner then sent the start again, and when the worker refused it, or was draining, the agent told the owner that nothing runs.

Change: the owner marks a start that it has sent before. The agent treats it as in doubt from the beginning: a rejection, or a worker that drains, leads to a stop and a look at the worker's lists before the outcome is told.

Evidence: the tests 'does not take the rejection of a repetition for proof that nothing runs' and 'does not take draining for proof that an earlier start was not carried out' failed before and pass.

Conclusion: the doubt belongs to the run, whose row is at the owner.

--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -96,6 +96,8 @@
     checkpoint: z.string(),
     ticket: z.string(),
     leaseUntilMs: z.number(),
+    /** Whether the owner has sent it before; an earlier copy may have been carried out. */
+    isRepeated: z._default(z.boolean(), false),
   }),
   z.object({ kind: z.literal('stop'), bornMs: z.number(), task: z.string(), run: z.int() }),
   z.object({
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -99,15 +99,17 @@
     if (order.bornMs !== state.worker?.bornMs) return;
     const id = `${order.kind}:${order.task}#${order.run}`;
     if (state.orders.has(id) && order.kind !== 'pace') return;
+    const isInDoubt = order.kind === 'start' && order.isRepeated;
+    const isWithdrawn = isInDoubt && state.worker.isDraining;
     state.orders.set({
       id,
       order,
-      step: 'sending',
+      step: isWithdrawn ? 'stopping' : 'sending',
       tries: 0,
-      isInDoubt: false,
+      isInDoubt,
       callId: '',
       retryAt: Number.NEGATIVE_INFINITY,
-      outcome: '',
+      outcome: isWithdrawn ? 'draining' : '',
       afterLook: 0,
     });
   }
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -49,7 +49,7 @@
       tick.wakeAt(row.retryAt);
       return;
     }
-    if (row.order.kind === 'start' && row.tries === 0 && state.worker?.isDraining === true) {
+    if (row.step === 'sending' && this.isRefusedByDrain(state, row)) {
       this.settle(state, { ...row, outcome: 'draining' });
       return;
     }
@@ -57,6 +57,11 @@
     state.orders.update(row.id, { callId, tries: row.tries + 1 });
   }
 
+  /** A worker that drains gets no new run; a start that may have been carried out is another matter. */
+  private isRefusedByDrain(state: RunnerAgentState, { order, isInDoubt }: OrderRow): boolean {
+    return order.kind === 'start' && !isInDoubt && state.worker?.isDraining === true;
+  }
+
   private buildCall(state: RunnerAgentState, row: OrderRow): RunnerCall {
     const { order } = row;
     const { task, run } = order;
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -60,10 +60,16 @@
     }
     state.counters.add('starts_sent');
     state.runs.update(run.id, { phase: 'starting', placedAt: tick.now, progressAt: tick.now });
-    this.sendStart(state, run, worker, tick.now);
+    this.sendStart(state, run, worker, tick.now, false);
   }
 
-  private sendStart(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
+  private sendStart(
+    state: SchedulerState,
+    run: RunRow,
+    worker: WorkerRow,
+    now: number,
+    isRepeated: boolean,
+  ): void {
     const job = state.jobs.get(run.jobId);
     const leaseMs = getRunLeaseMs(state);
     state.workers.update(worker.id, {
@@ -84,6 +90,7 @@
         checkpoint: run.checkpoint,
         ticket: findRunTicket(state, run, now),
         leaseUntilMs: Math.floor(worker.clockMs + leaseMs),
+        isRepeated,
       },
     });
   }
@@ -100,7 +107,7 @@
     const isDue = tick.now - run.placedAt >= REPEAT_MS;
     if (run.phase === 'starting' && (isReopened || isDue)) {
       state.runs.update(run.id, { placedAt: tick.now });
-      this.sendStart(state, run, worker, tick.now);
+      this.sendStart(state, run, worker, tick.now, true);
     }
     if (run.phase === 'starting') tick.wakeAt(run.placedAt + REPEAT_MS);
     if (run.stopReason === undefined) return;
