Settle every stop by a look, also across incarnations

A start on its way to a worker that restarts under its id can be carried out by the new incarnation, while the owner released the run because the old one is gone. A late beat of an earlier incarnation released runs of the newer one after a takeover. A list of ends that the platform cuts at 500 was taken for the whole.

Change: the agent tells the owner whether the look after a stop lists the run; 'listed' leaves it to the listed end, anything else is proof. A stop replaces a start that has no answer. When a worker comes back under its id, its runs are stopped at the new incarnation before they are released. Reports of an incarnation older than the run's release nothing, and only whole lists do.

--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -59,13 +59,18 @@
     clockMs: z.number(),
     running: z.array(runningRunSchema),
     ended: z.array(endedRunSchema),
+    /** Whether a run that is in neither list is not on the worker. */
+    isComplete: z._default(z.boolean(), true),
   }),
   z.object({
     kind: z.literal('startResult'),
     task: z.string(),
     run: z.int(),
     bornMs: z.number(),
-    /** `started`, or why the worker certainly does not run it. */
+    /**
+     * What became of a start or a stop. `started`, or `listed` when the lists sent before name the
+     * run; anything else is the reason why the worker certainly does not run it.
+     */
     outcome: z.string(),
   }),
 ]);
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -125,6 +125,16 @@
   return `${agentId}|${workerId}|${bornMs}`;
 }
 
+/** The parts of a worker's key. */
+export function parseWorkerKey(workerKey: string): {
+  readonly agentId: string;
+  readonly workerId: string;
+  readonly bornMs: number;
+} {
+  const [agentId = '', workerId = '', bornMs = ''] = workerKey.split('|');
+  return { agentId, workerId, bornMs: Number(bornMs) };
+}
+
 export function formatRunId(task: string, run: number): string {
   return `${task}#${run}`;
 }
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -95,6 +95,8 @@
     /** Looks sent, and the number of the latest that brought the worker's lists. */
     sent: number;
     finished: number;
+    /** Runs that the latest lists name, running or ended, by `TASK#RUN`. */
+    listed: ReadonlySet<string>;
   };
   readonly orders: Table<OrderRow>;
 }
@@ -131,6 +133,7 @@
       isUrgent: false,
       sent: 0,
       finished: 0,
+      listed: new Set(),
     },
     orders: Table.create<OrderRow>('orders'),
   };
--- a/src/model/scheduler/runnerCall.ts
+++ b/src/model/scheduler/runnerCall.ts
@@ -38,6 +38,8 @@
       readonly bornMs: number | undefined;
       readonly running: readonly RunningRun[];
       readonly ended: readonly EndedRun[];
+      /** Whether every end that is not acknowledged is listed. */
+      readonly isComplete: boolean;
     }
   | { readonly kind: 'done'; readonly clockMs: number }
   /** The worker refused the order for a reason: `fence`, `old`, `late`, `room` or `ticket`. */
--- a/src/platform/wireRunnerClient.ts
+++ b/src/platform/wireRunnerClient.ts
@@ -9,6 +9,9 @@
 /** The runner's status for a call that names another incarnation. */
 const STATUS_OTHER_INCARNATION = 421;
 
+/** The platform lists this many ends at a time. */
+const MAX_LISTED_ENDS = 500;
+
 /** Task, run, checkpoint, percent of the work, and a load figure that may be absent. */
 const runningRowSchema = z.tuple([z.string(), z.int(), z.string(), z.number()], z.number());
 /** Number, task, run, how it ended, and the checkpoint. */
@@ -123,6 +126,7 @@
     kind: 'lists',
     clockMs,
     bornMs,
+    isComplete: ended.length < MAX_LISTED_ENDS,
     running: running.map(([task, run, checkpoint, percent, load]): RunningRun => ({
       task,
       run,
--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -106,6 +106,7 @@
       bornMs: this.bornMs,
       running: this.listRunning(),
       ended: [...this.ended],
+      isComplete: true,
     };
   }
 
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -1,5 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerReply } from '../../model/scheduler/runnerCall.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, sendOwner, sendRunnerCall } from './agentCalls.ts';
@@ -85,7 +86,11 @@
       hold.nextAt = now + RETRY_MS;
       return;
     }
-    hold.finished = hold.sent;
+    // A list that is cut short does not show which runs are not there.
+    if (reply.isComplete) hold.finished = hold.sent;
+    hold.listed = new Set(
+      [...reply.running, ...reply.ended].map(({ task, run }) => formatRunId(task, run)),
+    );
     hold.clockMs = reply.clockMs;
     hold.lastListed = reply.ended.reduce((last, end) => Math.max(last, end.number), 0);
     hold.nextAt = hold.lastListed > lease.lastSeen ? now + UNACKNOWLEDGED_PAUSE_MS : now;
@@ -96,6 +101,7 @@
       clockMs: reply.clockMs,
       running: [...reply.running],
       ended: [...reply.ended],
+      isComplete: reply.isComplete,
     });
     state.owner.reportAt = now + WAIT_MS;
   }
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -44,6 +44,7 @@
         clockMs: state.hold.clockMs,
         running: [],
         ended: [],
+        isComplete: false,
       });
     }
     tick.wakeAt(state.owner.reportAt);
@@ -95,10 +96,25 @@
     state.hold.nextAt = now;
   }
 
+  /** Turns a start that the worker has not answered into its stop; false when there is none. */
+  private revokeStart(state: RunnerAgentState, { task, run }: WorkerOrder): boolean {
+    const start = state.orders.get(`start:${task}#${run}`);
+    if (start === undefined) return false;
+    if (start.step === 'sending')
+      state.orders.update(start.id, {
+        step: 'stopping',
+        callId: '',
+        retryAt: Number.NEGATIVE_INFINITY,
+        outcome: 'stopped',
+      });
+    return true;
+  }
+
   private addOrder(state: RunnerAgentState, order: WorkerOrder): void {
     if (order.bornMs !== state.worker?.bornMs) return;
     const id = `${order.kind}:${order.task}#${order.run}`;
     if (state.orders.has(id) && order.kind !== 'pace') return;
+    if (order.kind === 'stop' && this.revokeStart(state, order)) return;
     const isInDoubt = order.kind === 'start' && order.isRepeated;
     const isWithdrawn = isInDoubt && state.worker.isDraining;
     state.orders.set({
@@ -109,7 +125,7 @@
       isInDoubt,
       callId: '',
       retryAt: Number.NEGATIVE_INFINITY,
-      outcome: isWithdrawn ? 'draining' : '',
+      outcome: isWithdrawn ? 'draining' : order.kind === 'stop' ? 'stopped' : '',
       afterLook: 0,
     });
   }
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -1,6 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { OrderRow, RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
+import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerCall, RunnerReply } from '../../model/scheduler/runnerCall.ts';
 import { logAgentEvent, requestLook, sendOwner, sendRunnerCall } from './agentCalls.ts';
 
@@ -138,22 +139,20 @@
     reply: RunnerReply,
     now: number,
   ): void {
-    const isOver =
-      reply.kind === 'done' || reply.kind === 'otherIncarnation' || reply.kind === 'rejected';
-    const isGivenUp = row.order.kind === 'pace' && row.tries >= MAX_PACE_TRIES;
-    if (isOver && row.order.kind !== 'pace')
-      logAgentEvent(state, 'info', 'stop_answered', {
-        task: row.order.task,
-        run: row.order.run,
-        answer: reply.kind,
-        order: row.order.kind,
-        tries: row.tries,
-      });
-    // A stopped run goes on for up to its grace period, so only a later look tells whether it was there.
-    if (row.order.kind === 'start' && reply.kind === 'done')
+    if (row.order.kind === 'pace') {
+      const isAnswered = reply.kind !== 'noAnswer' && reply.kind !== 'refused';
+      if (isAnswered || row.tries >= MAX_PACE_TRIES) state.orders.remove(row.id);
+      else state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
+    } else if (reply.kind === 'done') {
+      const { task, run } = row.order;
+      logAgentEvent(state, 'info', 'stop_answered', { task, run, tries: row.tries });
+      // A stopped run goes on for up to its grace period, so only a later look tells whether it was there.
       this.waitForLook(state, row, row.outcome, now);
-    else if (isOver || isGivenUp) this.settle(state, row);
-    else state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
+    } else if (reply.kind === 'otherIncarnation') {
+      this.settle(state, { ...row, outcome: 'gone' });
+    } else {
+      state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
+    }
   }
 
   /** Tells the owner the outcome after a look that starts now, so that it has the worker's lists first. */
@@ -164,18 +163,24 @@
 
   private settle(state: RunnerAgentState, row: OrderRow): void {
     state.orders.remove(row.id);
-    if (row.order.kind !== 'start') return;
-    const { task, run, bornMs } = row.order;
-    if (row.outcome === 'started')
-      logAgentEvent(state, 'info', 'run_started', { task, run, tries: row.tries });
-    else
-      logAgentEvent(state, 'warn', 'start_rejected', {
-        task,
-        run,
-        reason: row.outcome,
-        tries: row.tries,
-      });
-    state.counters.add('start_results', { outcome: row.outcome });
-    sendOwner(state, { kind: 'startResult', task, run, bornMs, outcome: row.outcome });
+    const { kind, task, run, bornMs } = row.order;
+    if (kind === 'pace') return;
+    // The owner has the lists that name the run, and waits for its end.
+    const isListed = row.step === 'listing' && state.hold.listed.has(formatRunId(task, run));
+    const outcome = isListed ? 'listed' : row.outcome;
+    if (kind === 'start') {
+      state.counters.add('start_results', { outcome });
+      if (outcome === 'started')
+        logAgentEvent(state, 'info', 'run_started', { task, run, tries: row.tries });
+      else
+        logAgentEvent(state, 'warn', 'start_rejected', {
+          task,
+          run,
+          reason: row.outcome,
+          listed: isListed,
+          tries: row.tries,
+        });
+    }
+    sendOwner(state, { kind: 'startResult', task, run, bornMs, outcome });
   }
 }
--- a/src/systems/scheduler/copySystem.ts
+++ b/src/systems/scheduler/copySystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
+import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { updateTask } from './jobChanges.ts';
 import { STALLED_REASON } from './stallSystem.ts';
@@ -64,7 +65,7 @@
     reason: string,
     now: number,
   ): void {
-    const workerId = run.workerKey.split('|')[1] ?? '';
+    const workerId = parseWorkerKey(run.workerKey).workerId;
     logEvent(state, 'info', 'run_copied', {
       task: task.id,
       run: run.run,
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -1,6 +1,7 @@
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { JobPhase } from '../../model/scheduler/jobRecord.ts';
 import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
+import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { logEvent } from './storeCalls.ts';
 
@@ -79,7 +80,7 @@
   if (task === undefined) return;
   recordJobChange(state, run.jobId);
   const checkpoint = outcome.checkpoint ?? run.checkpoint;
-  const workerId = run.workerKey.split('|')[1] ?? '';
+  const workerId = parseWorkerKey(run.workerKey).workerId;
   const avoided = outcome.failed
     ? [...task.avoided.filter((id) => id !== workerId), workerId].slice(-MAX_AVOIDED)
     : task.avoided;
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -111,14 +111,13 @@
     }
     if (run.phase === 'starting') tick.wakeAt(run.placedAt + REPEAT_MS);
     if (run.stopReason === undefined) return;
-    // A run that may not have arrived yet is stopped once its start is answered.
-    const canStop = run.phase === 'running' || (run.phase === 'stopping' && (isReopened || isDue));
-    if (canStop) this.sendStop(state, run, worker, tick.now);
+    if (run.phase !== 'stopping' || isReopened || isDue)
+      this.sendStop(state, run, worker, tick.now);
     tick.wakeAt(tick.now + REPEAT_MS);
   }
 
   private sendStop(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
-    if (run.phase === 'running') {
+    if (run.phase !== 'stopping') {
       logEvent(state, 'info', 'run_stopped', {
         task: run.taskId,
         run: run.run,
@@ -127,7 +126,7 @@
       });
       state.counters.add('stops_sent', { reason: run.stopReason ?? '' });
     }
-    state.runs.update(run.id, { phase: 'stopping', placedAt: now });
+    state.runs.update(run.id, { phase: 'stopping', stopReason: run.stopReason, placedAt: now });
     state.outbox.append({
       kind: 'orderAgent',
       agentId: worker.agentId,
@@ -143,18 +142,29 @@
   ): void {
     const run = state.runs.get(formatRunId(result.task, result.run));
     const worker = state.workers.get(run?.workerKey ?? '');
-    if (run?.phase !== 'starting' || worker?.agentId !== agentId) return;
+    if (run === undefined || worker?.agentId !== agentId) return;
     if (worker.identity.bornMs !== result.bornMs) return;
-    if (result.outcome === 'started') {
+    const isStarting = run.phase === 'starting';
+    if (isStarting && result.outcome === 'started')
       state.runs.update(run.id, { phase: 'running', progressAt: now });
-      return;
-    }
-    // An end that the worker lists decides; the run was there.
-    if (result.outcome === 'ended') return;
+    // The worker lists the run, so its listed end decides.
+    if (result.outcome === 'started' || result.outcome === 'listed') return;
+    if (isStarting) this.releaseRejected(state, run, worker, result.outcome, now);
+    else if (run.phase === 'stopping')
+      releaseRun(state, run, `not there: ${run.stopReason ?? result.outcome}`, { now });
+  }
+
+  private releaseRejected(
+    state: SchedulerState,
+    run: RunRow,
+    worker: WorkerRow,
+    outcome: string,
+    now: number,
+  ): void {
     // A ticket that ended on the way says nothing about the worker.
-    if (result.outcome === 'ticket') dropRunTicket(state, run);
-    else recordTrouble(state, worker.id, `rejected: ${result.outcome}`, now);
-    state.counters.add('start_rejections', { reason: result.outcome });
-    releaseRun(state, run, `rejected: ${result.outcome}`, { now });
+    if (outcome === 'ticket') dropRunTicket(state, run);
+    else recordTrouble(state, worker.id, `rejected: ${outcome}`, now);
+    state.counters.add('start_rejections', { reason: outcome });
+    releaseRun(state, run, `rejected: ${outcome}`, { now });
   }
 }
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -1,14 +1,17 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { AgentMessage } from '../../model/scheduler/links.ts';
+import type { AgentMessage, WorkerIdentity } from '../../model/scheduler/links.ts';
 import type { RunRow, WorkerRow } from '../../model/scheduler/rows.ts';
-import { formatRunId, formatWorkerKey } from '../../model/scheduler/rows.ts';
+import { formatRunId, formatWorkerKey, parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseGoneWorker } from './agentTables.ts';
 import { releaseRun } from './jobChanges.ts';
 import { CLOCK_DRIFT, GRANT_WINDOW_MS, LEASE_MARGIN_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
+/** Reason of releases and stops after a worker came back as a new incarnation. */
+const RESTARTED_REASON = 'worker restarted';
+
 type Report = Extract<AgentMessage, { kind: 'report' }>;
 
 /**
@@ -46,7 +49,7 @@
     if (current !== undefined && current.identity.bornMs > identity.bornMs) return;
     if (current?.id !== workerKey) {
       state.agents.update(agentId, { workerKey });
-      this.releaseOtherIncarnations(state, agentId, workerKey, now);
+      this.releaseEarlierIncarnations(state, agentId, identity, now);
       logEvent(state, 'info', 'worker_known', {
         worker: identity.id,
         agent: agentId,
@@ -114,7 +117,7 @@
     }
     for (const run of state.runsByWorker.list(worker.id)) {
       // A list read under the own fence that lacks the run proves that no earlier start will arrive.
-      if (run.phase === 'unknown' && !listed.has(run.id))
+      if (report.isComplete && run.phase === 'unknown' && !listed.has(run.id))
         releaseRun(state, run, 'never started', { now });
     }
     if (strangers !== worker.strangers) state.workers.update(worker.id, { strangers });
@@ -129,16 +132,25 @@
     });
   }
 
-  /** A new incarnation beside an agent proves that everything on the earlier ones is gone. */
-  private releaseOtherIncarnations(
+  /**
+   * A new incarnation beside an agent proves that everything on earlier ones is gone. A start that was
+   * on its way to the same id may have reached the new one, so there it is stopped first.
+   */
+  private releaseEarlierIncarnations(
     state: SchedulerState,
     agentId: string,
-    workerKey: string,
+    identity: WorkerIdentity,
     now: number,
   ): void {
+    const workerKey = formatWorkerKey(agentId, identity.id, identity.bornMs);
     for (const run of [...state.runs.values()]) {
-      if (run.workerKey === workerKey || !run.workerKey.startsWith(`${agentId}|`)) continue;
-      releaseRun(state, run, 'worker restarted', { now });
+      const earlier = parseWorkerKey(run.workerKey);
+      if (earlier.agentId !== agentId || run.workerKey === workerKey) continue;
+      // The report of an agent that has just started may be older than what the store holds.
+      if (earlier.bornMs > identity.bornMs) continue;
+      if (earlier.workerId !== identity.id || run.phase === 'placed')
+        releaseRun(state, run, RESTARTED_REASON, { now });
+      else state.runs.update(run.id, { workerKey, phase: 'running', stopReason: RESTARTED_REASON });
     }
     for (const other of state.workers.list())
       if (other.agentId === agentId && other.id !== workerKey) state.workers.remove(other.id);
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -106,5 +106,23 @@
       expect(countMostRuns(world, 6_000)).toBe(1);
       expect(readPhase(world, entry)).toBe('completed');
     });
+
+    it('does not release runs of an incarnation on a late beat of an earlier one', () => {
+      const { world, entry } = createWorld(2, 3);
+      world.behave = () => ({ durationMs: 4_000, how: 'done' });
+      const [agent] = world.agents;
+      const bornMs = agent!.runner.bornMs;
+      world.restartRunner(agent!);
+      for (const other of world.agents.slice(1)) world.cutAgent(other);
+      world.run(100);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(200);
+      // The agent and the owner restart, and the beat of the earlier incarnation comes first.
+      agent!.disturb = (call) => (call.op === 'hold' ? 'dropped' : undefined);
+      agent!.state.worker = { ...agent!.state.worker!, id: 'earlier', bornMs };
+      for (const other of world.agents.slice(1)) other.isReachable = true;
+      world.kill(world.owner!);
+      expect(countMostRuns(world, 3_500)).toBe(1);
+    });
   });
 });
