Take a leaving worker for gone on proof only

Cause: once a worker had said that it ends, a single look without an answer released its runs, also a look sent before the worker said so.

Change: the worker's word starts a new look. A refused connection shows that it has ended; otherwise two looks in a row have to go unanswered. The client of the worker tells a refused connection from a refusal.

Evidence: the test 'does not take one look without an answer for proof that the worker is gone' failed with two runs at once and passes.

--- a/src/model/scheduler/runnerCall.ts
+++ b/src/model/scheduler/runnerCall.ts
@@ -46,6 +46,8 @@
   | { readonly kind: 'rejected'; readonly reason: string }
   /** The worker answered that it did nothing. */
   | { readonly kind: 'refused'; readonly message: string }
+  /** No connection could be made, so nothing was done. */
+  | { readonly kind: 'unreachable'; readonly message: string }
   /** Another incarnation than the addressed one answered. */
   | { readonly kind: 'otherIncarnation' }
   /** No answer: the call may have been carried out, or may be carried out later. */
--- a/src/platform/wireRunnerClient.ts
+++ b/src/platform/wireRunnerClient.ts
@@ -52,7 +52,7 @@
       headers: { 'expect-instance': workerId },
       timeoutMs,
     });
-    if (outcome.kind === 'notSent') return { kind: 'refused', message: outcome.message };
+    if (outcome.kind === 'notSent') return { kind: 'unreachable', message: outcome.message };
     if (outcome.kind === 'noAnswer') return { kind: 'noAnswer', message: outcome.message };
     return decodeReply(call, outcome.status, outcome.body);
   }
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -10,6 +10,8 @@
 /** Answers come within milliseconds after the wait; a busy instance is a few times slower. */
 const ANSWER_MS = 600;
 const RETRY_MS = 100;
+/** Looks in a row without an answer after which a worker that said it ends is gone. */
+const GONE_AFTER_FAILURES = 2;
 /** While listed ends are not acknowledged every look returns at once, so the next one pauses. */
 const UNACKNOWLEDGED_PAUSE_MS = 200;
 
@@ -61,13 +63,18 @@
     );
   }
 
+  /** Whether a worker that said it ends has ended; one answer alone may be lost on its way. */
+  private isGone({ hold }: RunnerAgentState, reply: RunnerReply): boolean {
+    return reply.kind === 'unreachable' || hold.failures >= GONE_AFTER_FAILURES;
+  }
+
   private receiveReply(state: RunnerAgentState, reply: RunnerReply, now: number): void {
     const { hold, worker, lease } = state;
     hold.callId = '';
     if (reply.kind !== 'lists') {
       hold.failures += 1;
       hold.nextAt = now + RETRY_MS;
-      if (state.workerExit === 'leaving') {
+      if (state.workerExit === 'leaving' && this.isGone(state, reply)) {
         state.workerExit = 'gone';
         state.self.isRegistered = false;
         state.self.registerAt = now;
--- a/src/systems/runnerAgent/workerBeatSystem.ts
+++ b/src/systems/runnerAgent/workerBeatSystem.ts
@@ -1,7 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { RunnerAgentState, WorkerBeat } from '../../model/scheduler/runnerAgentState.ts';
-import { logAgentEvent } from './agentCalls.ts';
+import { logAgentEvent, requestLook } from './agentCalls.ts';
 
 /**
  * Knows which incarnation of the worker is up. Reads beats; writes `worker`. Runs first.
@@ -24,6 +24,9 @@
       logAgentEvent(state, 'info', 'worker_left', { worker: workerId });
       state.worker = { ...state.worker, isDraining: true };
       state.workerExit = 'leaving';
+      // Looks from now on tell whether it has ended.
+      requestLook(state, tick.now);
+      state.hold.failures = 0;
       state.owner.reportAt = tick.now;
     }
   }
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -140,7 +140,7 @@
     now: number,
   ): void {
     if (row.order.kind === 'pace') {
-      const isAnswered = reply.kind !== 'noAnswer' && reply.kind !== 'refused';
+      const isAnswered = !['noAnswer', 'refused', 'unreachable'].includes(reply.kind);
       if (isAnswered || row.tries >= MAX_PACE_TRIES) state.orders.remove(row.id);
       else state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
     } else if (reply.kind === 'done') {
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -187,10 +187,10 @@
     this.sendBeat(agent);
   }
 
-  /** The worker beside an agent says that it ends, and ends. */
-  leaveRunner(agent: AgentNode): void {
-    agent.runner.running.clear();
-    agent.hasLeft = true;
+  /** The worker beside an agent says that it ends, and ends at once or goes on for now. */
+  leaveRunner(agent: AgentNode, hasEnded = true): void {
+    if (hasEnded) agent.runner.running.clear();
+    agent.hasLeft = hasEnded;
     this.deliverToAgent(0, agent, { kind: 'workerLeft', workerId: `worker-${agent.id}` });
   }
 
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -125,4 +125,19 @@
       expect(countMostRuns(world, 3_500)).toBe(1);
     });
   });
+
+  describe('with a worker that leaves', () => {
+    it('does not take one look without an answer for proof that the worker is gone', () => {
+      const { world, entry } = createWorld(1, 3);
+      world.behave = () => ({ durationMs: 2_000, how: 'done' });
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(100);
+      const holder = findHolder(world);
+      let looks = 0;
+      holder.disturb = (call) => (call.op === 'hold' && (looks += 1) === 1 ? 'lost' : undefined);
+      world.leaveRunner(holder, false);
+      expect(countMostRuns(world, 3_000)).toBe(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+  });
 });
