Do not repeat a start in a zone that is out of service

Cause: a start without an answer was sent again every second and over each new link, whatever had become of the zone or the worker since.

Change: a start without an answer on a worker that drains or whose zone is out of service is withdrawn: stopped, and released once a look does not list it.

Evidence: the test 'does not repeat a start that the worker has not carried out' failed, since the start was carried out after the zone had gone out, and passes.

Conclusion: orders follow the same rules as placements.

--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -9,7 +9,7 @@
 import { CLOCK_DRIFT, LEASE_MARGIN_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
-import { explainClosedWorker } from './workerRooms.ts';
+import { explainClosedWorker, explainLeaving } from './workerRooms.ts';
 import { recordTrouble } from './workerTrouble.ts';
 
 type StartResult = Extract<AgentMessage, { kind: 'startResult' }>;
@@ -105,15 +105,20 @@
     if (worker === undefined || state.agents.get(worker.agentId)?.link !== 'open') return;
     const isReopened = reopened.has(worker.agentId);
     const isDue = tick.now - run.placedAt >= REPEAT_MS;
-    if (run.phase === 'starting' && (isReopened || isDue)) {
-      state.runs.update(run.id, { placedAt: tick.now });
-      this.sendStart(state, run, worker, tick.now, true);
+    const isOrderDue = isReopened || isDue;
+    const stopReason =
+      run.stopReason ?? (run.phase === 'starting' ? explainLeaving(state, worker) : undefined);
+    if (stopReason !== undefined) {
+      if (run.phase !== 'stopping' || isOrderDue)
+        this.sendStop(state, { ...run, stopReason }, worker, tick.now);
+      tick.wakeAt(tick.now + REPEAT_MS);
+    } else if (run.phase === 'starting') {
+      if (isOrderDue) {
+        state.runs.update(run.id, { placedAt: tick.now });
+        this.sendStart(state, run, worker, tick.now, true);
+      }
+      tick.wakeAt(run.placedAt + REPEAT_MS);
     }
-    if (run.phase === 'starting') tick.wakeAt(run.placedAt + REPEAT_MS);
-    if (run.stopReason === undefined) return;
-    if (run.phase !== 'stopping' || isReopened || isDue)
-      this.sendStop(state, run, worker, tick.now);
-    tick.wakeAt(tick.now + REPEAT_MS);
   }
 
   private sendStop(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
--- a/src/systems/scheduler/workerRooms.ts
+++ b/src/systems/scheduler/workerRooms.ts
@@ -9,6 +9,13 @@
 /** A report covers half a second and comes every second; younger runs are not in it. */
 const SETTLING_MS = 1_500;
 
+/** Why nothing may start on a worker any more, whatever was ordered before. */
+export function explainLeaving(state: SchedulerState, worker: WorkerRow): string | undefined {
+  if (worker.identity.isDraining) return 'it is draining';
+  if (state.operator.zonesOut.has(worker.identity.zone)) return 'its zone is out of service';
+  return undefined;
+}
+
 /** Whether a worker may be told to start something now, with the reason when it may not. */
 export function explainClosedWorker(
   state: SchedulerState,
@@ -19,8 +26,8 @@
   if (agent?.link !== 'open') return 'no link to its agent';
   if (agent.workerKey !== worker.id) return 'it has restarted';
   if (!worker.isFenced) return 'its runs are not known yet';
-  if (worker.identity.isDraining) return 'it is draining';
-  if (state.operator.zonesOut.has(worker.identity.zone)) return 'its zone is out of service';
+  const leaving = explainLeaving(state, worker);
+  if (leaving !== undefined) return leaving;
   if (worker.strangers > 0) return 'it runs what the owner does not know';
   if (now < worker.troubledUntil) return 'it has rejected or failed work';
   if (now - worker.lastReportAt > REPORT_FRESH_MS) return 'its reports are old';
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -140,4 +140,19 @@
       expect(readPhase(world, entry)).toBe('completed');
     });
   });
+
+  describe('with a zone that goes out of service', () => {
+    it('does not repeat a start that the worker has not carried out', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      agent!.disturb = (call) => (call.op === 'start' ? 'dropped' : undefined);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(50);
+      world.closeAgentLink(entry, agent!);
+      entry.state.operator.zonesOut.add('a');
+      agent!.disturb = () => undefined;
+      world.run(2_000);
+      expect(agent!.runner.starts).toEqual([]);
+    });
+  });
 });
