Let the adapter's tests take free ports

What was seen: all tests of test/platform/platformPath.test.ts failed with EADDRINUSE while another checkout ran the same tests on the machine.

Cause: the test listened on two fixed ports.

Change: the front and the status server tell the port that they listen on, and the test asks for any free one.

Evidence: npx vitest run test/platform passes, 22 tests.

Conclusion: the test runs beside itself.

--- a/src/platform/wireFront.ts
+++ b/src/platform/wireFront.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import type { Disposable } from '../base/common/disposable.ts';
 import { ERROR_ANSWERS } from '../base/common/errors.ts';
-import { openHttpServer } from '../base/node/httpListening.ts';
+import { getHttpPort, openHttpServer } from '../base/node/httpListening.ts';
 import { parseAddress } from '../daemons/schedulerSettings.ts';
 import type { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
 import type { QueueAnswer, QueueCall } from '../model/scheduler/queueCall.ts';
@@ -32,6 +32,10 @@
     return front;
   }
 
+  get port(): number {
+    return getHttpPort(this.server);
+  }
+
   dispose(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/src/platform/wireStatusServer.ts
+++ b/src/platform/wireStatusServer.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import type { Disposable } from '../base/common/disposable.ts';
 import type { Counters } from '../base/common/counters.ts';
-import { openHttpServer } from '../base/node/httpListening.ts';
+import { getHttpPort, openHttpServer } from '../base/node/httpListening.ts';
 import type { GaugeSample, Metrics } from '../base/node/metrics.ts';
 import { parseAddress } from '../daemons/schedulerSettings.ts';
 
@@ -38,6 +38,10 @@
     return new WireStatusServer(server);
   }
 
+  get port(): number {
+    return getHttpPort(this.server);
+  }
+
   dispose(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -13,8 +13,6 @@
 import { PlatformRunnerStandIn, PlatformStoreStandIn } from '../support/platformStandIn.ts';
 import { BOUNDS } from '../support/worldNodes.ts';
 
-const FRONT_PORT = 17_361;
-const BEAT_PORT = 17_362;
 const HOST = 'kits.example';
 const JOB = '00000000000000b1';
 const ROUTE = {
@@ -81,7 +79,7 @@
   let taskMs: number;
 
   async function beat(fields: Record<string, unknown> = {}): Promise<Answer> {
-    return send(BEAT_PORT, 'POST', '/bramleyladder/instances/i-1/heartbeat', {
+    return send(beats.port, 'POST', '/bramleyladder/instances/i-1/heartbeat', {
       service: 'svc',
       addr: runner.address,
       zone: 'a',
@@ -118,9 +116,9 @@
       WireRunnerClient.create(),
       LOG,
     );
-    front = await WireFront.create(`127.0.0.1:${FRONT_PORT}`, entry);
+    front = await WireFront.create('127.0.0.1:0', entry);
     beats = await WireStatusServer.create(
-      `127.0.0.1:${BEAT_PORT}`,
+      '127.0.0.1:0',
       { counters: agent.state.counters, metrics: agent.metrics, listGauges: () => [] },
       (incoming, response) =>
         receiveBeat(incoming, response, {
@@ -150,7 +148,7 @@
   });
 
   async function readState(): Promise<unknown> {
-    return (await send(FRONT_PORT, 'GET', `/kits/${JOB}`)).body.state;
+    return (await send(front.port, 'GET', `/kits/${JOB}`)).body.state;
   }
 
   describe('for callers', () => {
@@ -162,35 +160,35 @@
           { count: 1, after: [0] },
         ],
       };
-      expect((await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission)).status).toBe(200);
+      expect((await send(front.port, 'POST', `/kits/${JOB}`, submission)).status).toBe(200);
       await waitFor(async () => (await readState()) === 'completed');
       expect(runner.runner.starts).toHaveLength(3);
-      expect((await send(FRONT_PORT, 'GET', '/kits/')).body).toEqual({ waiting: 0 });
+      expect((await send(front.port, 'GET', '/kits/')).body).toEqual({ waiting: 0 });
     });
 
     it('does not mistake a missing queue for a missing job', async () => {
-      expect((await send(FRONT_PORT, 'GET', '/else/')).status).toBe(404);
-      expect((await send(FRONT_PORT, 'GET', '/kits/', undefined, 'other')).status).toBe(404);
-      expect((await send(FRONT_PORT, 'GET', `/kits/${JOB}`)).status).toBe(410);
-      expect((await send(FRONT_PORT, 'DELETE', `/kits/${JOB}`)).status).toBe(410);
+      expect((await send(front.port, 'GET', '/else/')).status).toBe(404);
+      expect((await send(front.port, 'GET', '/kits/', undefined, 'other')).status).toBe(404);
+      expect((await send(front.port, 'GET', `/kits/${JOB}`)).status).toBe(410);
+      expect((await send(front.port, 'DELETE', `/kits/${JOB}`)).status).toBe(410);
     });
 
     it('does not take a body that is no job', async () => {
       for (const body of ['{', '[]', '{"steps":[]}', '{"steps":[{"count":-1}]}']) {
-        const answer = await send(FRONT_PORT, 'POST', `/kits/${JOB}`, body);
+        const answer = await send(front.port, 'POST', `/kits/${JOB}`, body);
         expect(answer.status).toBe(400);
         expect(answer.body.error).toEqual(expect.any(String));
       }
       const cyclic = { steps: [{ count: 1, after: [0] }] };
-      expect((await send(FRONT_PORT, 'POST', `/kits/${JOB}`, cyclic)).status).toBe(400);
-      expect((await send(FRONT_PORT, 'POST', '/kits/nothex', cyclic)).status).toBe(400);
+      expect((await send(front.port, 'POST', `/kits/${JOB}`, cyclic)).status).toBe(400);
+      expect((await send(front.port, 'POST', '/kits/nothex', cyclic)).status).toBe(400);
       expect(store.items.has(`in/j/${JOB}`)).toBe(false);
     });
 
     it('does not tell a caller to come back without a time', async () => {
       store.refuseWith = 503;
       await delay(1_500);
-      const answer = await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
+      const answer = await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
       expect(answer.status).toBe(503);
       expect(Number(answer.retryAfter)).toBeGreaterThan(0);
       store.refuseWith = undefined;
@@ -199,9 +197,9 @@
     it('does not let a cancelled job run on', async () => {
       taskMs = 60_000;
       const submission = { steps: [{ count: 1, long_running: true, cpu: 100 }] };
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission);
+      await send(front.port, 'POST', `/kits/${JOB}`, submission);
       await waitFor(async () => (await readState()) === 'running');
-      expect((await send(FRONT_PORT, 'DELETE', `/kits/${JOB}`)).status).toBe(200);
+      expect((await send(front.port, 'DELETE', `/kits/${JOB}`)).status).toBe(200);
       await waitFor(() => runner.runner.running.size === 0);
       expect(await readState()).toBe('cancelled');
     });
@@ -211,20 +209,20 @@
     it('does not keep an older configuration in force', async () => {
       const moved = { ...ROUTE, prefix: '/moved/' };
       store.write('op/config', { version: 9, routes: [moved], services: [], limits: {} });
-      await waitFor(async () => (await send(FRONT_PORT, 'GET', '/moved/')).status === 200);
-      expect((await send(FRONT_PORT, 'GET', '/kits/')).status).toBe(404);
+      await waitFor(async () => (await send(front.port, 'GET', '/moved/')).status === 200);
+      expect((await send(front.port, 'GET', '/kits/')).status).toBe(404);
     });
 
     it('does not give up the configuration in force for one that cannot be read', async () => {
       store.writeBytes('op/config', 'no json');
       await delay(300);
-      expect((await send(FRONT_PORT, 'GET', '/kits/')).status).toBe(200);
+      expect((await send(front.port, 'GET', '/kits/')).status).toBe(200);
     });
 
     it('does not start tasks in a zone that is out of service', async () => {
       store.write('op/evacuate/a', {});
       await waitFor(() => entry.state.operator.zonesOut.has('a'));
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
       await delay(300);
       expect(runner.runner.starts).toHaveLength(0);
     });
@@ -247,7 +245,7 @@
     it('does not drop known runs for lists that cannot be read', async () => {
       taskMs = 60_000;
       const submission = { steps: [{ count: 1, long_running: true, cpu: 100 }] };
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission);
+      await send(front.port, 'POST', `/kits/${JOB}`, submission);
       await waitFor(() => entry.state.runs.size === 1);
       for (const text of ['{', '{"clock_ms":1}', '{"clock_ms":1,"running":[[1]],"ended":[]}']) {
         runner.nextAnswer = { status: 200, text };
@@ -261,7 +259,7 @@
       await waitFor(() =>
         [...entry.state.workers.values()].every(({ identity }) => identity.isDraining),
       );
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
       await delay(300);
       expect(runner.runner.starts).toHaveLength(0);
     });
