Bound the looks that an agent abandons

What was seen: by reading, before it landed. Each stop asked for a look at once and abandoned the one that waited for an end; a wave of cancellations could leave more abandoned looks open than the agent has connections to its worker, and starts would have waited behind them.

Change: an urgent look replaces a waiting one at most every 200 ms, and an urgent look that fails is repeated as an urgent one.

No test brings the shortage of connections about.

Conclusion: an abandoned look ends after a second at the latest, so at most six stay open.

--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -90,8 +90,12 @@
     lastListed: number;
     clockMs: number;
     failures: number;
-    /** Whether the next look must not wait for an end. */
+    /** Whether a look that does not wait for an end has to follow soon. */
     isUrgent: boolean;
+    /** Whether the present look waits for an end. */
+    isWaiting: boolean;
+    /** When a waiting look was last abandoned for an urgent one. */
+    abandonedAt: number;
     /** Looks sent, and the number of the latest that brought the worker's lists. */
     sent: number;
     finished: number;
@@ -131,6 +135,8 @@
       clockMs: 0,
       failures: 0,
       isUrgent: false,
+      isWaiting: false,
+      abandonedAt: NEVER,
       sent: 0,
       finished: 0,
       listed: new Set(),
--- a/src/systems/runnerAgent/agentCalls.ts
+++ b/src/systems/runnerAgent/agentCalls.ts
@@ -25,12 +25,9 @@
   return callId;
 }
 
-/** Abandons a look that waits for an end and asks for one that does not; returns its number. */
-export function requestLook(state: RunnerAgentState, now: number): number {
-  const { hold } = state;
-  hold.callId = '';
+/** Asks for a look that does not wait for an end, and returns its number. */
+export function requestLook({ hold }: RunnerAgentState): number {
   hold.isUrgent = true;
-  hold.nextAt = now;
   return hold.sent + 1;
 }
 
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -10,6 +10,8 @@
 /** Answers come within milliseconds after the wait; a busy instance is a few times slower. */
 const ANSWER_MS = 600;
 const RETRY_MS = 100;
+/** Abandoned looks keep their connections for up to a second; an agent has 16 to its worker. */
+const ABANDON_EVERY_MS = 200;
 /** Looks in a row without an answer after which a worker that said it ends is gone. */
 const GONE_AFTER_FAILURES = 2;
 /** While listed ends are not acknowledged every look returns at once, so the next one pauses. */
@@ -33,6 +35,7 @@
   override run(state: RunnerAgentState, tick: Tick): void {
     for (const { callId, reply } of state.inbox.list('runnerReply'))
       if (callId === state.hold.callId) this.receiveReply(state, reply, tick.now);
+    this.dropWaitingLook(state, tick);
     const { hold, owner } = state;
     if (owner.linkId === '' || state.worker === undefined || hold.callId !== '') return;
     if (tick.now < hold.nextAt) {
@@ -42,6 +45,19 @@
     this.sendHold(state);
   }
 
+  /** A look that waits for an end may take a second; an urgent one replaces it, at a bounded rate. */
+  private dropWaitingLook({ hold }: RunnerAgentState, tick: Tick): void {
+    if (!hold.isUrgent || !hold.isWaiting || hold.callId === '') return;
+    const mayAbandonAt = hold.abandonedAt + ABANDON_EVERY_MS;
+    if (tick.now < mayAbandonAt) {
+      tick.wakeAt(mayAbandonAt);
+      return;
+    }
+    hold.abandonedAt = tick.now;
+    hold.callId = '';
+    hold.nextAt = tick.now;
+  }
+
   private sendHold(state: RunnerAgentState): void {
     const { hold, owner, lease, worker } = state;
     const isGranted = lease.bornMs === worker?.bornMs && lease.untilMs > 0;
@@ -49,6 +65,7 @@
     const waitMs = isFirst || hold.isUrgent || hold.lastListed > lease.lastSeen ? 0 : WAIT_MS;
     hold.epoch = owner.epoch;
     hold.isUrgent = false;
+    hold.isWaiting = waitMs > 0;
     hold.sent += 1;
     hold.callId = sendRunnerCall(
       state,
@@ -73,6 +90,7 @@
     hold.callId = '';
     if (reply.kind !== 'lists') {
       hold.failures += 1;
+      hold.isUrgent ||= !hold.isWaiting;
       hold.nextAt = now + RETRY_MS;
       if (state.workerExit === 'leaving' && this.isGone(state, reply)) {
         state.workerExit = 'gone';
--- a/src/systems/runnerAgent/workerBeatSystem.ts
+++ b/src/systems/runnerAgent/workerBeatSystem.ts
@@ -25,7 +25,7 @@
       state.worker = { ...state.worker, isDraining: true };
       state.workerExit = 'leaving';
       // Looks from now on tell whether it has ended.
-      requestLook(state, tick.now);
+      requestLook(state);
       state.hold.failures = 0;
       state.owner.reportAt = tick.now;
     }
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -34,7 +34,7 @@
     );
     for (const row of state.orders.list()) {
       const reply = replies.get(row.callId);
-      if (row.callId !== '' && reply !== undefined) this.receiveReply(state, row, reply, tick.now);
+      if (row.callId !== '' && reply !== undefined) this.receiveReply(state, row, reply, tick);
     }
     for (const row of state.orders.list()) this.sendRow(state, row, tick);
   }
@@ -42,7 +42,6 @@
   private sendRow(state: RunnerAgentState, row: OrderRow, tick: Tick): void {
     if (row.step === 'listing') {
       if (state.hold.finished >= row.afterLook) this.settle(state, row);
-      else if (state.hold.callId === '') tick.wakeAt(Math.max(tick.now + 1, state.hold.nextAt));
       return;
     }
     if (row.callId !== '') return;
@@ -79,18 +78,18 @@
     state: RunnerAgentState,
     row: OrderRow,
     reply: RunnerReply,
-    now: number,
+    tick: Tick,
   ): void {
     if (row.order.kind === 'start' && row.step === 'sending')
-      this.receiveStartReply(state, row, reply, now);
-    else this.receiveOtherReply(state, row, reply, now);
+      this.receiveStartReply(state, row, reply, tick);
+    else this.receiveOtherReply(state, row, reply, tick);
   }
 
   private receiveStartReply(
     state: RunnerAgentState,
     row: OrderRow,
     reply: RunnerReply,
-    now: number,
+    tick: Tick,
   ): void {
     if (reply.kind === 'done') {
       this.settle(state, { ...row, outcome: 'started' });
@@ -106,14 +105,14 @@
       state.orders.update(row.id, {
         callId: '',
         isInDoubt: true,
-        retryAt: now,
+        retryAt: tick.now,
         step: isGivenUp ? 'stopping' : 'sending',
         outcome: isGivenUp ? 'unanswered' : '',
       });
     } else if (reply.kind === 'otherIncarnation') {
       this.settle(state, { ...row, outcome: 'gone' });
     } else {
-      this.receiveRejection(state, row, reply, now);
+      this.receiveRejection(state, row, reply, tick);
     }
   }
 
@@ -121,13 +120,13 @@
     state: RunnerAgentState,
     row: OrderRow,
     reply: RunnerReply,
-    now: number,
+    tick: Tick,
   ): void {
     const outcome = reply.kind === 'rejected' ? reply.reason : reply.kind;
     if (outcome === 'old') {
-      this.waitForLook(state, row, outcome, now);
+      this.waitForLook(state, row, outcome, tick);
     } else if (row.isInDoubt) {
-      state.orders.update(row.id, { step: 'stopping', callId: '', retryAt: now, outcome });
+      state.orders.update(row.id, { step: 'stopping', callId: '', retryAt: tick.now, outcome });
     } else {
       this.settle(state, { ...row, outcome });
     }
@@ -137,27 +136,29 @@
     state: RunnerAgentState,
     row: OrderRow,
     reply: RunnerReply,
-    now: number,
+    tick: Tick,
   ): void {
     if (row.order.kind === 'pace') {
       const isAnswered = !['noAnswer', 'refused', 'unreachable'].includes(reply.kind);
       if (isAnswered || row.tries >= MAX_PACE_TRIES) state.orders.remove(row.id);
-      else state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
+      else state.orders.update(row.id, { callId: '', retryAt: tick.now + RETRY_MS });
     } else if (reply.kind === 'done') {
       const { task, run } = row.order;
       logAgentEvent(state, 'info', 'stop_answered', { task, run, tries: row.tries });
       // A stopped run goes on for up to its grace period, so only a later look tells whether it was there.
-      this.waitForLook(state, row, row.outcome, now);
+      this.waitForLook(state, row, row.outcome, tick);
     } else if (reply.kind === 'otherIncarnation') {
       this.settle(state, { ...row, outcome: 'gone' });
     } else {
-      state.orders.update(row.id, { callId: '', retryAt: now + RETRY_MS });
+      state.orders.update(row.id, { callId: '', retryAt: tick.now + RETRY_MS });
     }
   }
 
   /** Tells the owner the outcome after a look that starts now, so that it has the worker's lists first. */
-  private waitForLook(state: RunnerAgentState, row: OrderRow, outcome: string, now: number): void {
-    const afterLook = requestLook(state, now);
+  private waitForLook(state: RunnerAgentState, row: OrderRow, outcome: string, tick: Tick): void {
+    const afterLook = requestLook(state);
+    // Looks are sent before orders in a turn.
+    tick.wakeAt(tick.now + 1);
     state.orders.update(row.id, { step: 'listing', callId: '', outcome, afterLook });
   }
 
