Log what filling tasks ask for where one is placed

For a filling task, task_placed now has what the filling tasks of the worker ask for and what the other tasks leave them.

--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -158,8 +158,12 @@
 
 /** Whether the filling tasks of a worker still get what they ask for once the task is there too. */
 function hasProcessorsFor(room: WorkerRoom, { step }: TaskRow): boolean {
-  const leftMillis = room.freeCpuMillis + SERVING_IDLE_PART * room.servingCpuMillis;
-  return room.filling === 0 || room.fillingCpuMillis + step.cpuMillis <= leftMillis;
+  return room.filling === 0 || room.fillingCpuMillis + step.cpuMillis <= computeLeftCpuMillis(room);
+}
+
+/** Processors that batch and serving tasks leave to the filling ones, thousandths of a core. */
+export function computeLeftCpuMillis(room: WorkerRoom): number {
+  return room.freeCpuMillis + SERVING_IDLE_PART * room.servingCpuMillis;
 }
 
 /** Slack that the serving tasks of a worker have to keep beside the task. */
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -8,7 +8,7 @@
 import { logEvent, recordDuration } from './storeCalls.ts';
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerRoom } from './taskPlacementPolicy.ts';
-import { canHold, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
+import { canHold, computeLeftCpuMillis, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
 import { findTicket } from './tickets.ts';
 import { collectRooms } from './workerRooms.ts';
 
@@ -196,6 +196,9 @@
       worker: room.worker.identity.id,
       waitedMs: Math.round(now - task.readyAt),
       reportAgeMs: Math.round(now - room.worker.lastReportAt),
+      ...(task.step.fills
+        ? { fillingCpu: room.fillingCpuMillis, leftCpu: Math.round(computeLeftCpuMillis(room)) }
+        : {}),
     });
   }
 }
