Do not hold a gang of filling tasks for ever

Callers of a gang of filling tasks that together ask for more than their workers bear saw it stay pending: every member had to pass the holding policy at once, and nothing placed a gang that was held for long. A gang held for over 1.5 s is now placed wherever there is room.

--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -125,7 +125,10 @@
     return ready;
   }
 
-  /** All members of a gang get room under one run number, or none. */
+  /**
+   * All members of a gang get room under one run number, or none. One of filling tasks may ask for
+   * more processors than are ever left and is not held for long.
+   */
   private placeGang(
     state: SchedulerState,
     task: TaskRow,
@@ -142,7 +145,8 @@
         .sort()
         .at(-1) ?? '';
     const run = Math.max(...members.map((member) => member.lastRun)) + 1;
-    const chosen = this.chooseForGang(members, candidates);
+    const isHeld = now - task.readyAt <= MAX_HOLD_MS;
+    const chosen = this.chooseForGang(members, candidates, isHeld ? this.policy : this.freePolicy);
     if (chosen === undefined) return;
     for (const [index, member] of members.entries()) {
       const room = chosen[index];
@@ -155,6 +159,7 @@
   private chooseForGang(
     members: readonly TaskRow[],
     candidates: readonly WorkerRoom[],
+    policy: TaskPlacementPolicy,
   ): WorkerRoom[] | undefined {
     const racks = members[0]?.step.sameRack === true ? listRacks(candidates) : [];
     for (const rack of [...racks, undefined]) {
@@ -164,7 +169,7 @@
           : candidates.filter((room) => room.worker.identity.labels.includes(rack));
       const chosen: WorkerRoom[] = [];
       for (const member of members) {
-        const room = this.policy.choose(member, within);
+        const room = policy.choose(member, within);
         if (room === undefined || !canHold(room, member)) break;
         takeRoom(room, member);
         chosen.push(room);
--- a/test/systems/scheduler/fillingTasks.test.ts
+++ b/test/systems/scheduler/fillingTasks.test.ts
@@ -163,6 +163,16 @@
         expect(world.listStarts(`${lasting}.0.0.${index}`)).not.toHaveLength(0);
     });
 
+    it('does not hold a gang for ever that asks for more processors than there are', () => {
+      const world = createServingWorld(0);
+      const gang = createJobId(50);
+      world.submit(world.owner!, gang, [
+        { count: 12, cpuMillis: 1_000, fills: true, gang: true, image: 'filling' },
+      ]);
+      world.run(10_000);
+      expect(world.owner!.state.jobs.get(gang)?.phase).toBe('completed');
+    });
+
     it('does not hold a job for ever', () => {
       const world = createServingWorld();
       world.run(40_000);
