--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -8,7 +8,7 @@
 import { logEvent, recordDuration } from './storeCalls.ts';
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerRoom } from './taskPlacementPolicy.ts';
-import { canHold, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
+import { canHold, computeLeftCpuMillis, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
 import { findTicket } from './tickets.ts';
 import { collectRooms } from './workerRooms.ts';
 
@@ -34,19 +34,24 @@
 
   private constructor(
     private readonly policy: TaskPlacementPolicy,
-    private readonly fallback: TaskPlacementPolicy,
+    private readonly heldPolicy: TaskPlacementPolicy,
+    private readonly freePolicy: TaskPlacementPolicy,
     private readonly order: TaskOrder,
   ) {
     super();
   }
 
-  /** `fallback` places filling tasks that the policy has held for long. */
+  /**
+   * Filling tasks that the policy has held for long are placed by `heldPolicy`, and by `freePolicy`
+   * while most cores are not reserved.
+   */
   static create(
     policy: TaskPlacementPolicy,
-    fallback: TaskPlacementPolicy,
+    heldPolicy: TaskPlacementPolicy,
+    freePolicy: TaskPlacementPolicy,
     order: TaskOrder,
   ): TaskPlacementSystem {
-    return new TaskPlacementSystem(policy, fallback, order);
+    return new TaskPlacementSystem(policy, heldPolicy, freePolicy, order);
   }
 
   override run(state: SchedulerState, tick: Tick): void {
@@ -89,8 +94,8 @@
   }
 
   /**
-   * A filling task that was held for long starts wherever there is room, so that every job gets on;
-   * on workers that are mostly in use one such task at a time.
+   * A filling task that was held for long starts whatever it costs the serving tasks, so that every
+   * job gets on; on workers that are mostly in use one such task at a time.
    */
   private chooseForHeld(
     state: SchedulerState,
@@ -101,9 +106,9 @@
     const { timetable } = state;
     if (!task.step.fills || now - task.readyAt <= MAX_HOLD_MS) return undefined;
     if (state.runsByJob.count(task.jobId) > 0) return undefined;
-    const isSoon = now - timetable.heldStartAt < HELD_START_EVERY_MS;
-    if (isSoon && computeUsedPart(rooms) >= MOSTLY_FREE_PART) return undefined;
-    const room = this.fallback.choose(task, rooms);
+    const isMostlyFree = computeUsedPart(rooms) < MOSTLY_FREE_PART;
+    if (now - timetable.heldStartAt < HELD_START_EVERY_MS && !isMostlyFree) return undefined;
+    const room = (isMostlyFree ? this.freePolicy : this.heldPolicy).choose(task, rooms);
     if (room !== undefined) timetable.heldStartAt = now;
     return room;
   }
@@ -120,7 +125,10 @@
     return ready;
   }
 
-  /** All members of a gang get room under one run number, or none. */
+  /**
+   * All members of a gang get room under one run number, or none. One of filling tasks may ask for
+   * more processors than are ever left and is not held for long.
+   */
   private placeGang(
     state: SchedulerState,
     task: TaskRow,
@@ -137,7 +145,8 @@
         .sort()
         .at(-1) ?? '';
     const run = Math.max(...members.map((member) => member.lastRun)) + 1;
-    const chosen = this.chooseForGang(members, candidates);
+    const isHeld = now - task.readyAt <= MAX_HOLD_MS;
+    const chosen = this.chooseForGang(members, candidates, isHeld ? this.policy : this.freePolicy);
     if (chosen === undefined) return;
     for (const [index, member] of members.entries()) {
       const room = chosen[index];
@@ -150,6 +159,7 @@
   private chooseForGang(
     members: readonly TaskRow[],
     candidates: readonly WorkerRoom[],
+    policy: TaskPlacementPolicy,
   ): WorkerRoom[] | undefined {
     const racks = members[0]?.step.sameRack === true ? listRacks(candidates) : [];
     for (const rack of [...racks, undefined]) {
@@ -159,7 +169,7 @@
           : candidates.filter((room) => room.worker.identity.labels.includes(rack));
       const chosen: WorkerRoom[] = [];
       for (const member of members) {
-        const room = this.policy.choose(member, within);
+        const room = policy.choose(member, within);
         if (room === undefined || !canHold(room, member)) break;
         takeRoom(room, member);
         chosen.push(room);
@@ -191,6 +201,9 @@
       worker: room.worker.identity.id,
       waitedMs: Math.round(now - task.readyAt),
       reportAgeMs: Math.round(now - room.worker.lastReportAt),
+      ...(task.step.fills
+        ? { fillingCpu: room.fillingCpuMillis, leftCpu: Math.round(computeLeftCpuMillis(room)) }
+        : {}),
     });
   }
 }
