Close four gaps that a review of the fixes found

Each gap has a test that fails without its part of the change.

Cause and change: - A leaving worker was taken for gone after two failed looks, also when it answered 503. Now only a refused connection or another incarnation is proof; a dark instance waits for its lease. - A rejection that came later than the owner's repetition released a run that the repetition had started. Starts are numbered, and a rejection counts only for the latest one unless a stop and the lists prove it for all. - A start that worked was stopped when its four answers were lost. The agent reads the worker's lists before it gives a start up. - Orders over a new link waited for the next repetition, because the link counted as closed in the turn in which it opened. The end of a run beyond a list that the platform cuts short has a test now, and a stop that a newer fence rejects is no longer repeated.

--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -53,7 +53,7 @@
     kind: z.literal('report'),
     epoch: z.int(),
     worker: z.optional(workerIdentitySchema),
-    /** Whether the incarnation said that it ends and has not answered since; nothing runs there. */
+    /** Whether the incarnation said that it ends and refuses connections since; nothing runs there. */
     isGone: z.optional(z.boolean()),
     /** Worker's monotonic clock, a sample not younger than the lists. */
     clockMs: z.number(),
@@ -67,6 +67,8 @@
     task: z.string(),
     run: z.int(),
     bornMs: z.number(),
+    /** Number of the start that was answered; 0 when a stop and the lists prove it for all of them. */
+    attempt: z._default(z.int(), 0),
     /**
      * What became of a start or a stop. `started`, or `listed` when the lists sent before name the
      * run; anything else is the reason why the worker certainly does not run it.
@@ -101,8 +103,8 @@
     checkpoint: z.string(),
     ticket: z.string(),
     leaseUntilMs: z.number(),
-    /** Whether the owner has sent it before; an earlier copy may have been carried out. */
-    isRepeated: z._default(z.boolean(), false),
+    /** Number of the sending; an earlier one may have been carried out. */
+    attempt: z._default(z.int(), 1),
   }),
   z.object({ kind: z.literal('stop'), bornMs: z.number(), task: z.string(), run: z.int() }),
   z.object({
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -70,6 +70,8 @@
   readonly placedAt: number;
   /** When the percentage last grew, owner's clock ms. */
   readonly progressAt: number;
+  /** How often the start was sent. */
+  readonly attempts: number;
   /** Since when a serving task has been over its latency target, owner's clock ms; undefined under it. */
   readonly overSince: number | undefined;
   /** Whether a stop has been ordered. */
@@ -119,6 +121,8 @@
   readonly heardAt: number;
   /** Attempts to open the link that failed in a row. */
   readonly failures: number;
+  /** When the link was last opened, owner's clock ms. */
+  readonly openedAt: number;
 }
 
 export function formatWorkerKey(agentId: string, workerId: string, bornMs: number): string {
@@ -174,6 +178,7 @@
     pacedAt: now,
     placedAt: now,
     progressAt: now,
+    attempts: 0,
     overSince: undefined,
     stopReason: undefined,
   };
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -47,8 +47,12 @@
   /** `start:TASK#RUN`, `stop:TASK#RUN` or `pace:TASK#RUN`. */
   readonly id: string;
   readonly order: Exclude<OwnerOrder, { kind: 'hello' | 'grant' }>;
-  /** `stopping`: a start that went unanswered is stopped, so that a late copy cannot run. */
-  readonly step: 'sending' | 'stopping' | 'listing';
+  /**
+   * `checking`: whether the worker lists a start without an answer. `stopping`: a start that may have
+   * been carried out is stopped, so that a late copy cannot run. `listing`: the outcome waits for lists
+   * that are read after the worker's answer.
+   */
+  readonly step: 'sending' | 'checking' | 'stopping' | 'listing';
   readonly tries: number;
   readonly isInDoubt: boolean;
   readonly callId: string;
--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -37,6 +37,8 @@
   checkTicket: (task: string, ticket: string) => boolean = () => true;
   /** Time that a stopped run takes to end, ms; the stop is answered at once. */
   stopMs = 0;
+  /** Most ends that a list names. */
+  maxListedEnds = Number.POSITIVE_INFINITY;
   private readonly blocked = new Map<string, number>();
   private fence = 0;
   private leaseUntil = Number.NEGATIVE_INFINITY;
@@ -110,8 +112,8 @@
       clockMs: this.clock.now,
       bornMs: this.bornMs,
       running: this.listRunning(),
-      ended: [...this.ended],
-      isComplete: true,
+      ended: this.ended.slice(0, this.maxListedEnds),
+      isComplete: this.ended.length <= this.maxListedEnds,
     };
   }
 
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -12,8 +12,6 @@
 const RETRY_MS = 100;
 /** Abandoned looks keep their connections for up to a second; an agent has 16 to its worker. */
 const ABANDON_EVERY_MS = 200;
-/** Looks in a row without an answer after which a worker that said it ends is gone. */
-const GONE_AFTER_FAILURES = 2;
 /** While listed ends are not acknowledged every look returns at once, so the next one pauses. */
 const UNACKNOWLEDGED_PAUSE_MS = 200;
 
@@ -80,11 +78,6 @@
     );
   }
 
-  /** Whether a worker that said it ends has ended; one answer alone may be lost on its way. */
-  private isGone({ hold }: RunnerAgentState, reply: RunnerReply): boolean {
-    return reply.kind === 'unreachable' || hold.failures >= GONE_AFTER_FAILURES;
-  }
-
   private receiveReply(state: RunnerAgentState, reply: RunnerReply, now: number): void {
     const { hold, worker, lease } = state;
     hold.callId = '';
@@ -92,7 +85,9 @@
       hold.failures += 1;
       hold.isUrgent ||= !hold.isWaiting;
       hold.nextAt = now + RETRY_MS;
-      if (state.workerExit === 'leaving' && this.isGone(state, reply)) {
+      // Answers may be lost while the worker works on; a refused connection shows that it has ended.
+      const hasEnded = reply.kind === 'unreachable' || reply.kind === 'otherIncarnation';
+      if (state.workerExit === 'leaving' && hasEnded) {
         state.workerExit = 'gone';
         state.self.isRegistered = false;
         state.self.registerAt = now;
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -113,9 +113,13 @@
   private addOrder(state: RunnerAgentState, order: WorkerOrder): void {
     if (order.bornMs !== state.worker?.bornMs) return;
     const id = `${order.kind}:${order.task}#${order.run}`;
-    if (state.orders.has(id) && order.kind !== 'pace') return;
+    const known = state.orders.get(id);
+    if (known !== undefined && order.kind !== 'pace') {
+      state.orders.update(id, { order });
+      return;
+    }
     if (order.kind === 'stop' && this.revokeStart(state, order)) return;
-    const isInDoubt = order.kind === 'start' && order.isRepeated;
+    const isInDoubt = order.kind === 'start' && order.attempt > 1;
     const isWithdrawn = isInDoubt && state.worker.isDraining;
     state.orders.set({
       id,
--- a/src/systems/runnerAgent/workerBeatSystem.ts
+++ b/src/systems/runnerAgent/workerBeatSystem.ts
@@ -26,7 +26,6 @@
       state.workerExit = 'leaving';
       // Looks from now on tell whether it has ended.
       requestLook(state);
-      state.hold.failures = 0;
       state.owner.reportAt = tick.now;
     }
   }
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -40,8 +40,8 @@
   }
 
   private sendRow(state: RunnerAgentState, row: OrderRow, tick: Tick): void {
-    if (row.step === 'listing') {
-      if (state.hold.finished >= row.afterLook) this.settle(state, row);
+    if (row.step === 'listing' || row.step === 'checking') {
+      if (state.hold.finished >= row.afterLook) this.receiveLists(state, row, tick);
       return;
     }
     if (row.callId !== '') return;
@@ -101,14 +101,9 @@
         tries: row.tries,
         answer: reply.message,
       });
-      const isGivenUp = row.tries >= MAX_START_TRIES;
-      state.orders.update(row.id, {
-        callId: '',
-        isInDoubt: true,
-        retryAt: tick.now,
-        step: isGivenUp ? 'stopping' : 'sending',
-        outcome: isGivenUp ? 'unanswered' : '',
-      });
+      state.orders.update(row.id, { callId: '', isInDoubt: true, retryAt: tick.now });
+      if (row.tries >= MAX_START_TRIES)
+        this.waitForLists(state, row, 'checking', 'unanswered', tick);
     } else if (reply.kind === 'otherIncarnation') {
       this.settle(state, { ...row, outcome: 'gone' });
     } else {
@@ -124,7 +119,7 @@
   ): void {
     const outcome = reply.kind === 'rejected' ? reply.reason : reply.kind;
     if (outcome === 'old') {
-      this.waitForLook(state, row, outcome, tick);
+      this.waitForLists(state, row, 'listing', outcome, tick);
     } else if (row.isInDoubt) {
       state.orders.update(row.id, { step: 'stopping', callId: '', retryAt: tick.now, outcome });
     } else {
@@ -146,20 +141,44 @@
       const { task, run } = row.order;
       logAgentEvent(state, 'info', 'stop_answered', { task, run, tries: row.tries });
       // A stopped run goes on for up to its grace period, so only a later look tells whether it was there.
-      this.waitForLook(state, row, row.outcome, tick);
+      this.waitForLists(state, row, 'listing', row.outcome, tick);
     } else if (reply.kind === 'otherIncarnation') {
       this.settle(state, { ...row, outcome: 'gone' });
+    } else if (reply.kind === 'rejected') {
+      // The worker knows a newer owner, whose lists decide.
+      state.orders.remove(row.id);
     } else {
       state.orders.update(row.id, { callId: '', retryAt: tick.now + RETRY_MS });
     }
   }
 
-  /** Tells the owner the outcome after a look that starts now, so that it has the worker's lists first. */
-  private waitForLook(state: RunnerAgentState, row: OrderRow, outcome: string, tick: Tick): void {
+  /** Lists that were read after the latest answer show whether the run is there. */
+  private receiveLists(state: RunnerAgentState, row: OrderRow, tick: Tick): void {
+    if (row.step === 'listing') {
+      this.settle(state, row);
+      return;
+    }
+    const { task, run } = row.order;
+    if (state.hold.listed.has(formatRunId(task, run))) {
+      this.settle(state, { ...row, outcome: 'started' });
+      return;
+    }
+    state.orders.update(row.id, { step: 'stopping', retryAt: tick.now });
+    tick.wakeAt(tick.now + 1);
+  }
+
+  /** Goes on with an order once the worker's lists have been read anew. */
+  private waitForLists(
+    state: RunnerAgentState,
+    row: OrderRow,
+    step: 'checking' | 'listing',
+    outcome: string,
+    tick: Tick,
+  ): void {
     const afterLook = requestLook(state);
     // Looks are sent before orders in a turn.
     tick.wakeAt(tick.now + 1);
-    state.orders.update(row.id, { step: 'listing', callId: '', outcome, afterLook });
+    state.orders.update(row.id, { step, callId: '', outcome, afterLook });
   }
 
   private settle(state: RunnerAgentState, row: OrderRow): void {
@@ -182,6 +201,7 @@
           tries: row.tries,
         });
     }
-    sendOwner(state, { kind: 'startResult', task, run, bornMs, outcome });
+    const attempt = row.order.kind === 'start' && row.step !== 'listing' ? row.order.attempt : 0;
+    sendOwner(state, { kind: 'startResult', task, run, bornMs, attempt, outcome });
   }
 }
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -34,8 +34,11 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
-    for (const { agentId, isOpen } of state.inbox.list('agentLink'))
+    for (const { agentId, isOpen } of state.inbox.list('agentLink')) {
       this.receiveLink(state, agentId, isOpen, tick.now);
+      // Orders follow in the next turn, after the first message on the link.
+      if (isOpen) tick.wakeAt(tick.now + 1);
+    }
     for (const agent of state.agents.list()) {
       if (agent.link === 'closed') this.openLink(state, agent, tick);
       else if (agent.link === 'open') this.keepLink(state, agent, tick);
@@ -46,7 +49,7 @@
     const agent = state.agents.get(agentId);
     if (agent === undefined) return;
     if (isOpen) {
-      state.agents.update(agentId, { link: 'open', heardAt: now, failures: 0 });
+      state.agents.update(agentId, { link: 'open', openedAt: now, heardAt: now, failures: 0 });
       const worker = state.workers.get(agent.workerKey ?? '');
       state.outbox.append({
         kind: 'orderAgent',
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -16,7 +16,7 @@
   releaseGoneWorker(state, formatWorkerKey(id, workerId, bornMs), now);
 }
 
-/** Releases the runs of an incarnation that announced its end and fell silent; nothing runs there. */
+/** Releases the runs of an incarnation that announced its end and refuses connections since. */
 export function releaseGoneWorker(state: SchedulerState, workerKey: string, now: number): void {
   for (const run of [...state.runsByWorker.list(workerKey)])
     if (run.phase !== 'placed') releaseRun(state, run, 'worker left', { now });
@@ -39,6 +39,7 @@
     link: 'closed',
     retryAt: Number.NEGATIVE_INFINITY,
     failures: 0,
+    openedAt: Number.NEGATIVE_INFINITY,
     workerKey: known?.workerKey,
     grantedAt: Number.NEGATIVE_INFINITY,
     heardAt: Number.NEGATIVE_INFINITY,
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -9,7 +9,7 @@
 import { CLOCK_DRIFT, LEASE_MARGIN_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
-import { explainClosedWorker, explainLeaving } from './workerRooms.ts';
+import { explainClosedWorker, findClosingReason } from './workerRooms.ts';
 import { recordTrouble } from './workerTrouble.ts';
 
 type StartResult = Extract<AgentMessage, { kind: 'startResult' }>;
@@ -36,15 +36,9 @@
     if (state.ownership.role !== 'owner') return;
     for (const { agentId, message } of state.inbox.list('agentMessage'))
       if (message.kind === 'startResult') this.applyResult(state, agentId, message, tick.now);
-    const reopened = new Set(
-      state.inbox
-        .list('agentLink')
-        .filter(({ isOpen }) => isOpen)
-        .map(({ agentId }) => agentId),
-    );
     for (const run of [...state.runs.values()]) {
       if (run.phase === 'placed') this.startStored(state, run, tick);
-      else this.repeatOrder(state, run, reopened, tick);
+      else this.repeatOrder(state, run, tick);
     }
   }
 
@@ -60,16 +54,12 @@
     }
     state.counters.add('starts_sent');
     state.runs.update(run.id, { phase: 'starting', placedAt: tick.now, progressAt: tick.now });
-    this.sendStart(state, run, worker, tick.now, false);
+    this.sendStart(state, run, worker, tick.now);
   }
 
-  private sendStart(
-    state: SchedulerState,
-    run: RunRow,
-    worker: WorkerRow,
-    now: number,
-    isRepeated: boolean,
-  ): void {
+  private sendStart(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
+    const attempt = run.attempts + 1;
+    state.runs.update(run.id, { attempts: attempt });
     const job = state.jobs.get(run.jobId);
     const leaseMs = getRunLeaseMs(state);
     state.workers.update(worker.id, {
@@ -90,24 +80,19 @@
         checkpoint: run.checkpoint,
         ticket: findRunTicket(state, run, now),
         leaseUntilMs: Math.floor(worker.clockMs + leaseMs),
-        isRepeated,
+        attempt,
       },
     });
   }
 
-  private repeatOrder(
-    state: SchedulerState,
-    run: RunRow,
-    reopened: ReadonlySet<string>,
-    tick: Tick,
-  ): void {
+  private repeatOrder(state: SchedulerState, run: RunRow, tick: Tick): void {
     const worker = state.workers.get(run.workerKey);
-    if (worker === undefined || state.agents.get(worker.agentId)?.link !== 'open') return;
-    const isReopened = reopened.has(worker.agentId);
-    const isDue = tick.now - run.placedAt >= REPEAT_MS;
-    const isOrderDue = isReopened || isDue;
+    const agent = state.agents.get(worker?.agentId ?? '');
+    if (worker === undefined || agent?.link !== 'open') return;
+    // Orders that were on their way over an earlier link are lost.
+    const isOrderDue = agent.openedAt > run.placedAt || tick.now - run.placedAt >= REPEAT_MS;
     const stopReason =
-      run.stopReason ?? (run.phase === 'starting' ? explainLeaving(state, worker) : undefined);
+      run.stopReason ?? (run.phase === 'starting' ? findClosingReason(state, worker) : undefined);
     if (stopReason !== undefined) {
       if (run.phase !== 'stopping' || isOrderDue)
         this.sendStop(state, { ...run, stopReason }, worker, tick.now);
@@ -115,7 +100,7 @@
     } else if (run.phase === 'starting') {
       if (isOrderDue) {
         state.runs.update(run.id, { placedAt: tick.now });
-        this.sendStart(state, run, worker, tick.now, true);
+        this.sendStart(state, run, worker, tick.now);
       }
       tick.wakeAt(run.placedAt + REPEAT_MS);
     }
@@ -154,6 +139,8 @@
       state.runs.update(run.id, { phase: 'running', progressAt: now });
     // The worker lists the run, so its listed end decides.
     if (result.outcome === 'started' || result.outcome === 'listed') return;
+    // A rejection that crossed a later sending says nothing about that one.
+    if (result.attempt !== 0 && result.attempt !== run.attempts) return;
     if (isStarting) this.releaseRejected(state, run, worker, result.outcome, now);
     else if (run.phase === 'stopping')
       releaseRun(state, run, `not there: ${run.stopReason ?? result.outcome}`, { now });
--- a/src/systems/scheduler/workerRooms.ts
+++ b/src/systems/scheduler/workerRooms.ts
@@ -10,7 +10,7 @@
 const SETTLING_MS = 1_500;
 
 /** Why nothing may start on a worker any more, whatever was ordered before. */
-export function explainLeaving(state: SchedulerState, worker: WorkerRow): string | undefined {
+export function findClosingReason(state: SchedulerState, worker: WorkerRow): string | undefined {
   if (worker.identity.isDraining) return 'it is draining';
   if (state.operator.zonesOut.has(worker.identity.zone)) return 'its zone is out of service';
   return undefined;
@@ -26,8 +26,8 @@
   if (agent?.link !== 'open') return 'no link to its agent';
   if (agent.workerKey !== worker.id) return 'it has restarted';
   if (!worker.isFenced) return 'its runs are not known yet';
-  const leaving = explainLeaving(state, worker);
-  if (leaving !== undefined) return leaving;
+  const closing = findClosingReason(state, worker);
+  if (closing !== undefined) return closing;
   if (worker.strangers > 0) return 'it runs what the owner does not know';
   if (now < worker.troubledUntil) return 'it has rejected or failed work';
   if (now - worker.lastReportAt > REPORT_FRESH_MS) return 'its reports are old';
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -164,6 +164,7 @@
       isReachable: true,
       dropAnswers: 0,
       disturb: () => undefined,
+      heldUntil: 0,
       hasLeft: false,
       beats: 0,
       shape,
@@ -312,7 +313,7 @@
         const [entryId] = [...agent.links].find(([, link]) => link === effect.linkId) ?? [];
         const entry = this.entries.find(({ id }) => id === entryId);
         if (entry !== undefined)
-          this.deliver(LINK_MS, entry, {
+          this.deliver(Math.max(LINK_MS, agent.heldUntil - this.clock.now), entry, {
             kind: 'agentMessage',
             agentId: agent.id,
             message: effect.message,
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -42,6 +42,8 @@
   isReachable: boolean;
   /** How many of the next orders the worker leaves undone and unanswered. */
   dropAnswers: number;
+  /** Until when the agent's messages to owners are held up on their way. */
+  heldUntil: number;
   /** What goes wrong with a call to the worker. */
   disturb: (call: RunnerCall) => RunnerDisturbance | undefined;
   /** Whether the worker has ended and answers nothing. */
@@ -128,7 +130,9 @@
 ): { readonly reply: RunnerReply; readonly delayMs: number } {
   const isDropped = call.op !== 'hold' && agent.dropAnswers > 0;
   if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
-  const disturbance = agent.hasLeft || isDropped ? 'dropped' : agent.disturb(call);
+  if (agent.hasLeft)
+    return { reply: { kind: 'unreachable', message: 'ECONNREFUSED' }, delayMs: ANSWER_MS };
+  const disturbance = isDropped ? 'dropped' : agent.disturb(call);
   if (disturbance === 'dropped')
     return { reply: { kind: 'noAnswer', message: 'no answer in time' }, delayMs: timeoutMs };
   if (disturbance === 'refused')
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -52,6 +52,28 @@
       expect(readPhase(world, world.entries[0]!)).toBe('completed');
     });
 
+    it('does not stop a run that works because the answers to its start are lost', () => {
+      const world = createUnansweredStart('lost');
+      world.run(4_000);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+      expect(readPhase(world, world.entries[0]!)).toBe('completed');
+    });
+
+    it('does not start a done task again whose end the worker does not list yet', () => {
+      const { world, entry } = createWorld(1, 3);
+      world.behave = () => ({ durationMs: 10, how: 'done' });
+      for (const agent of world.agents) {
+        agent.disturb = (call) => (call.op === 'start' && call.run === 1 ? 'silent' : undefined);
+        agent.runner.maxListedEnds = 0;
+      }
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      for (const agent of world.agents) agent.runner.maxListedEnds = 500;
+      world.run(1_000);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
     it('does not wait for the end of a lease to start a task that nothing runs', () => {
       const { world, entry } = createWorld(1, 3);
       for (const agent of world.agents)
@@ -79,6 +101,35 @@
       expect(readPhase(world, entry!)).toBe('completed');
     });
 
+    it('does not take a rejection that crossed a repetition for the answer to it', () => {
+      const { world, entry } = createWorld(1, 3);
+      world.behave = () => ({ durationMs: 2_500, how: 'done' });
+      let starts = 0;
+      for (const agent of world.agents)
+        agent.disturb = (call) => {
+          if (call.op !== 'start' || (starts += 1) > 1) return undefined;
+          // Longer than the owner waits before it sends the start again.
+          agent.heldUntil = world.clock.now + 1_200;
+          return 'refused';
+        };
+      world.submit(entry, JOB, [{ count: 1 }]);
+      expect(countMostRuns(world, 6_000)).toBe(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('does not wait for the next repetition when a link is open again', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      agent!.disturb = (call) => (call.op === 'start' ? 'dropped' : undefined);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(20);
+      agent!.disturb = () => undefined;
+      world.closeAgentLink(entry, agent!);
+      // The link is tried again after 250 ms.
+      world.run(400);
+      expect(agent!.runner.starts).toHaveLength(1);
+    });
+
     it('does not take draining for proof that an earlier start was not carried out', () => {
       const world = createUnansweredStart('silent');
       world.run(20);
@@ -127,18 +178,25 @@
   });
 
   describe('with a worker that leaves', () => {
-    it('does not take one look without an answer for proof that the worker is gone', () => {
-      const { world, entry } = createWorld(1, 3);
-      world.behave = () => ({ durationMs: 2_000, how: 'done' });
-      world.submit(entry, JOB, [{ count: 1 }]);
-      world.run(100);
-      const holder = findHolder(world);
-      let looks = 0;
-      holder.disturb = (call) => (call.op === 'hold' && (looks += 1) === 1 ? 'lost' : undefined);
-      world.leaveRunner(holder, false);
-      expect(countMostRuns(world, 3_000)).toBe(1);
-      expect(readPhase(world, entry)).toBe('completed');
-    });
+    it.each([
+      ['lost', 2],
+      ['refused', 3],
+    ] as const)(
+      'does not take looks that are %s for proof that it is gone',
+      (disturbance, count) => {
+        const { world, entry } = createWorld(1, 3);
+        world.behave = () => ({ durationMs: 2_000, how: 'done' });
+        world.submit(entry, JOB, [{ count: 1 }]);
+        world.run(100);
+        const holder = findHolder(world);
+        let looks = 0;
+        holder.disturb = (call) =>
+          call.op === 'hold' && (looks += 1) <= count ? disturbance : undefined;
+        world.leaveRunner(holder, false);
+        expect(countMostRuns(world, 3_000)).toBe(1);
+        expect(readPhase(world, entry)).toBe('completed');
+      },
+    );
   });
 
   describe('with a zone that goes out of service', () => {
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -38,6 +38,7 @@
     pacedAt: 0,
     placedAt: 0,
     progressAt: 0,
+    attempts: 1,
     overSince: undefined,
     stopReason: undefined,
   };
