--- a/tools/summaryReporter.ts
+++ b/tools/summaryReporter.ts
@@ -1,4 +1,5 @@
 import type { Reporter, TestModule } from 'vitest/node';
+import { formatTestCounts } from './testCounts.ts';
 
 /** Prints the numbers of passed, failed and skipped tests as the last line. */
 export default class SummaryReporter implements Reporter {
@@ -10,8 +11,6 @@
         if (state === 'passed' || state === 'failed' || state === 'skipped') counts[state] += 1;
       }
     }
-    process.stdout.write(
-      `\n${counts.passed} passed, ${counts.failed} failed, ${counts.skipped} skipped\n`,
-    );
+    process.stdout.write(`\n${formatTestCounts(counts)}\n`);
   }
 }
