Give the timetable of the scheduler a file of its own

Change: `Timetable` and its creation move to `timetable.ts`, the creation of `self` to a function. Nothing else changes.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -8,6 +8,8 @@
 import type { QueueCall } from './queueCall.ts';
 import type { Queue, QueueConfiguration } from './queueConfiguration.ts';
 import type { JobStatus, EntryHint } from './links.ts';
+import type { Timetable } from './timetable.ts';
+import { createTimetable } from './timetable.ts';
 import type { AgentRow, JobRow, ListedEnd, RunRow, TaskRow, WorkerRow } from './rows.ts';
 
 /** A caller's call that has not been answered. */
@@ -93,23 +95,6 @@
   sequence: number;
 }
 
-/** When systems that look now and then do so next, and what they remember between turns; clock ms. */
-export interface Timetable {
-  pacingAt: number;
-  stallAt: number;
-  copyAt: number;
-  /** Latest start of a filling task that had been held for long. */
-  heldStartAt: number;
-  preemptionAt: number;
-  retentionAt: number;
-  newsSentAt: number;
-  /** Since when the link to the owner has been opening. */
-  ownerOpeningAt: number;
-  stopStartedAt: number;
-  /** Wall clock minus monotonic clock in the turn before. */
-  lastOffsetMs: number | undefined;
-}
-
 /** All state of an entry of the scheduler. */
 export interface SchedulerState {
   readonly inbox: Mailbox<SchedulerArrival>;
@@ -190,14 +175,7 @@
     inbox: Mailbox.create<SchedulerArrival>(),
     outbox: Mailbox.create<SchedulerEffect>(),
     counters: Counters.create(),
-    self: {
-      id: identity.id,
-      bootId: identity.bootId,
-      zone: identity.zone,
-      address: '',
-      phase: 'starting',
-      stopAt: NEVER,
-    },
+    self: createSelf(identity),
     bounds: identity.bounds,
     zones: identity.zones,
     wallOffsetMs: 0,
@@ -241,6 +219,10 @@
   };
 }
 
+function createSelf({ id, bootId, zone }: SchedulerIdentity): SchedulerState['self'] {
+  return { id, bootId, zone, address: '', phase: 'starting', stopAt: NEVER };
+}
+
 function createAdviceCall(): AdviceCallState {
   return {
     callId: '',
@@ -253,21 +235,6 @@
   };
 }
 
-function createTimetable(): Timetable {
-  return {
-    pacingAt: NEVER,
-    stallAt: NEVER,
-    copyAt: NEVER,
-    heldStartAt: NEVER,
-    preemptionAt: NEVER,
-    retentionAt: NEVER,
-    newsSentAt: NEVER,
-    ownerOpeningAt: NEVER,
-    stopStartedAt: NEVER,
-    lastOffsetMs: undefined,
-  };
-}
-
 function createOperatorState(): OperatorState {
   return {
     configuration: undefined,
