Split the wait of tasks by queue

Change: the duration has the label `queue`, the name of the route. The number of queues in the configuration bounds it.

Conclusion: a look at the metrics page shows the queue that waits.

--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -184,7 +184,9 @@
     const placedChange = recordJobChange(state, task.jobId);
     state.runs.set(createRunRow(task, run, room.worker.id, 'placed', placedChange, now));
     state.counters.add('placements');
-    recordDuration(state, 'task_wait_duration_ms', now - task.readyAt);
+    recordDuration(state, 'task_wait_duration_ms', now - task.readyAt, {
+      queue: state.jobs.get(task.jobId)?.job.queue ?? '',
+    });
     logEvent(state, 'info', 'task_placed', {
       task: task.id,
       run,
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -272,6 +272,20 @@
     });
   });
 
+  describe('on the metrics page', () => {
+    it('does not mix the waits of two queues', async () => {
+      const other = { ...ROUTE, name: 'r-2', prefix: '/other/' };
+      store.write('op/config', { version: 4, routes: [ROUTE, other], services: [], limits: {} });
+      await waitFor(() => entry.state.operator.queues.size === 2);
+      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 2 }] });
+      await send(FRONT_PORT, 'POST', '/other/00000000000000b2', { steps: [{ count: 1 }] });
+      await waitFor(() => runner.runner.starts.length === 3);
+      const page = await entry.metrics.render([], []);
+      expect(page).toContain('bramleyladder_task_wait_duration_ms_count{queue="r-1"} 2');
+      expect(page).toContain('bramleyladder_task_wait_duration_ms_count{queue="r-2"} 1');
+    });
+  });
+
   describe('for runners', () => {
     it('does not take a beat with missing or foreign fields for a runner', async () => {
       const bad = [{ state: 'asleep' }, { capacity: 3 }, { seq: 'x' }, { addr: null }];
