--- a/src/model/scheduler/runnerCall.ts
+++ b/src/model/scheduler/runnerCall.ts
@@ -38,12 +38,16 @@
       readonly bornMs: number | undefined;
       readonly running: readonly RunningRun[];
       readonly ended: readonly EndedRun[];
+      /** Whether every end that is not acknowledged is listed. */
+      readonly isComplete: boolean;
     }
   | { readonly kind: 'done'; readonly clockMs: number }
   /** The worker refused the order for a reason: `fence`, `old`, `late`, `room` or `ticket`. */
   | { readonly kind: 'rejected'; readonly reason: string }
   /** The worker answered that it did nothing. */
   | { readonly kind: 'refused'; readonly message: string }
+  /** No connection could be made, so nothing was done. */
+  | { readonly kind: 'unreachable'; readonly message: string }
   /** Another incarnation than the addressed one answered. */
   | { readonly kind: 'otherIncarnation' }
   /** No answer: the call may have been carried out, or may be carried out later. */
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -1,5 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerReply } from '../../model/scheduler/runnerCall.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, sendOwner, sendRunnerCall } from './agentCalls.ts';
@@ -9,6 +10,8 @@
 /** Answers come within milliseconds after the wait; a busy instance is a few times slower. */
 const ANSWER_MS = 600;
 const RETRY_MS = 100;
+/** Looks in a row without an answer after which a worker that said it ends is gone. */
+const GONE_AFTER_FAILURES = 2;
 /** While listed ends are not acknowledged every look returns at once, so the next one pauses. */
 const UNACKNOWLEDGED_PAUSE_MS = 200;
 
@@ -60,13 +63,18 @@
     );
   }
 
+  /** Whether a worker that said it ends has ended; one answer alone may be lost on its way. */
+  private isGone({ hold }: RunnerAgentState, reply: RunnerReply): boolean {
+    return reply.kind === 'unreachable' || hold.failures >= GONE_AFTER_FAILURES;
+  }
+
   private receiveReply(state: RunnerAgentState, reply: RunnerReply, now: number): void {
     const { hold, worker, lease } = state;
     hold.callId = '';
     if (reply.kind !== 'lists') {
       hold.failures += 1;
       hold.nextAt = now + RETRY_MS;
-      if (state.workerExit === 'leaving') {
+      if (state.workerExit === 'leaving' && this.isGone(state, reply)) {
         state.workerExit = 'gone';
         state.self.isRegistered = false;
         state.self.registerAt = now;
@@ -85,7 +93,11 @@
       hold.nextAt = now + RETRY_MS;
       return;
     }
-    hold.finished = hold.sent;
+    // A list that is cut short does not show which runs are not there.
+    if (reply.isComplete) hold.finished = hold.sent;
+    hold.listed = new Set(
+      [...reply.running, ...reply.ended].map(({ task, run }) => formatRunId(task, run)),
+    );
     hold.clockMs = reply.clockMs;
     hold.lastListed = reply.ended.reduce((last, end) => Math.max(last, end.number), 0);
     hold.nextAt = hold.lastListed > lease.lastSeen ? now + UNACKNOWLEDGED_PAUSE_MS : now;
@@ -96,6 +108,7 @@
       clockMs: reply.clockMs,
       running: [...reply.running],
       ended: [...reply.ended],
+      isComplete: reply.isComplete,
     });
     state.owner.reportAt = now + WAIT_MS;
   }
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -9,7 +9,7 @@
 import { CLOCK_DRIFT, LEASE_MARGIN_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
-import { explainClosedWorker } from './workerRooms.ts';
+import { explainClosedWorker, explainLeaving } from './workerRooms.ts';
 import { recordTrouble } from './workerTrouble.ts';
 
 type StartResult = Extract<AgentMessage, { kind: 'startResult' }>;
@@ -60,10 +60,16 @@
     }
     state.counters.add('starts_sent');
     state.runs.update(run.id, { phase: 'starting', placedAt: tick.now, progressAt: tick.now });
-    this.sendStart(state, run, worker, tick.now);
+    this.sendStart(state, run, worker, tick.now, false);
   }
 
-  private sendStart(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
+  private sendStart(
+    state: SchedulerState,
+    run: RunRow,
+    worker: WorkerRow,
+    now: number,
+    isRepeated: boolean,
+  ): void {
     const job = state.jobs.get(run.jobId);
     const leaseMs = getRunLeaseMs(state);
     state.workers.update(worker.id, {
@@ -84,6 +90,7 @@
         checkpoint: run.checkpoint,
         ticket: findRunTicket(state, run, now),
         leaseUntilMs: Math.floor(worker.clockMs + leaseMs),
+        isRepeated,
       },
     });
   }
@@ -98,20 +105,24 @@
     if (worker === undefined || state.agents.get(worker.agentId)?.link !== 'open') return;
     const isReopened = reopened.has(worker.agentId);
     const isDue = tick.now - run.placedAt >= REPEAT_MS;
-    if (run.phase === 'starting' && (isReopened || isDue)) {
-      state.runs.update(run.id, { placedAt: tick.now });
-      this.sendStart(state, run, worker, tick.now);
+    const isOrderDue = isReopened || isDue;
+    const stopReason =
+      run.stopReason ?? (run.phase === 'starting' ? explainLeaving(state, worker) : undefined);
+    if (stopReason !== undefined) {
+      if (run.phase !== 'stopping' || isOrderDue)
+        this.sendStop(state, { ...run, stopReason }, worker, tick.now);
+      tick.wakeAt(tick.now + REPEAT_MS);
+    } else if (run.phase === 'starting') {
+      if (isOrderDue) {
+        state.runs.update(run.id, { placedAt: tick.now });
+        this.sendStart(state, run, worker, tick.now, true);
+      }
+      tick.wakeAt(run.placedAt + REPEAT_MS);
     }
-    if (run.phase === 'starting') tick.wakeAt(run.placedAt + REPEAT_MS);
-    if (run.stopReason === undefined) return;
-    // A run that may not have arrived yet is stopped once its start is answered.
-    const canStop = run.phase === 'running' || (run.phase === 'stopping' && (isReopened || isDue));
-    if (canStop) this.sendStop(state, run, worker, tick.now);
-    tick.wakeAt(tick.now + REPEAT_MS);
   }
 
   private sendStop(state: SchedulerState, run: RunRow, worker: WorkerRow, now: number): void {
-    if (run.phase === 'running') {
+    if (run.phase !== 'stopping') {
       logEvent(state, 'info', 'run_stopped', {
         task: run.taskId,
         run: run.run,
@@ -120,7 +131,7 @@
       });
       state.counters.add('stops_sent', { reason: run.stopReason ?? '' });
     }
-    state.runs.update(run.id, { phase: 'stopping', placedAt: now });
+    state.runs.update(run.id, { phase: 'stopping', stopReason: run.stopReason, placedAt: now });
     state.outbox.append({
       kind: 'orderAgent',
       agentId: worker.agentId,
@@ -136,18 +147,29 @@
   ): void {
     const run = state.runs.get(formatRunId(result.task, result.run));
     const worker = state.workers.get(run?.workerKey ?? '');
-    if (run?.phase !== 'starting' || worker?.agentId !== agentId) return;
+    if (run === undefined || worker?.agentId !== agentId) return;
     if (worker.identity.bornMs !== result.bornMs) return;
-    if (result.outcome === 'started') {
+    const isStarting = run.phase === 'starting';
+    if (isStarting && result.outcome === 'started')
       state.runs.update(run.id, { phase: 'running', progressAt: now });
-      return;
-    }
-    // An end that the worker lists decides; the run was there.
-    if (result.outcome === 'ended') return;
+    // The worker lists the run, so its listed end decides.
+    if (result.outcome === 'started' || result.outcome === 'listed') return;
+    if (isStarting) this.releaseRejected(state, run, worker, result.outcome, now);
+    else if (run.phase === 'stopping')
+      releaseRun(state, run, `not there: ${run.stopReason ?? result.outcome}`, { now });
+  }
+
+  private releaseRejected(
+    state: SchedulerState,
+    run: RunRow,
+    worker: WorkerRow,
+    outcome: string,
+    now: number,
+  ): void {
     // A ticket that ended on the way says nothing about the worker.
-    if (result.outcome === 'ticket') dropRunTicket(state, run);
-    else recordTrouble(state, worker.id, `rejected: ${result.outcome}`, now);
-    state.counters.add('start_rejections', { reason: result.outcome });
-    releaseRun(state, run, `rejected: ${result.outcome}`, { now });
+    if (outcome === 'ticket') dropRunTicket(state, run);
+    else recordTrouble(state, worker.id, `rejected: ${outcome}`, now);
+    state.counters.add('start_rejections', { reason: outcome });
+    releaseRun(state, run, `rejected: ${outcome}`, { now });
   }
 }
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -14,9 +14,6 @@
 import { PlatformRunnerStandIn, PlatformStoreStandIn } from '../support/platformStandIn.ts';
 import { BOUNDS } from '../support/worldNodes.ts';
 
-const FRONT_PORT = 17_361;
-const BEAT_PORT = 17_362;
-const STATUS_PORT = 17_364;
 const HOST = 'kits.example';
 const JOB = '00000000000000b1';
 const ROUTE = {
@@ -84,7 +81,7 @@
   let taskMs: number;
 
   async function beat(fields: Record<string, unknown> = {}): Promise<Answer> {
-    return send(BEAT_PORT, 'POST', '/bramleyladder/instances/i-1/heartbeat', {
+    return send(beats.port, 'POST', '/bramleyladder/instances/i-1/heartbeat', {
       service: 'svc',
       addr: runner.address,
       zone: 'a',
@@ -121,9 +118,9 @@
       WireRunnerClient.create(),
       LOG,
     );
-    front = await WireFront.create(`127.0.0.1:${FRONT_PORT}`, entry);
+    front = await WireFront.create('127.0.0.1:0', entry);
     beats = await WireStatusServer.create(
-      `127.0.0.1:${BEAT_PORT}`,
+      '127.0.0.1:0',
       { counters: agent.state.counters, metrics: agent.metrics, listGauges: () => [] },
       (incoming, response) =>
         receiveBeat(incoming, response, {
@@ -139,7 +136,7 @@
         }),
     );
     status = await WireStatusServer.create(
-      `127.0.0.1:${STATUS_PORT}`,
+      '127.0.0.1:0',
       { counters: entry.state.counters, metrics: entry.metrics, listGauges: () => [] },
       createEntryStatusHandler(entry),
     );
@@ -159,7 +156,7 @@
   });
 
   async function readState(): Promise<unknown> {
-    return (await send(FRONT_PORT, 'GET', `/kits/${JOB}`)).body.state;
+    return (await send(front.port, 'GET', `/kits/${JOB}`)).body.state;
   }
 
   describe('for callers', () => {
@@ -171,35 +168,35 @@
           { count: 1, after: [0] },
         ],
       };
-      expect((await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission)).status).toBe(200);
+      expect((await send(front.port, 'POST', `/kits/${JOB}`, submission)).status).toBe(200);
       await waitFor(async () => (await readState()) === 'completed');
       expect(runner.runner.starts).toHaveLength(3);
-      expect((await send(FRONT_PORT, 'GET', '/kits/')).body).toEqual({ waiting: 0 });
+      expect((await send(front.port, 'GET', '/kits/')).body).toEqual({ waiting: 0 });
     });
 
     it('does not mistake a missing queue for a missing job', async () => {
-      expect((await send(FRONT_PORT, 'GET', '/else/')).status).toBe(404);
-      expect((await send(FRONT_PORT, 'GET', '/kits/', undefined, 'other')).status).toBe(404);
-      expect((await send(FRONT_PORT, 'GET', `/kits/${JOB}`)).status).toBe(410);
-      expect((await send(FRONT_PORT, 'DELETE', `/kits/${JOB}`)).status).toBe(410);
+      expect((await send(front.port, 'GET', '/else/')).status).toBe(404);
+      expect((await send(front.port, 'GET', '/kits/', undefined, 'other')).status).toBe(404);
+      expect((await send(front.port, 'GET', `/kits/${JOB}`)).status).toBe(410);
+      expect((await send(front.port, 'DELETE', `/kits/${JOB}`)).status).toBe(410);
     });
 
     it('does not take a body that is no job', async () => {
       for (const body of ['{', '[]', '{"steps":[]}', '{"steps":[{"count":-1}]}']) {
-        const answer = await send(FRONT_PORT, 'POST', `/kits/${JOB}`, body);
+        const answer = await send(front.port, 'POST', `/kits/${JOB}`, body);
         expect(answer.status).toBe(400);
         expect(answer.body.error).toEqual(expect.any(String));
       }
       const cyclic = { steps: [{ count: 1, after: [0] }] };
-      expect((await send(FRONT_PORT, 'POST', `/kits/${JOB}`, cyclic)).status).toBe(400);
-      expect((await send(FRONT_PORT, 'POST', '/kits/nothex', cyclic)).status).toBe(400);
+      expect((await send(front.port, 'POST', `/kits/${JOB}`, cyclic)).status).toBe(400);
+      expect((await send(front.port, 'POST', '/kits/nothex', cyclic)).status).toBe(400);
       expect(store.items.has(`in/j/${JOB}`)).toBe(false);
     });
 
     it('does not tell a caller to come back without a time', async () => {
       store.refuseWith = 503;
       await delay(1_500);
-      const answer = await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
+      const answer = await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
       expect(answer.status).toBe(503);
       expect(Number(answer.retryAfter)).toBeGreaterThan(0);
       store.refuseWith = undefined;
@@ -208,9 +205,9 @@
     it('does not let a cancelled job run on', async () => {
       taskMs = 60_000;
       const submission = { steps: [{ count: 1, long_running: true, cpu: 100 }] };
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission);
+      await send(front.port, 'POST', `/kits/${JOB}`, submission);
       await waitFor(async () => (await readState()) === 'running');
-      expect((await send(FRONT_PORT, 'DELETE', `/kits/${JOB}`)).status).toBe(200);
+      expect((await send(front.port, 'DELETE', `/kits/${JOB}`)).status).toBe(200);
       await waitFor(() => runner.runner.running.size === 0);
       expect(await readState()).toBe('cancelled');
     });
@@ -220,20 +217,20 @@
     it('does not keep an older configuration in force', async () => {
       const moved = { ...ROUTE, prefix: '/moved/' };
       store.write('op/config', { version: 9, routes: [moved], services: [], limits: {} });
-      await waitFor(async () => (await send(FRONT_PORT, 'GET', '/moved/')).status === 200);
-      expect((await send(FRONT_PORT, 'GET', '/kits/')).status).toBe(404);
+      await waitFor(async () => (await send(front.port, 'GET', '/moved/')).status === 200);
+      expect((await send(front.port, 'GET', '/kits/')).status).toBe(404);
     });
 
     it('does not give up the configuration in force for one that cannot be read', async () => {
       store.writeBytes('op/config', 'no json');
       await delay(300);
-      expect((await send(FRONT_PORT, 'GET', '/kits/')).status).toBe(200);
+      expect((await send(front.port, 'GET', '/kits/')).status).toBe(200);
     });
 
     it('does not start tasks in a zone that is out of service', async () => {
       store.write('op/evacuate/a', {});
       await waitFor(() => entry.state.operator.zonesOut.has('a'));
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
       await delay(300);
       expect(runner.runner.starts).toHaveLength(0);
     });
@@ -254,9 +251,9 @@
           { count: 2, after: [0] },
         ],
       };
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission);
+      await send(front.port, 'POST', `/kits/${JOB}`, submission);
       await waitFor(() => runner.runner.running.size === 1);
-      const answer = await send(STATUS_PORT, 'GET', `/v1/explain/job/${JOB}`);
+      const answer = await send(status.port, 'GET', `/v1/explain/job/${JOB}`);
       expect(answer.status).toBe(200);
       expect(answer.body).toMatchObject({
         kind: 'job',
@@ -267,8 +264,8 @@
           { id: '0.1', waiting: 2, why: 'waits for step 0 (0 of 1 done)' },
         ],
       });
-      expect((await send(STATUS_PORT, 'GET', '/v1/explain/job/f0')).status).toBe(404);
-      expect((await send(STATUS_PORT, 'GET', '/bramleyladder/ready')).status).toBe(200);
+      expect((await send(status.port, 'GET', '/v1/explain/job/f0')).status).toBe(404);
+      expect((await send(status.port, 'GET', '/bramleyladder/ready')).status).toBe(200);
     });
   });
 
@@ -277,8 +274,8 @@
       const other = { ...ROUTE, name: 'r-2', prefix: '/other/' };
       store.write('op/config', { version: 4, routes: [ROUTE, other], services: [], limits: {} });
       await waitFor(() => entry.state.operator.queues.size === 2);
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 2 }] });
-      await send(FRONT_PORT, 'POST', '/other/00000000000000b2', { steps: [{ count: 1 }] });
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 2 }] });
+      await send(front.port, 'POST', '/other/00000000000000b2', { steps: [{ count: 1 }] });
       await waitFor(() => runner.runner.starts.length === 3);
       const page = await entry.metrics.render([], []);
       expect(page).toContain('bramleyladder_task_wait_duration_ms_count{queue="r-1"} 2');
@@ -297,7 +294,7 @@
     it('does not drop known runs for lists that cannot be read', async () => {
       taskMs = 60_000;
       const submission = { steps: [{ count: 1, long_running: true, cpu: 100 }] };
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, submission);
+      await send(front.port, 'POST', `/kits/${JOB}`, submission);
       await waitFor(() => entry.state.runs.size === 1);
       for (const text of ['{', '{"clock_ms":1}', '{"clock_ms":1,"running":[[1]],"ended":[]}']) {
         runner.nextAnswer = { status: 200, text };
@@ -311,7 +308,7 @@
       await waitFor(() =>
         [...entry.state.workers.values()].every(({ identity }) => identity.isDraining),
       );
-      await send(FRONT_PORT, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 1 }] });
       await delay(300);
       expect(runner.runner.starts).toHaveLength(0);
     });
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -106,5 +106,53 @@
       expect(countMostRuns(world, 6_000)).toBe(1);
       expect(readPhase(world, entry)).toBe('completed');
     });
+
+    it('does not release runs of an incarnation on a late beat of an earlier one', () => {
+      const { world, entry } = createWorld(2, 3);
+      world.behave = () => ({ durationMs: 4_000, how: 'done' });
+      const [agent] = world.agents;
+      const bornMs = agent!.runner.bornMs;
+      world.restartRunner(agent!);
+      for (const other of world.agents.slice(1)) world.cutAgent(other);
+      world.run(100);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(200);
+      // The agent and the owner restart, and the beat of the earlier incarnation comes first.
+      agent!.disturb = (call) => (call.op === 'hold' ? 'dropped' : undefined);
+      agent!.state.worker = { ...agent!.state.worker!, id: 'earlier', bornMs };
+      for (const other of world.agents.slice(1)) other.isReachable = true;
+      world.kill(world.owner!);
+      expect(countMostRuns(world, 3_500)).toBe(1);
+    });
+  });
+
+  describe('with a worker that leaves', () => {
+    it('does not take one look without an answer for proof that the worker is gone', () => {
+      const { world, entry } = createWorld(1, 3);
+      world.behave = () => ({ durationMs: 2_000, how: 'done' });
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(100);
+      const holder = findHolder(world);
+      let looks = 0;
+      holder.disturb = (call) => (call.op === 'hold' && (looks += 1) === 1 ? 'lost' : undefined);
+      world.leaveRunner(holder, false);
+      expect(countMostRuns(world, 3_000)).toBe(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+  });
+
+  describe('with a zone that goes out of service', () => {
+    it('does not repeat a start that the worker has not carried out', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      agent!.disturb = (call) => (call.op === 'start' ? 'dropped' : undefined);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(50);
+      world.closeAgentLink(entry, agent!);
+      entry.state.operator.zonesOut.add('a');
+      agent!.disturb = () => undefined;
+      world.run(2_000);
+      expect(agent!.runner.starts).toEqual([]);
+    });
   });
 });
