Explain filling tasks that are queued

Cause: filling tasks now wait while those placed ask for the processors that are left. `explain` knew only tasks held back for a serving task and would have said that there is room.

Change: it asks the queueing policy too and says that they are queued.

--- a/src/systems/scheduler/waitReasons.ts
+++ b/src/systems/scheduler/waitReasons.ts
@@ -8,6 +8,7 @@
   FirstFitTaskPlacement,
   formatStepKey,
   HoldingTaskPlacement,
+  QueueingTaskPlacement,
   takeRoom,
 } from './taskPlacementPolicy.ts';
 import { CONFIRMED_FRESH_MS, PROOF_FRESH_MS } from './taskPlacementSystem.ts';
@@ -15,6 +16,7 @@
 import { explainClosedWorker } from './workerRooms.ts';
 
 const HOLDING = HoldingTaskPlacement.create(FirstFitTaskPlacement.create());
+const QUEUEING = QueueingTaskPlacement.create(FirstFitTaskPlacement.create());
 
 /**
  * Why a ready task has no worker, by the conditions of the placement system in their order. Reads
@@ -44,6 +46,8 @@
   const fitting = allowed.filter((room) => canHold(room, task));
   if (fitting.length === 0)
     return `no room: ${formatReasons(allowed.map((room) => explainFullRoom(room, task)))}`;
+  if (QUEUEING.choose(task, fitting) === undefined)
+    return 'queued: the filling tasks placed before it ask for the processors that are left';
   if (HOLDING.choose(task, fitting) === undefined)
     return 'held back: on every worker with room a serving task would come near its latency target';
   return 'there is room; it is placed in a coming turn';
--- a/test/systems/scheduler/jobExplanation.test.ts
+++ b/test/systems/scheduler/jobExplanation.test.ts
@@ -115,6 +115,12 @@
       );
     });
 
+    it('does not take room for filling tasks for processors that are left', () => {
+      expect(explainWait({ count: 9, cpuMillis: 8_000, fills: true })).toMatch(
+        /^queued: the filling tasks placed before it ask for the processors that are left/,
+      );
+    });
+
     it('does not blame the workers while the store is away', () => {
       const { world, entry } = createWorld(1, 2);
       world.submit(entry, JOB, [{ cpuMillis: 900_000 }]);
