--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -8,7 +8,9 @@
 import type { QueueCall } from './queueCall.ts';
 import type { Queue, QueueConfiguration } from './queueConfiguration.ts';
 import type { JobStatus, EntryHint } from './links.ts';
-import type { AgentRow, JobRow, ListedEnd, RunRow, TaskRow, WorkerRow } from './rows.ts';
+import type { Timetable } from './timetable.ts';
+import { createTimetable } from './timetable.ts';
+import type { AgentRow, JobRow, ListedEnd, MoveRow, RunRow, TaskRow, WorkerRow } from './rows.ts';
 
 /** A caller's call that has not been answered. */
 export interface CallRow {
@@ -54,6 +56,8 @@
   confirmedAt: number;
   renewAt: number;
   claimAt: number;
+  /** Id of the owner, when it is another entry and its record has been read. */
+  ownerId: string;
   /** Address of the owner, when it is another entry. */
   ownerAddress: string;
   ownerLink: 'closed' | 'opening' | 'open';
@@ -93,23 +97,6 @@
   sequence: number;
 }
 
-/** When systems that look now and then do so next, and what they remember between turns; clock ms. */
-export interface Timetable {
-  pacingAt: number;
-  stallAt: number;
-  copyAt: number;
-  /** Latest start of a filling task that had been held for long. */
-  heldStartAt: number;
-  preemptionAt: number;
-  retentionAt: number;
-  newsSentAt: number;
-  /** Since when the link to the owner has been opening. */
-  ownerOpeningAt: number;
-  stopStartedAt: number;
-  /** Wall clock minus monotonic clock in the turn before. */
-  lastOffsetMs: number | undefined;
-}
-
 /** All state of an entry of the scheduler. */
 export interface SchedulerState {
   readonly inbox: Mailbox<SchedulerArrival>;
@@ -158,6 +145,8 @@
   readonly runsByTask: TableIndex<RunRow>;
   readonly runsByWorker: TableIndex<RunRow>;
   readonly runsByJob: TableIndex<RunRow>;
+  readonly moves: Table<MoveRow>;
+  readonly movesByJob: TableIndex<MoveRow>;
   readonly workers: Table<WorkerRow>;
   readonly agents: Table<AgentRow>;
   readonly slacks: Table<SlackRow>;
@@ -185,19 +174,13 @@
   const statuses = Table.create<JobStatus>('statuses');
   const tasks = Table.create<TaskRow>('tasks');
   const runs = Table.create<RunRow>('runs');
+  const moves = Table.create<MoveRow>('moves');
   const advice = Table.create<AdviceRow>('advice');
   return {
     inbox: Mailbox.create<SchedulerArrival>(),
     outbox: Mailbox.create<SchedulerEffect>(),
     counters: Counters.create(),
-    self: {
-      id: identity.id,
-      bootId: identity.bootId,
-      zone: identity.zone,
-      address: '',
-      phase: 'starting',
-      stopAt: NEVER,
-    },
+    self: createSelf(identity),
     bounds: identity.bounds,
     zones: identity.zones,
     wallOffsetMs: 0,
@@ -229,6 +212,8 @@
     runsByTask: runs.addIndex((run) => run.taskId),
     runsByWorker: runs.addIndex((run) => run.workerKey),
     runsByJob: runs.addIndex((run) => run.jobId),
+    moves,
+    movesByJob: moves.addIndex((move) => move.jobId),
     workers: Table.create<WorkerRow>('workers'),
     agents: Table.create<AgentRow>('agents'),
     slacks: Table.create<SlackRow>('slacks'),
@@ -241,6 +226,10 @@
   };
 }
 
+function createSelf({ id, bootId, zone }: SchedulerIdentity): SchedulerState['self'] {
+  return { id, bootId, zone, address: '', phase: 'starting', stopAt: NEVER };
+}
+
 function createAdviceCall(): AdviceCallState {
   return {
     callId: '',
@@ -253,21 +242,6 @@
   };
 }
 
-function createTimetable(): Timetable {
-  return {
-    pacingAt: NEVER,
-    stallAt: NEVER,
-    copyAt: NEVER,
-    heldStartAt: NEVER,
-    preemptionAt: NEVER,
-    retentionAt: NEVER,
-    newsSentAt: NEVER,
-    ownerOpeningAt: NEVER,
-    stopStartedAt: NEVER,
-    lastOffsetMs: undefined,
-  };
-}
-
 function createOperatorState(): OperatorState {
   return {
     configuration: undefined,
@@ -292,6 +266,7 @@
     confirmedAt: NEVER,
     renewAt: NEVER,
     claimAt: NEVER,
+    ownerId: '',
     ownerAddress: '',
     ownerLink: 'closed',
     ownerHeardAt: NEVER,
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -7,6 +7,7 @@
 import { PlatformStoreClient } from '../../src/platform/platformStoreClient.ts';
 import { receiveBeat } from '../../src/platform/wireBeats.ts';
 import { WireAdviceClient } from '../../src/platform/wireAdviceClient.ts';
+import { createEntryStatusHandler } from '../../src/platform/wireEntryStatus.ts';
 import { WireFront } from '../../src/platform/wireFront.ts';
 import { WireRunnerClient } from '../../src/platform/wireRunnerClient.ts';
 import { WireStatusServer } from '../../src/platform/wireStatusServer.ts';
@@ -75,6 +76,7 @@
   let agent: RunnerAgentDaemon;
   let front: WireFront;
   let beats: WireStatusServer;
+  let status: WireStatusServer;
   let invalidBeats: string[];
   let taskMs: number;
 
@@ -133,6 +135,11 @@
           },
         }),
     );
+    status = await WireStatusServer.create(
+      '127.0.0.1:0',
+      { counters: entry.state.counters, metrics: entry.metrics, listGauges: () => [] },
+      createEntryStatusHandler(entry),
+    );
     await waitFor(() => entry.isReady && entry.state.ownership.role === 'owner');
     expect((await beat()).status).toBe(200);
     await waitFor(() => [...entry.state.workers.values()].some(({ isFenced }) => isFenced));
@@ -141,6 +148,7 @@
   afterEach(() => {
     front.dispose();
     beats.dispose();
+    status.dispose();
     entry.dispose();
     agent.dispose();
     store.dispose();
@@ -234,6 +242,47 @@
     });
   });
 
+  describe('for on-call engineers', () => {
+    it('does not hide where the steps of a job stand', async () => {
+      taskMs = 60_000;
+      const submission = {
+        steps: [
+          { count: 1, cpu: 500 },
+          { count: 2, after: [0] },
+        ],
+      };
+      await send(front.port, 'POST', `/kits/${JOB}`, submission);
+      await waitFor(() => runner.runner.running.size === 1);
+      const answer = await send(status.port, 'GET', `/v1/explain/job/${JOB}`);
+      expect(answer.status).toBe(200);
+      expect(answer.body).toMatchObject({
+        kind: 'job',
+        entry: 'e-1',
+        queue: 'r-1',
+        steps: [
+          { id: '0.0', active: 1, why: '' },
+          { id: '0.1', waiting: 2, why: 'waits for step 0 (0 of 1 done)' },
+        ],
+      });
+      expect((await send(status.port, 'GET', '/v1/explain/job/f0')).status).toBe(404);
+      expect((await send(status.port, 'GET', '/bramleyladder/ready')).status).toBe(200);
+    });
+  });
+
+  describe('on the metrics page', () => {
+    it('does not mix the waits of two queues', async () => {
+      const other = { ...ROUTE, name: 'r-2', prefix: '/other/' };
+      store.write('op/config', { version: 4, routes: [ROUTE, other], services: [], limits: {} });
+      await waitFor(() => entry.state.operator.queues.size === 2);
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 2 }] });
+      await send(front.port, 'POST', '/other/00000000000000b2', { steps: [{ count: 1 }] });
+      await waitFor(() => runner.runner.starts.length === 3);
+      const page = await entry.metrics.render([], []);
+      expect(page).toContain('bramleyladder_task_wait_duration_ms_count{queue="r-1"} 2');
+      expect(page).toContain('bramleyladder_task_wait_duration_ms_count{queue="r-2"} 1');
+    });
+  });
+
   describe('for runners', () => {
     it('does not take a beat with missing or foreign fields for a runner', async () => {
       const bad = [{ state: 'asleep' }, { capacity: 3 }, { seq: 'x' }, { addr: null }];
