Keep the process up on request lines that are no URL

Cause: `new URL` throws on the target `//`, and `decodeURIComponent` on malformed escapes such as `%E0`. The fronts of jobs, operators, announcements, beats and links called both in handlers without a catch, so one bad request line could end an entry or an agent. Such a request gets its ordinary 404 or 400.

--- a/src/daemons/agentDaemon.ts
+++ b/src/daemons/agentDaemon.ts
@@ -17,6 +17,7 @@
 import { ENTRY_SERVICE, GrpcLinks } from '../protocol/node/grpc.ts';
 import { HttpAttemptTransport } from '../protocol/node/httpAttemptTransport.ts';
 import type { JsonRequest } from '../protocol/node/jsonServer.ts';
+import { decodePathPart } from '../protocol/node/requestPath.ts';
 import { JsonServer } from '../protocol/node/jsonServer.ts';
 import type { WorkerClient } from '../protocol/node/workerClient.ts';
 import { HttpWorkerClient } from '../protocol/node/workerClient.ts';
@@ -160,7 +161,8 @@
       return true;
     }
     if (request.method === 'DELETE' && request.path.startsWith(`${ENDPOINT_PATH}/`)) {
-      const name = decodeURIComponent(request.path.slice(ENDPOINT_PATH.length + 1));
+      const name = decodePathPart(request.path.slice(ENDPOINT_PATH.length + 1));
+      if (name === undefined) return false;
       this.loop.receive({ kind: 'endpointLeaving', name });
       answer({ kind: 'value', value: { leaving: name } });
       return true;
--- a/src/platform/wireFront.ts
+++ b/src/platform/wireFront.ts
@@ -6,6 +6,7 @@
 import { parseAddress } from '../daemons/schedulerSettings.ts';
 import type { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
 import type { QueueAnswer, QueueCall } from '../model/scheduler/queueCall.ts';
+import { readRequestTarget } from '../protocol/node/requestPath.ts';
 import { readJsonBody } from './wireBody.ts';
 import { decodeJob } from './wireJobs.ts';
 
@@ -50,7 +51,7 @@
       this.send(response, body.kind === 'tooLarge' ? 413 : 400, { error: message });
       return;
     }
-    const path = new URL(request.url ?? '/', 'http://localhost').pathname;
+    const { path } = readRequestTarget(request.url);
     const forget = this.daemon.call(
       {
         host: (request.headers.host ?? '').toLowerCase(),
--- a/src/protocol/node/jsonServer.ts
+++ b/src/protocol/node/jsonServer.ts
@@ -4,6 +4,7 @@
 import type { JsonAnswer } from '../../model/effects.ts';
 import { formatFailureBody } from '../common/failureBody.ts';
 import { getHttpPort, openHttpServer } from '../../base/node/httpListening.ts';
+import { readRequestTarget } from './requestPath.ts';
 
 const MAX_BODY_BYTES = 1024 * 1024;
 
@@ -43,7 +44,7 @@
   request: IncomingMessage,
   bytes: Uint8Array,
 ): JsonRequest | undefined {
-  const url = new URL(request.url ?? '/', 'http://localhost');
+  const { path, query } = readRequestTarget(request.url);
   let body: unknown;
   if (bytes.byteLength > 0) {
     try {
@@ -52,7 +53,7 @@
       return undefined;
     }
   }
-  return { method: request.method ?? 'GET', path: url.pathname, query: url.searchParams, body };
+  return { method: request.method ?? 'GET', path, query: new URLSearchParams(query), body };
 }
 
 /** A small HTTP server with JSON bodies, for operators and announcements. */
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -185,6 +185,15 @@
       expect(store.items.has(`in/j/${JOB}`)).toBe(false);
     });
 
+    it('does not end the process on a path that is no URL', async () => {
+      expect((await send(front.port, 'GET', '//')).status).toBe(404);
+      expect((await send(front.port, 'GET', '/kits/%E0')).status).toBe(400);
+      expect(
+        (await send(beats.port, 'POST', '/bramleyladder/instances/%E0/heartbeat')).status,
+      ).toBe(404);
+      expect((await send(front.port, 'GET', '/kits/')).status).toBe(200);
+    });
+
     it('does not tell a caller to come back without a time', async () => {
       store.refuseWith = 503;
       await delay(1_500);
