--- a/src/model/effects.ts
+++ b/src/model/effects.ts
@@ -41,7 +41,12 @@
 /** An answer to an operator or to a job call: a JSON value or a failure. */
 export type JsonAnswer =
   | { readonly kind: 'value'; readonly value: unknown }
-  | { readonly kind: 'failure'; readonly failure: Failure; readonly details?: unknown };
+  | {
+      readonly kind: 'failure';
+      readonly failure: Failure;
+      readonly details?: unknown;
+      readonly retryAfterMs?: number;
+    };
 
 /** Inputs of an entry's loop. */
 export type EntryArrival =
--- a/src/model/scheduler/jobSpec.ts
+++ b/src/model/scheduler/jobSpec.ts
@@ -1,12 +1,15 @@
 import * as z from 'zod/mini';
+import type { ValueFault } from '../../base/common/parse.ts';
 
-const countSchema = z.int().check(z.minimum(0), z.maximum(100_000));
+/** Most tasks, occurrences or the like that a job may ask for. */
+const MAX_COUNT = 100_000;
+const countSchema = z.int().check(z.minimum(0), z.maximum(MAX_COUNT));
 const amountSchema = z.number().check(z.minimum(0));
 
 /** One step of a job: tasks of equal demand that may run side by side. */
 export const stepSpecSchema = z.object({
   /** Number of tasks. */
-  count: countSchema.check(z.minimum(1)),
+  count: z.int().check(z.minimum(1), z.maximum(MAX_COUNT)),
   /** Demand of one task in thousandths of a core. */
   cpuMillis: z._default(amountSchema, 0),
   memoryMb: z._default(amountSchema, 0),
@@ -42,10 +45,13 @@
 });
 export type StepSpec = z.infer<typeof stepSpecSchema>;
 
+/** A job has a step at least; the upper bound keeps a stored job small. */
+export const STEP_NUMBER_CHECKS = [z.minLength(1), z.maxLength(1_000)] as const;
+
 export const jobSpecSchema = z.object({
   /** Passed to the worker unread. */
   payload: z._default(z.string().check(z.maxLength(4_000)), ''),
-  steps: z.array(stepSpecSchema).check(z.minLength(1), z.maxLength(1_000)),
+  steps: z.array(stepSpecSchema).check(...STEP_NUMBER_CHECKS),
   /** How often the steps run; 0 for once, at once. */
   occurrences: z._default(countSchema, 0),
   /** Wall-clock time of the first occurrence, milliseconds since 1970. */
@@ -54,7 +60,23 @@
 });
 export type JobSpec = z.infer<typeof jobSpecSchema>;
 
+/** Steps that come after ones that do not precede them. */
+export function listOrderFaults(spec: JobSpec): ValueFault[] {
+  return spec.steps.flatMap((step, index) =>
+    step.after.flatMap((earlier, position) =>
+      earlier < index
+        ? []
+        : [
+            {
+              path: `steps[${index}].after[${position}]`,
+              message: 'must be the index of an earlier step',
+            },
+          ],
+    ),
+  );
+}
+
 /** Whether every step comes after steps that exist and precede it. */
 export function hasValidOrder(spec: JobSpec): boolean {
-  return spec.steps.every((step, index) => step.after.every((earlier) => earlier < index));
+  return listOrderFaults(spec).length === 0;
 }
--- a/src/platform/wireFront.ts
+++ b/src/platform/wireFront.ts
@@ -6,6 +6,7 @@
 import { parseAddress } from '../daemons/schedulerSettings.ts';
 import type { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
 import type { QueueAnswer, QueueCall } from '../model/scheduler/queueCall.ts';
+import { formatRetryAfter } from '../protocol/common/failureBody.ts';
 import { readRequestTarget } from '../protocol/node/requestPath.ts';
 import { readJsonBody } from './wireBody.ts';
 import { decodeJob } from './wireJobs.ts';
@@ -14,7 +15,6 @@
 const DEFAULT_DEADLINE_MS = 3_000;
 /** Longer than the platform keeps idle connections, so that the balancer closes them. */
 const KEEP_ALIVE_MS = 20_000;
-const MS_PER_SECOND = 1_000;
 
 /** HTTP front end for the platform's callers. It translates; the daemon decides. */
 export class WireFront implements Disposable {
@@ -87,7 +87,7 @@
         return;
       case 'refused': {
         if (answer.retryAfterMs !== undefined)
-          response.setHeader('retry-after', Math.ceil(answer.retryAfterMs / MS_PER_SECOND));
+          response.setHeader('retry-after', formatRetryAfter(answer.retryAfterMs));
         this.send(response, ERROR_ANSWERS[answer.error].status, { error: answer.message });
         return;
       }
--- a/src/protocol/common/failureBody.ts
+++ b/src/protocol/common/failureBody.ts
@@ -1,6 +1,8 @@
 import type { Failure } from '../../base/common/errors.ts';
 import { ERROR_ANSWERS } from '../../base/common/errors.ts';
 
+const MS_PER_SECOND = 1_000;
+
 /** Body of every error answer to callers and operators. */
 export interface FailureBody {
   readonly error: string;
@@ -12,6 +14,11 @@
   readonly requestId: string;
 }
 
+/** Value of the header Retry-After, whole seconds. */
+export function formatRetryAfter(retryAfterMs: number): string {
+  return String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND)));
+}
+
 export function formatFailureBody(failure: Failure, requestId: string): FailureBody {
   const { retryable, ran } = ERROR_ANSWERS[failure.kind];
   return { error: failure.kind, message: failure.message, retryable, ran, requestId };
--- a/src/protocol/node/httpFront.ts
+++ b/src/protocol/node/httpFront.ts
@@ -5,13 +5,13 @@
 import type { SeededRandom } from '../../base/common/seededRandom.ts';
 import { httpMethodSchema } from '../../model/configuration.ts';
 import type { CallerRequest, Headers, Response } from '../../model/request.ts';
-import { formatFailureBody } from '../common/failureBody.ts';
+import { formatFailureBody, formatRetryAfter } from '../common/failureBody.ts';
 import { mergeChunks } from '../common/mergeChunks.ts';
 import { getHttpPort, openHttpServer } from '../../base/node/httpListening.ts';
+import { readTimeoutMs } from './timeoutHeader.ts';
 
 /** Largest body that the front reads; a route may set a lower bound. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
-const MAX_TIMEOUT_MS = 600_000;
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Headers that belong to one connection and are not passed on. */
@@ -143,7 +143,7 @@
       if (this.open.delete(requestId)) this.options.onGone(requestId);
     });
     const idempotencyKey = readHeader(request, 'idempotency-key');
-    const timeoutMs = Number(readHeader(request, 'bramleyladder-timeout-ms') ?? Number.NaN);
+    const timeoutMs = readTimeoutMs(request.headers);
     this.options.onRequest({
       requestId,
       method: method.data,
@@ -153,7 +153,7 @@
       body,
       ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
       isRepeat: readHeader(request, 'bramleyladder-repeat') === 'true',
-      ...(timeoutMs > 0 && timeoutMs <= MAX_TIMEOUT_MS ? { timeoutMs } : {}),
+      ...(timeoutMs === undefined ? {} : { timeoutMs }),
     });
   }
 }
@@ -181,8 +181,7 @@
   retryAfterMs?: number,
 ): void {
   const answer = ERROR_ANSWERS[failure.kind];
-  if (retryAfterMs !== undefined)
-    response.setHeader('retry-after', Math.max(1, Math.ceil(retryAfterMs / 1_000)));
+  if (retryAfterMs !== undefined) response.setHeader('retry-after', formatRetryAfter(retryAfterMs));
   response.setHeader('content-type', 'application/json');
   response.setHeader('bramleyladder-ran', answer.ran);
   response.writeHead(answer.status).end(JSON.stringify(formatFailureBody(failure, requestId)));
--- a/src/protocol/node/jsonServer.ts
+++ b/src/protocol/node/jsonServer.ts
@@ -1,8 +1,8 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import { createFailure, ERROR_ANSWERS } from '../../base/common/errors.ts';
 import type { JsonAnswer } from '../../model/effects.ts';
-import { formatFailureBody } from '../common/failureBody.ts';
+import { formatFailureBody, formatRetryAfter } from '../common/failureBody.ts';
 import { getHttpPort, openHttpServer } from '../../base/node/httpListening.ts';
 import { readRequestTarget } from './requestPath.ts';
 
@@ -14,6 +14,7 @@
   /** Path without the query. */
   readonly path: string;
   readonly query: URLSearchParams;
+  readonly headers: IncomingHttpHeaders;
   /** Undefined when the body is empty. */
   readonly body: unknown;
 }
@@ -36,6 +37,8 @@
     ...formatFailureBody(answer.failure, requestId),
     ...(answer.details === undefined ? {} : { details: answer.details }),
   };
+  if (answer.retryAfterMs !== undefined)
+    response.setHeader('retry-after', formatRetryAfter(answer.retryAfterMs));
   response.writeHead(ERROR_ANSWERS[answer.failure.kind].status).end(JSON.stringify(body));
 }
 
@@ -53,21 +56,30 @@
       return undefined;
     }
   }
-  return { method: request.method ?? 'GET', path, query: new URLSearchParams(query), body };
+  const { method = 'GET', headers } = request;
+  return { method, path, query: new URLSearchParams(query), headers, body };
 }
 
-/** A small HTTP server with JSON bodies, for operators and announcements. */
+/** A small HTTP server with JSON bodies, for operators, announcements and queues. */
 export class JsonServer {
   private readonly server: Server;
 
-  private constructor(private readonly handler: JsonHandler) {
+  private constructor(
+    private readonly handler: JsonHandler,
+    private readonly getMaxBodyBytes: () => number,
+  ) {
     this.server = createServer((request, response) => {
       this.receive(request, response);
     });
   }
 
-  static async create(host: string, port: number, handler: JsonHandler): Promise<JsonServer> {
-    const server = new JsonServer(handler);
+  static async create(
+    host: string,
+    port: number,
+    handler: JsonHandler,
+    getMaxBodyBytes = (): number => MAX_BODY_BYTES,
+  ): Promise<JsonServer> {
+    const server = new JsonServer(handler, getMaxBodyBytes);
     await openHttpServer(server.server, host, port);
     return server;
   }
@@ -82,20 +94,21 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
+    const maxBytes = this.getMaxBodyBytes();
     const chunks: Buffer[] = [];
     let size = 0;
     request.on('data', (chunk: Buffer) => {
       size += chunk.byteLength;
-      if (size <= MAX_BODY_BYTES) chunks.push(chunk);
+      if (size <= maxBytes) chunks.push(chunk);
     });
     request.on('end', () => {
       const answer = (value: JsonAnswer): void => {
         sendJsonAnswer(response, value);
       };
-      if (size > MAX_BODY_BYTES) {
+      if (size > maxBytes) {
         answer({
           kind: 'failure',
-          failure: createFailure('body_too_large', `a body has at most ${MAX_BODY_BYTES} bytes`),
+          failure: createFailure('body_too_large', `a body has at most ${maxBytes} bytes`),
         });
         return;
       }
--- a/test/protocol/node/requestPath.test.ts
+++ b/test/protocol/node/requestPath.test.ts
@@ -19,7 +19,7 @@
   });
 
   describe('malformed percent escapes', () => {
-    const request = { method: 'GET', query: new URLSearchParams(), body: undefined };
+    const request = { method: 'GET', query: new URLSearchParams(), headers: {}, body: undefined };
 
     it('do not throw in the fronts of jobs and operators', () => {
       expect(parseJobCall({ ...request, path: '/bramleyladder/v1/jobs/%E0' })).toBeUndefined();
