Run the scheduler with stand-ins in one process

Change: `LocalScheduler` starts an entry of the scheduler, two agents and the queue front on loopback. The stand-ins of the store, the worker and the adviser stand behind the product's own client classes; a long poll of a stand-in is looked at every 20 ms. A worker's behaviour may depend on the payload: a run time in milliseconds, or `endless`.

--- /dev/null
+++ b/src/cli/localScheduler.ts
@@ -0,0 +1,192 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import type { Disposable } from '../base/common/disposable.ts';
+import { LogWriter } from '../base/node/logWriter.ts';
+import { NodeClock, NodeTimer, readWallClock } from '../base/node/nodeClock.ts';
+import { RunnerAgentDaemon } from '../daemons/runnerAgentDaemon.ts';
+import { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
+import type { PlatformBounds } from '../model/scheduler/bounds.ts';
+import type { Queue } from '../model/scheduler/queueConfiguration.ts';
+import { OPERATOR_KEYS } from '../model/scheduler/queueConfiguration.ts';
+import { QueueFront } from '../protocol/node/queueFront.ts';
+import { MemoryAdviceClient } from '../standins/memoryAdviceClient.ts';
+import { MemoryAdviser } from '../standins/memoryAdviser.ts';
+import type { RunBehaviour } from '../standins/memoryRunner.ts';
+import { MemoryRunner } from '../standins/memoryRunner.ts';
+import { MemoryRunnerClient } from '../standins/memoryRunnerClient.ts';
+import { MemoryStore } from '../standins/memoryStore.ts';
+import { MemoryStoreClient } from '../standins/memoryStoreClient.ts';
+import { computeCommandWork } from './worker.ts';
+
+const HOST = '127.0.0.1';
+const ZONE = 'busan-a';
+const SERVICE = 'batch';
+const WORKERS = 2;
+/** Small enough that a gang of three tasks of two cores needs both workers. */
+const WORKER_CAPACITY = { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 };
+/** Payload of tasks that run until they are stopped. */
+export const ENDLESS_PAYLOAD = 'endless';
+/** Times that the stand-ins keep; of the size of the users' platform, see docs/platform.md. */
+const BOUNDS: PlatformBounds = {
+  holdMaxMs: 6_000,
+  stopMs: 200,
+  storeLeaseMinMs: 1_000,
+  stopGraceSeconds: 6,
+  harmMs: 4_000,
+  paceMs: 100,
+  farFactor: 1.5,
+  earlyMs: 250,
+  statusSeconds: 120,
+};
+const READY_TIMEOUT_MS = 10_000;
+const READY_POLL_MS = 20;
+const ADVICE_VALID_MS = 5_000;
+
+/** The queue of local mode. */
+export const LOCAL_QUEUE: Queue = {
+  name: 'render',
+  host: 'local',
+  prefix: '/render/',
+  service: SERVICE,
+  priority: 0,
+  attempts: 3,
+  stretch: 2,
+  latencyObjectiveMs: 500,
+};
+
+/** A start of a task, in the order of the times at which the workers carried them out. */
+export interface LocalStart {
+  readonly task: string;
+  readonly worker: string;
+  readonly at: number;
+}
+
+const TIMES = { clock: NodeClock.create(), timer: NodeTimer.create() };
+
+/** The payload says how the task behaves: its run time in milliseconds, or `endless`. */
+function toBehaviour(payload: string): RunBehaviour {
+  if (payload === ENDLESS_PAYLOAD)
+    return {
+      durationMs: Number.POSITIVE_INFINITY,
+      how: 'done',
+      computeLatency: () => 0,
+    };
+  const words = payload === '' ? [] : payload.split(' ');
+  return { durationMs: computeCommandWork('', words), how: 'done' };
+}
+
+function writeConfiguration(store: MemoryStore): void {
+  const configuration = { version: 1, queues: [LOCAL_QUEUE], maxBodyBytes: 262_144 };
+  store.handle({
+    op: 'write',
+    key: OPERATOR_KEYS.configuration,
+    expectedVersion: 0,
+    value: { kind: 'configuration', configuration },
+  });
+}
+
+async function openAgent(
+  index: number,
+  store: MemoryStore,
+  runner: MemoryRunner,
+  log: LogWriter,
+): Promise<RunnerAgentDaemon> {
+  const agent = await RunnerAgentDaemon.create(
+    { id: `agent-${index}`, zone: ZONE },
+    { host: HOST, port: 0 },
+    MemoryStoreClient.create(store, TIMES),
+    MemoryRunnerClient.create(runner, TIMES),
+    log,
+  );
+  const identity = {
+    id: `worker-${index}`,
+    bornMs: runner.bornMs,
+    service: SERVICE,
+    address: `worker-${index}`,
+    zone: ZONE,
+    labels: [],
+    ...WORKER_CAPACITY,
+    isDraining: false,
+    drainLeftMs: 0,
+  };
+  agent.receiveBeat({ identity, sequence: 1 });
+  return agent;
+}
+
+/** An entry of the scheduler, two agents and their workers in one process, with the queue front on loopback. */
+export class LocalScheduler implements Disposable {
+  private constructor(
+    readonly entry: SchedulerDaemon,
+    readonly agents: readonly RunnerAgentDaemon[],
+    readonly runners: readonly MemoryRunner[],
+    private readonly front: QueueFront,
+  ) {}
+
+  static async create(port = 0, log: LogWriter = LogWriter.create(true)): Promise<LocalScheduler> {
+    const store = MemoryStore.create(TIMES.clock);
+    writeConfiguration(store);
+    const entry = await SchedulerDaemon.create(
+      { id: 'entry-0', bootId: 'local', zone: ZONE, zones: [ZONE], bounds: { ...BOUNDS } },
+      { host: HOST, port: 0 },
+      MemoryStoreClient.create(store, TIMES),
+      MemoryAdviceClient.create(
+        MemoryAdviser.create(ADVICE_VALID_MS, () => true),
+        TIMES.clock,
+      ),
+      log,
+    );
+    const runners: MemoryRunner[] = [];
+    const agents: RunnerAgentDaemon[] = [];
+    for (let index = 0; index < WORKERS; index += 1) {
+      const runner = MemoryRunner.create(TIMES.clock, readWallClock(), (_task, _run, payload) =>
+        toBehaviour(payload),
+      );
+      runner.stopMs = BOUNDS.stopMs;
+      runners.push(runner);
+      agents.push(await openAgent(index, store, runner, log));
+    }
+    const front = await QueueFront.create(HOST, port, entry);
+    return new LocalScheduler(entry, agents, runners, front);
+  }
+
+  /** Address of the queue front. */
+  get origin(): string {
+    return `http://${HOST}:${this.front.port}`;
+  }
+
+  /** Waits until the entry may start tasks on every worker. */
+  async waitReady(): Promise<void> {
+    const untilMs = TIMES.clock.now + READY_TIMEOUT_MS;
+    const isReady = (): boolean =>
+      this.entry.isReady &&
+      [...this.entry.state.workers.values()].filter(({ isFenced }) => isFenced).length === WORKERS;
+    while (!isReady()) {
+      if (TIMES.clock.now > untilMs) throw new Error('the local scheduler did not become ready');
+      await wait(READY_POLL_MS);
+    }
+  }
+
+  /** Starts of a job's tasks. Task names are relative to the job: `OCCURRENCE.STEP.INDEX`. */
+  listStarts(jobId: string): LocalStart[] {
+    return this.runners
+      .flatMap((runner, index) =>
+        runner.starts
+          .filter(({ task }) => task.startsWith(`${jobId}.`))
+          .map(({ task, at }) => ({
+            task: task.slice(jobId.length + 1),
+            worker: `worker-${index}`,
+            at,
+          })),
+      )
+      .sort((left, right) => left.at - right.at);
+  }
+
+  /** Tasks of a job that run now. */
+  countRunning(jobId: string): number {
+    const running = this.runners.flatMap((runner) => runner.listRunning());
+    return running.filter(({ task }) => task.startsWith(`${jobId}.`)).length;
+  }
+
+  dispose(): void {
+    for (const part of [this.front, ...this.agents, this.entry]) part.dispose();
+  }
+}
--- /dev/null
+++ b/src/standins/longPoll.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '../base/common/clock.ts';
+import type { Timer } from '../base/common/loop.ts';
+
+/** How often a waiting call is looked at again; short beside the time of a task. */
+const POLL_MS = 20;
+
+/** Repeats a call until its reply has news or its wait is over, as a server with a long poll does. */
+export async function repeatUntilNews<Reply>(
+  { clock, timer }: { readonly clock: Clock; readonly timer: Timer },
+  call: () => Reply,
+  hasNews: (reply: Reply) => boolean,
+  waitMs: number,
+): Promise<Reply> {
+  const untilMs = clock.now + waitMs;
+  return new Promise((resolve) => {
+    const runCall = (): void => {
+      const reply = call();
+      if (hasNews(reply) || clock.now >= untilMs) resolve(reply);
+      else timer.schedule(POLL_MS, runCall);
+    };
+    runCall();
+  });
+}
--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -42,13 +42,13 @@
   private constructor(
     private readonly clock: Clock,
     readonly bornMs: number,
-    private readonly behave: (task: string, run: number) => RunBehaviour,
+    private readonly behave: (task: string, run: number, payload: string) => RunBehaviour,
   ) {}
 
   static create(
     clock: Clock,
     bornMs: number,
-    behave: (task: string, run: number) => RunBehaviour,
+    behave: (task: string, run: number, payload: string) => RunBehaviour,
   ): MemoryRunner {
     return new MemoryRunner(clock, bornMs, behave);
   }
@@ -117,7 +117,11 @@
     if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
     if (!this.checkTicket(call.task, call.ticket)) return { kind: 'rejected', reason: 'ticket' };
     this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
-    const { durationMs, how, isStalled, computeLatency } = this.behave(call.task, call.run);
+    const { durationMs, how, isStalled, computeLatency } = this.behave(
+      call.task,
+      call.run,
+      call.payload,
+    );
     this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
     this.running.set(call.task, {
       task: call.task,
