Submit, watch and cancel jobs of steps from the command line

Change: `job submit <file>`, `job status`, `job watch` and `job cancel` speak to the queue front of an entry; `job local` starts the scheduler with stand-ins, submits a job of two steps, a gang and a lasting job that it cancels, each twice under one id, and prints phases and starts. The operators' commands and these share `callJson`, which adds the time of Retry-After to a refusal.

--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -2,11 +2,13 @@
 import { cac } from 'cac';
 import type { EndpointOptions } from './endpoint.ts';
 import type { LocalOptions } from './local.ts';
+import { findOptionText } from './optionText.ts';
 import type { OperatorOptions } from './output.ts';
 import { CommandError, EXIT_INVALID } from './output.ts';
 import type { WorkerOptions } from './worker.ts';
 
 const OPERATOR_HELP = 'Operator address of an entry, http://ip:port (or BRAMLEYLADDER_OPERATOR)';
+const ADDRESS_HELP = 'Queue address of an entry, http://ip:port (or BRAMLEYLADDER_QUEUES)';
 const DEFAULT_HOST = '127.0.0.1';
 
 function addDaemons(cli: CAC): void {
@@ -137,6 +139,55 @@
     });
 }
 
+interface JobCommandOptions {
+  readonly port: number;
+  readonly keep?: boolean;
+  readonly json?: boolean;
+}
+
+async function runJob(
+  action: string,
+  file: string | undefined,
+  options: JobCommandOptions,
+  rawArgs: readonly string[],
+): Promise<void> {
+  if (action === 'local') {
+    await (await import('./jobLocal.ts')).runJobLocal(options);
+    return;
+  }
+  const jobOptions = {
+    address: findOptionText(rawArgs, 'address'),
+    queue: findOptionText(rawArgs, 'queue'),
+    id: findOptionText(rawArgs, 'id'),
+    ...(options.json === undefined ? {} : { json: options.json }),
+  };
+  if (action === 'submit') {
+    if (file === undefined) throw new CommandError('give job submit <file>', EXIT_INVALID);
+    await (await import('./jobSubmit.ts')).runJobSubmit(file, jobOptions);
+  } else if (action === 'status') await (await import('./jobStatus.ts')).runJobStatus(jobOptions);
+  else if (action === 'watch') await (await import('./jobWatch.ts')).runJobWatch(jobOptions);
+  else if (action === 'cancel') await (await import('./jobCancel.ts')).runJobCancel(jobOptions);
+  else throw new CommandError('use job submit|status|watch|cancel|local', EXIT_INVALID);
+}
+
+function addJobCommands(cli: CAC): void {
+  cli
+    .command('job <action> [file]', 'submit, watch, cancel a job of steps, or try some: local')
+    .option('--address <origin>', ADDRESS_HELP)
+    .option('--queue <name>', 'Queue of the job')
+    .option('--id <id>', 'Id of the job, 16 hexadecimal digits; the same id is the same job')
+    .option('--port <port>', 'Port of the queue front (local); 0 takes any', { default: 0 })
+    .option('--keep', 'Keep running until interrupted and print examples of calls (local)')
+    .option('--json', 'Print JSON')
+    .example('  $ bramleyladder job local --keep --port 7301')
+    .example(
+      '  $ bramleyladder job submit examples/steps.json --queue render --id 00000000000000b1 --address http://127.0.0.1:7301',
+    )
+    .action(async (action: string, file: string | undefined, options: JobCommandOptions) => {
+      await runJob(action, file, options, cli.rawArgs);
+    });
+}
+
 /** The commands with their options. Each action loads its own module, so a process loads only one. */
 export function createCommandLine(): CAC {
   const cli = cac('bramleyladder');
@@ -144,6 +195,7 @@
   addStandIns(cli);
   addLocal(cli);
   addOperatorCommands(cli);
+  addJobCommands(cli);
   cli.usage('<command> [options]');
   cli.help();
   return cli;
--- /dev/null
+++ b/src/cli/jobLocal.ts
@@ -0,0 +1,145 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { NodeClock } from '../base/node/nodeClock.ts';
+import type { JobPhase } from '../model/scheduler/jobRecord.ts';
+import { ENDLESS_PAYLOAD, LOCAL_QUEUE, LocalScheduler } from './localScheduler.ts';
+import { CommandError, EXIT_FAILED, printJson, printLine } from './output.ts';
+import type { JobAddress } from './queueClient.ts';
+import { cancelJob, readPhase, submitJob, watchJob } from './queueClient.ts';
+import { runUntilStopped } from './runDaemon.ts';
+
+const LABEL_COLUMN = 10;
+/** A task of the samples, ms; long enough that a wrong order of starts shows. */
+const WORK_MS = 600;
+/** Bounds each wait for a start or a stop, so that a run with a fault ends as well. */
+const WAIT_LIMIT_MS = 5_000;
+const POLL_MS = 20;
+
+const STEPS_JOB = {
+  payload: String(WORK_MS),
+  steps: [
+    { count: 3, cpuMillis: 1_000, memoryMb: 500, estimatedMs: WORK_MS },
+    { count: 1, cpuMillis: 1_000, memoryMb: 500, estimatedMs: WORK_MS, after: [0] },
+  ],
+};
+const GANG_JOB = {
+  payload: String(WORK_MS),
+  steps: [{ count: 3, cpuMillis: 2_000, memoryMb: 500, estimatedMs: WORK_MS, gang: true }],
+};
+const LASTING_JOB = {
+  payload: ENDLESS_PAYLOAD,
+  steps: [{ count: 2, cpuMillis: 500, memoryMb: 200, longRunning: true }],
+};
+
+export interface LocalJobOptions {
+  readonly port: number;
+  readonly keep?: boolean;
+  readonly json?: boolean;
+}
+
+/** What happened to one sample job. */
+export interface SampleJob {
+  readonly name: string;
+  readonly jobId: string;
+  /** Phases that the front told, in order. */
+  readonly phases: JobPhase[];
+  /** Starts, with times since the first one. */
+  readonly starts: readonly {
+    readonly task: string;
+    readonly worker: string;
+    readonly ms: number;
+  }[];
+  /** Tasks that still ran after the job's end. */
+  readonly left: number;
+}
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  const clock = NodeClock.create();
+  const untilMs = clock.now + WAIT_LIMIT_MS;
+  while (!check() && clock.now < untilMs) await wait(POLL_MS);
+}
+
+/** Submits a sample job twice under one id and follows it to its end; a lasting one is cancelled. */
+async function runSampleJob(
+  scheduler: LocalScheduler,
+  name: string,
+  jobId: string,
+  body: typeof STEPS_JOB | typeof GANG_JOB | typeof LASTING_JOB,
+): Promise<SampleJob> {
+  const job: JobAddress = { origin: scheduler.origin, queue: LOCAL_QUEUE.name, id: jobId };
+  await submitJob(job, body);
+  await submitJob(job, body);
+  const phases: JobPhase[] = [];
+  if (body === LASTING_JOB) {
+    await waitUntil(() => scheduler.countRunning(jobId) === LASTING_JOB.steps[0]?.count);
+    phases.push(await readPhase(job));
+    await cancelJob(job);
+  }
+  await watchJob(job, (phase) => phases.push(phase));
+  await waitUntil(() => scheduler.countRunning(jobId) === 0);
+  const starts = scheduler.listStarts(jobId);
+  return {
+    name,
+    jobId,
+    phases,
+    starts: starts.map(({ task, worker, at }) => ({
+      task,
+      worker,
+      ms: Math.round(at - (starts[0]?.at ?? at)),
+    })),
+    left: scheduler.countRunning(jobId),
+  };
+}
+
+/** Runs the sample jobs one after the other, so that each has the workers for itself. */
+export async function runSample(scheduler: LocalScheduler): Promise<SampleJob[]> {
+  return [
+    await runSampleJob(scheduler, 'steps', '00000000000000a1', STEPS_JOB),
+    await runSampleJob(scheduler, 'gang', '00000000000000a2', GANG_JOB),
+    await runSampleJob(scheduler, 'lasting', '00000000000000a3', LASTING_JOB),
+  ];
+}
+
+function printJobs(scheduler: LocalScheduler, jobs: readonly SampleJob[]): void {
+  printLine(`${'front'.padEnd(LABEL_COLUMN)}${scheduler.origin}, queue ${LOCAL_QUEUE.name}`);
+  for (const { name, jobId, phases, starts, left } of jobs) {
+    printLine(`${name.padEnd(LABEL_COLUMN)}${jobId}, submitted twice: ${phases.join(', ')}`);
+    for (const { task, worker, ms } of starts)
+      printLine(`${''.padEnd(LABEL_COLUMN)}task ${task} started on ${worker} after ${ms} ms`);
+    if (left > 0) printLine(`${''.padEnd(LABEL_COLUMN)}${left} tasks run on`);
+  }
+}
+
+function printExamples(scheduler: LocalScheduler): void {
+  const where = `--queue ${LOCAL_QUEUE.name} --id 00000000000000b1 --address ${scheduler.origin}`;
+  printLine('');
+  printLine('running; try these in another terminal, and stop with Ctrl-C:');
+  for (const command of ['submit examples/steps.json', 'watch', 'cancel', 'status'])
+    printLine(`  bramleyladder job ${command} ${where}`);
+}
+
+/** `job local`: runs the scheduler in this process with stand-ins and shows three jobs on it. */
+export async function runJobLocal(options: LocalJobOptions): Promise<void> {
+  const scheduler = await LocalScheduler.create(options.port);
+  await scheduler.waitReady();
+  const jobs = await runSample(scheduler);
+  if (options.json === true) printJson(jobs);
+  else printJobs(scheduler, jobs);
+  if (options.keep === true) {
+    printExamples(scheduler);
+    const { entry } = scheduler;
+    await runUntilStopped({
+      stopped: entry.stopped,
+      stop: () => {
+        entry.stop();
+      },
+      dispose: () => {
+        scheduler.dispose();
+      },
+    });
+    return;
+  }
+  scheduler.dispose();
+  const last = jobs.map(({ phases }) => phases.at(-1)).join(', ');
+  if (last !== 'completed, completed, cancelled' || jobs.some(({ left }) => left > 0))
+    throw new CommandError(`the jobs did not end as they should: ${last}`, EXIT_FAILED);
+}
--- /dev/null
+++ b/src/cli/jsonClient.ts
@@ -0,0 +1,55 @@
+import { request as sendRequest } from 'undici';
+import * as z from 'zod/mini';
+import { CommandError, EXIT_FAILED, EXIT_INVALID, formatFaultLines } from './output.ts';
+
+/** The form of an address that commands take. */
+export const ORIGIN = /^http:\/\/[^/]+$/;
+/** Longer than the entry's own bound for a write, so that its answer is seen. */
+const CALL_TIMEOUT_MS = 12_000;
+
+const failureBodySchema = z.object({
+  error: z.string(),
+  message: z.string(),
+  details: z.optional(z.unknown()),
+});
+const faultsSchema = z.array(z.object({ path: z.string(), message: z.string() }));
+
+function toCommandError(body: unknown, retryAfter: string | undefined): CommandError {
+  const parsed = z.safeParse(failureBodySchema, body);
+  if (!parsed.success) return new CommandError('the entry sent an answer that is not understood');
+  const { error, message, details } = parsed.data;
+  const exitCode =
+    error === 'config_invalid' || error === 'bad_request' ? EXIT_INVALID : EXIT_FAILED;
+  const pause = retryAfter === undefined ? '' : `; try again in ${retryAfter} s`;
+  const faults = z.safeParse(faultsSchema, details);
+  return new CommandError(
+    faults.success ? `${error}\n${formatFaultLines(faults.data)}` : `${error}: ${message}${pause}`,
+    exitCode,
+  );
+}
+
+/** Sends one call with JSON bodies. Throws a CommandError with the reason of the refusal. */
+export async function callJson(
+  origin: string,
+  method: 'GET' | 'PUT' | 'DELETE',
+  path: string,
+  body?: unknown,
+): Promise<unknown> {
+  let status: number;
+  let value: unknown;
+  let retryAfter: string | undefined;
+  try {
+    const answer = await sendRequest(`${origin}${path}`, {
+      method,
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    status = answer.statusCode;
+    retryAfter = [answer.headers['retry-after']].flat()[0];
+    value = await answer.body.json();
+  } catch (error) {
+    throw new CommandError(`no answer from ${origin}: ${(error as Error).message}`);
+  }
+  if (status !== 200) throw toCommandError(value, retryAfter);
+  return value;
+}
--- a/test/cli/commandLine.test.ts
+++ b/test/cli/commandLine.test.ts
@@ -71,6 +71,7 @@
       'zone',
       'status',
       'explain',
+      'job',
     ]) {
       it(`${name} is not without a help text`, async () => {
         const { code, stdout } = await runCommand([name, '--help']);
--- /dev/null
+++ b/test/cli/jobCommands.test.ts
@@ -0,0 +1,121 @@
+import { execFile } from 'node:child_process';
+import { join } from 'node:path';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { LOCAL_QUEUE, LocalScheduler } from '../../src/cli/localScheduler.ts';
+import { findOptionText } from '../../src/cli/optionText.ts';
+import { buildBundle } from '../support/builtBundle.ts';
+
+interface CommandResult {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+describe('commands for jobs of steps', () => {
+  let program = '';
+  let scheduler: LocalScheduler;
+
+  beforeAll(async () => {
+    program = join(buildBundle('jobs'), 'bramleyladder.js');
+    scheduler = await LocalScheduler.create();
+    await scheduler.waitReady();
+  });
+
+  afterAll(() => {
+    scheduler.dispose();
+  });
+
+  async function runCommand(...args: string[]): Promise<CommandResult> {
+    return new Promise((resolve) => {
+      execFile(process.execPath, [program, 'job', ...args], (error, stdout, stderr) => {
+        resolve({ code: error === null ? 0 : Number(error.code), stdout, stderr });
+      });
+    });
+  }
+
+  function listPlace(id: string, queue = LOCAL_QUEUE.name): string[] {
+    return ['--queue', queue, '--id', id, '--address', scheduler.origin];
+  }
+
+  describe('arguments', () => {
+    for (const args of [
+      ['submit'],
+      ['pause'],
+      ['status'],
+      ['status', '--queue', 'q', '--id', '1', '--address', 'nowhere'],
+      ['cancel', '--address', 'http://127.0.0.1:1'],
+      ['submit', 'missing.json', '--queue', 'q', '--id', '1', '--address', 'http://127.0.0.1:1'],
+    ]) {
+      it(`job ${args.join(' ')}: usage faults do not look like failures or success`, async () => {
+        const { code, stderr } = await runCommand(...args);
+        expect(code).toBe(2);
+        expect(stderr.trim().length).toBeGreaterThan(0);
+      });
+    }
+
+    it('an id that looks like a number does not become another one', () => {
+      const rawArgs = ['job', '--id', '00000000000001e5', '--queue=007'];
+      expect(findOptionText(rawArgs, 'id')).toBe('00000000000001e5');
+      expect(findOptionText(rawArgs, 'queue')).toBe('007');
+      expect(findOptionText(rawArgs, 'address')).toBeUndefined();
+    });
+  });
+
+  describe('against an entry', () => {
+    it('does not end the watch before the job, whose id looks like a number', async () => {
+      const id = '00000000000001e5';
+      const submitted = await runCommand('submit', 'examples/steps.json', ...listPlace(id));
+      expect(submitted).toEqual({ code: 0, stdout: `${id} accepted\n`, stderr: '' });
+      const watched = await runCommand('watch', ...listPlace(id));
+      expect(watched).toMatchObject({ code: 0, stderr: '' });
+      expect(watched.stdout).toMatch(new RegExp(`${id} completed\n$`));
+      const shown = await runCommand('status', ...listPlace(id), '--json');
+      expect(JSON.parse(shown.stdout)).toEqual({ jobId: id, phase: 'completed' });
+      expect(scheduler.listStarts(id)).toHaveLength(5);
+    });
+
+    it('a cancelled job does not look completed', async () => {
+      const id = '00000000000000e2';
+      await runCommand('submit', 'examples/steps.json', ...listPlace(id));
+      expect(await runCommand('cancel', ...listPlace(id))).toMatchObject({ code: 0 });
+      const watched = await runCommand('watch', ...listPlace(id));
+      expect(watched).toMatchObject({ code: 1, stdout: `${id} cancelled\n` });
+    });
+
+    it('refusals do not come without their reason', async () => {
+      const id = '00000000000000e3';
+      const unknownJob = await runCommand('status', ...listPlace(id));
+      expect(unknownJob).toMatchObject({ code: 1 });
+      expect(unknownJob.stderr).toContain('job_unknown');
+      const unknownQueue = await runCommand('cancel', ...listPlace(id, 'absent'));
+      expect(unknownQueue.stderr).toContain('no_route');
+      const invalid = await runCommand('submit', 'examples/job.json', ...listPlace(id));
+      expect(invalid).toMatchObject({ code: 2 });
+      expect(invalid.stderr).toContain('steps:');
+    });
+  });
+
+  describe('local', () => {
+    it('does not lose, double or mix up the tasks of its jobs', async () => {
+      const { code, stdout, stderr } = await runCommand('local', '--json');
+      expect(`${code} ${stderr}`).toBe('0 ');
+      const jobs = JSON.parse(stdout) as {
+        name: string;
+        phases: string[];
+        starts: { task: string; worker: string; ms: number }[];
+        left: number;
+      }[];
+      expect(jobs.map(({ name, phases }) => `${name} ${phases.at(-1) ?? ''}`)).toEqual([
+        'steps completed',
+        'gang completed',
+        'lasting cancelled',
+      ]);
+      expect(jobs.map(({ starts }) => starts.length)).toEqual([4, 3, 2]);
+      expect(jobs.map(({ left }) => left)).toEqual([0, 0, 0]);
+      const [steps, gang] = jobs;
+      expect(steps!.starts.at(-1)).toMatchObject({ task: '0.1.0' });
+      expect(steps!.starts.at(-1)!.ms).toBeGreaterThanOrEqual(600);
+      expect(new Set(gang!.starts.map(({ worker }) => worker)).size).toBe(2);
+    });
+  });
+});
