Describe the interface for jobs of steps

The page's test compares all served paths, the fields with the schemas, and the examples with the check of bodies; before, it knew the three older paths only.

--- a/test/docs/callers.test.ts
+++ b/test/docs/callers.test.ts
@@ -1,7 +1,10 @@
 import { readFileSync } from 'node:fs';
 import { describe, expect, it } from 'vitest';
 import { ERROR_ANSWERS } from '../../src/base/common/errors.ts';
+import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
+import { parseJobSpec } from '../../src/model/scheduler/jobSpecInput.ts';
 import { JOB_PATH } from '../../src/protocol/node/jobFront.ts';
+import { QUEUE_PATH } from '../../src/protocol/node/queueRequests.ts';
 
 const page = readFileSync('docs/callers.md', 'utf8');
 
@@ -21,7 +24,27 @@
   });
 
   it('does not name other paths of the job interface than those that are served', () => {
-    const paths = [...page.matchAll(/`(?:POST|GET|DELETE) (\/\S+?)(?:\/<id>)?`/g)];
-    expect(paths.map(([, path]) => path)).toEqual([JOB_PATH, JOB_PATH, JOB_PATH]);
+    const paths = [...page.matchAll(/`(?:POST|PUT|GET|DELETE) (\/\S+?)(?:\/<id>)?`/g)];
+    const queue = `${QUEUE_PATH}/<queue>`;
+    const jobs = `${queue}/jobs`;
+    expect(paths.map(([, path]) => path)).toEqual([
+      ...[JOB_PATH, JOB_PATH, JOB_PATH],
+      ...[jobs, jobs, jobs, queue],
+    ]);
+  });
+
+  it('does not miss a field of a job of steps or name one that is refused', () => {
+    const part = page.slice(page.indexOf('| field of a job'), page.indexOf('A body with faults'));
+    const fields = [...part.matchAll(/^\| `(\w+)` /gm)].map(([, name]) => name);
+    expect(fields).toEqual([
+      ...Object.keys(jobSpecSchema.shape),
+      ...Object.keys(stepSpecSchema.shape),
+    ]);
+  });
+
+  it('does not show a job of steps that is refused', () => {
+    const [, example = ''] = /```json\n([\s\S]*?)```/.exec(page) ?? [];
+    for (const text of [example, readFileSync('examples/steps.json', 'utf8')])
+      expect(parseJobSpec(JSON.parse(text)).swap().orDefault([])).toEqual([]);
   });
 });
