--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -48,13 +48,13 @@
   private constructor(
     private readonly clock: Clock,
     readonly bornMs: number,
-    private readonly behave: (task: string, run: number) => RunBehaviour,
+    private readonly behave: (task: string, run: number, payload: string) => RunBehaviour,
   ) {}
 
   static create(
     clock: Clock,
     bornMs: number,
-    behave: (task: string, run: number) => RunBehaviour,
+    behave: (task: string, run: number, payload: string) => RunBehaviour,
   ): MemoryRunner {
     return new MemoryRunner(clock, bornMs, behave);
   }
@@ -127,6 +127,7 @@
     const { durationMs, how, isStalled, processors, computeLatency } = this.behave(
       call.task,
       call.run,
+      call.payload,
     );
     this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
     this.running.set(call.task, {
