Cancel a job that cannot end first in the command test

Cause: the job of the test ends after about 1.6 s, and starting two processes took longer than that (4.9 s for the test).

Change: the test submits a job that lasts, so only the cancellation ends it, and checks the answer to the submission as well.

Evidence: npx vitest run test/cli/jobCommands.test.ts passes.

Conclusion: the check is as strict as before and does not depend on time.

--- a/test/cli/jobCommands.test.ts
+++ b/test/cli/jobCommands.test.ts
@@ -1,4 +1,6 @@
 import { execFile } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { LOCAL_QUEUE, LocalScheduler } from '../../src/cli/localScheduler.ts';
@@ -14,6 +16,7 @@
 describe('commands for jobs of steps', () => {
   let program = '';
   let scheduler: LocalScheduler;
+  const folder = mkdtempSync(join(tmpdir(), 'job-commands-'));
 
   beforeAll(async () => {
     program = join(buildBundle('jobs'), 'bramleyladder.js');
@@ -23,6 +26,7 @@
 
   afterAll(() => {
     scheduler.dispose();
+    rmSync(folder, { recursive: true });
   });
 
   async function runCommand(...args: string[]): Promise<CommandResult> {
@@ -76,7 +80,10 @@
 
     it('a cancelled job does not look completed', async () => {
       const id = '00000000000000e2';
-      await runCommand('submit', 'examples/steps.json', ...listPlace(id));
+      // It lasts, so that it cannot end before the cancellation on a busy machine.
+      const file = join(folder, 'lasting.json');
+      writeFileSync(file, JSON.stringify({ steps: [{ count: 1, longRunning: true }] }));
+      expect(await runCommand('submit', file, ...listPlace(id))).toMatchObject({ code: 0 });
       expect(await runCommand('cancel', ...listPlace(id))).toMatchObject({ code: 0 });
       const watched = await runCommand('watch', ...listPlace(id));
       expect(watched).toMatchObject({ code: 1, stdout: `${id} cancelled\n` });
