Place tasks that last before jobs that end

Cause: the order of ready tasks counts a job as hopeless once it is three times its objective late and puts it last. A job that lasts has no end to be late for; after its first seconds each of its tasks that failed waited behind every other task.

Change: jobs that last come first in their priority.

The test 'does not leave a task that lasts waiting behind jobs that keep coming' failed before and passes.

--- a/src/systems/scheduler/taskOrder.ts
+++ b/src/systems/scheduler/taskOrder.ts
@@ -36,7 +36,8 @@
 
 /**
  * By priority, then by the least work left; jobs past any credit come last. In a burst of large jobs
- * this brings the most of them to their end in time.
+ * this brings the most of them to their end in time. Jobs that last have no end to be late for: they
+ * are unavailable while a task of theirs waits, so they come first in their priority.
  */
 export class LeastWorkOrder extends TaskOrder {
   private constructor() {
@@ -52,8 +53,9 @@
     const getKey = ({ job, queue }: ReadyTask): number => {
       let key = keys.get(job);
       if (key === undefined) {
+        const isLasting = job.job.spec.steps.some((step) => step.longRunning);
         const isHopeless = now > job.acceptedAt + HOPELESS_FACTOR * estimateObjectiveMs(job, queue);
-        key = isHopeless ? Number.MAX_SAFE_INTEGER : estimateWorkLeft(job);
+        key = isLasting ? 0 : isHopeless ? Number.MAX_SAFE_INTEGER : estimateWorkLeft(job);
         keys.set(job, key);
       }
       return key;
--- a/test/systems/scheduler/fillingTasks.test.ts
+++ b/test/systems/scheduler/fillingTasks.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import type { StepSpec } from '../../../src/model/scheduler/jobSpec.ts';
 import { jobSpecSchema, stepSpecSchema } from '../../../src/model/scheduler/jobSpec.ts';
 import type { JobRow, TaskRow } from '../../../src/model/scheduler/rows.ts';
 import type { ReadyTask, TaskOrder } from '../../../src/systems/scheduler/taskOrder.ts';
@@ -75,8 +76,19 @@
   };
 }
 
-function createReady(id: string, tasks: number, acceptedAt: number, priority = 0): ReadyTask {
-  const step = stepSpecSchema.parse({ count: tasks, cpuMillis: 1_000, estimatedMs: 1_000 });
+function createReady(
+  id: string,
+  tasks: number,
+  acceptedAt: number,
+  priority = 0,
+  more: Partial<StepSpec> = {},
+): ReadyTask {
+  const step = stepSpecSchema.parse({
+    count: tasks,
+    cpuMillis: 1_000,
+    estimatedMs: 1_000,
+    ...more,
+  });
   const spec = jobSpecSchema.parse({ steps: [step] });
   const queue = {
     name: 'queue',
@@ -203,6 +215,12 @@
       expect(LeastWorkOrder.create().sort([hopeless, large], 0)[0]?.job.id).toBe('large');
     });
 
+    it('does not leave a task that lasts waiting behind jobs that keep coming', () => {
+      const lasting = createReady('lasting', 50, -60_000, 0, { longRunning: true });
+      const small = createReady('small', 1, 0);
+      expect(LeastWorkOrder.create().sort([small, lasting], 0)[0]?.job.id).toBe('lasting');
+    });
+
     it('does not put a small job of a less urgent queue first', () => {
       const small = createReady('small', 1, 0, 2);
       const urgent = createReady('urgent', 50, 0, 0);
