Log turns of the loop that take long, with the slowest system

Two hypotheses fit: the processor is used up by the systems of a turn, or by the messages of 70 agents between turns. loop_turn_duration_ms is a metric only and does not name a system.

Conclusion: a line turn_slow with a large systemMs speaks for the first hypothesis, no such line for the second.

--- a/src/base/common/loop.ts
+++ b/src/base/common/loop.ts
@@ -16,6 +16,15 @@
   readonly outbox: Mailbox<Effect>;
 }
 
+/** What one turn of the loop took. */
+export interface TurnReport {
+  readonly durationMs: number;
+  /** Messages that the turn handled. */
+  readonly arrivals: number;
+  readonly slowestSystem: string;
+  readonly slowestMs: number;
+}
+
 /** Runs every system once over the state and returns the effects to carry out. */
 export interface LoopOptions<
   Arrival extends KindedMessage,
@@ -28,8 +37,7 @@
   readonly random: SeededRandom;
   /** Carries out one effect. Results come back as arrivals. */
   readonly handleEffect: (effect: Effect) => void;
-  /** Receives the duration of each turn in milliseconds. */
-  readonly recordTurn?: (durationMs: number) => void;
+  readonly recordTurn?: (turn: TurnReport) => void;
 }
 
 /**
@@ -83,10 +91,22 @@
         if (timeMs < wakeAt) wakeAt = timeMs;
       },
     };
-    for (const system of systems) system.run(state, tick);
-    state.inbox.takeAll();
+    let slowestSystem = '';
+    let slowestMs = 0;
+    let startedAt = now;
+    for (const system of systems) {
+      system.run(state, tick);
+      const endedAt = clock.now;
+      if (endedAt - startedAt > slowestMs) {
+        slowestSystem = system.name;
+        slowestMs = endedAt - startedAt;
+      }
+      startedAt = endedAt;
+    }
+    const arrivals = state.inbox.takeAll().length;
     for (const effect of state.outbox.takeAll()) this.options.handleEffect(effect);
-    this.options.recordTurn?.(clock.now - now);
+    const durationMs = clock.now - now;
+    this.options.recordTurn?.({ durationMs, arrivals, slowestSystem, slowestMs });
     return wakeAt;
   }
 
--- a/src/daemons/entryDaemon.ts
+++ b/src/daemons/entryDaemon.ts
@@ -74,7 +74,7 @@
         handleEffect: (effect) => {
           this.handleEffect(effect);
         },
-        recordTurn: (durationMs) => {
+        recordTurn: ({ durationMs }) => {
           this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
           if (this.state.self.phase === 'serving') this.startFront();
         },
--- a/src/daemons/loopDaemon.ts
+++ b/src/daemons/loopDaemon.ts
@@ -1,7 +1,7 @@
 import { randomInt } from 'node:crypto';
 import type { Clock } from '../base/common/clock.ts';
 import type { Disposable } from '../base/common/disposable.ts';
-import type { LoopState } from '../base/common/loop.ts';
+import type { LoopState, TurnReport } from '../base/common/loop.ts';
 import { Loop } from '../base/common/loop.ts';
 import type { KindedMessage } from '../base/common/mailbox.ts';
 import { SeededRandom } from '../base/common/seededRandom.ts';
@@ -10,6 +10,8 @@
 import { Metrics } from '../base/node/metrics.ts';
 import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
 
+/** A turn that takes longer delays every timeout and answer of the process noticeably, ms. */
+const SLOW_TURN_MS = 100;
 /** Longest reason of an invalid message that goes into a log line, characters. */
 const MAX_REASON_LENGTH = 200;
 
@@ -42,8 +44,8 @@
         handleEffect: (effect) => {
           this.handleEffect(effect);
         },
-        recordTurn: (durationMs) => {
-          this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
+        recordTurn: (turn) => {
+          this.recordTurn(turn);
         },
       },
       NodeTimer.create(),
@@ -63,6 +65,17 @@
     this.resolveStopped();
   }
 
+  private recordTurn({ durationMs, arrivals, slowestSystem, slowestMs }: TurnReport): void {
+    this.metrics.recordDuration('loop_turn_duration_ms', {}, durationMs);
+    if (durationMs < SLOW_TURN_MS) return;
+    this.log.write('warn', 'turn_slow', {
+      tookMs: Math.round(durationMs),
+      arrivals,
+      system: slowestSystem,
+      systemMs: Math.round(slowestMs),
+    });
+  }
+
   /** Logs messages of a peer that do not have the form of the protocol. */
   protected logInvalid(peer: string): (reason: string) => void {
     return (reason) => {
--- /dev/null
+++ b/test/base/common/loop.test.ts
@@ -0,0 +1,58 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from '../../../src/base/common/clock.ts';
+import type { TurnReport } from '../../../src/base/common/loop.ts';
+import { Loop } from '../../../src/base/common/loop.ts';
+import type { KindedMessage } from '../../../src/base/common/mailbox.ts';
+import { Mailbox } from '../../../src/base/common/mailbox.ts';
+import { SeededRandom } from '../../../src/base/common/seededRandom.ts';
+import { System } from '../../../src/base/common/system.ts';
+
+interface IdleState {
+  readonly inbox: Mailbox<KindedMessage>;
+  readonly outbox: Mailbox<KindedMessage>;
+}
+
+/** Takes a fixed time of a manual clock. */
+class BusySystem extends System<IdleState> {
+  private constructor(
+    override readonly name: string,
+    private readonly clock: ManualClock,
+    private readonly tookMs: number,
+  ) {
+    super();
+  }
+
+  static create(name: string, clock: ManualClock, tookMs: number): BusySystem {
+    return new BusySystem(name, clock, tookMs);
+  }
+
+  override run(): void {
+    this.clock.add(this.tookMs);
+  }
+}
+
+describe('Loop', () => {
+  describe('report of a turn', () => {
+    it('does not hide which system made a turn slow', () => {
+      const clock = ManualClock.create(0);
+      const turns: TurnReport[] = [];
+      const loop = Loop.create<KindedMessage, KindedMessage, IdleState>({
+        state: { inbox: Mailbox.create(), outbox: Mailbox.create() },
+        systems: [
+          BusySystem.create('quick', clock, 5),
+          BusySystem.create('slow', clock, 120),
+          BusySystem.create('last', clock, 1),
+        ],
+        clock,
+        random: SeededRandom.create(1),
+        handleEffect: () => undefined,
+        recordTurn: (turn) => turns.push(turn),
+      });
+      loop.receive({ kind: 'message' });
+      loop.runTurn();
+      expect(turns).toEqual([
+        { durationMs: 126, arrivals: 1, slowestSystem: 'slow', slowestMs: 120 },
+      ]);
+    });
+  });
+});
