Let the cost of a placement follow the steps that wait, not the tasks

Cause: the owner used up its processor. Each turn looked for a worker for every waiting task on every worker, and the preemption did so for each waiting task over all runs of all workers. Turns took 0.1 to 1.3 s, in which up to 450 messages waited, so store calls timed out, the lease of the owner key ended and the next owner met the same backlog. The class of the fault is overload that feeds itself: the work per turn grows with the backlog that it causes.

Change: ready tasks have an index by step. Tasks of a step ask for the same room, so placement and preemption leave a step at its first task without a worker, and skip steps that ask for more than one that found none. While tasks wait, rooms are looked at every 20 ms unless a task has just become ready. The preemption collects the runs that it may stop once for a look. Orders and lease ends are followed by index and by worker instead of over all runs.

--- a/src/base/common/table.ts
+++ b/src/base/common/table.ts
@@ -53,6 +53,10 @@
     return this.idsByKey.keys();
   }
 
+  get keyCount(): number {
+    return this.idsByKey.size;
+  }
+
   /** Called by the owning table only. */
   add(row: Row): void {
     const key = this.keyOf(row);
--- a/src/daemons/schedulerGauges.ts
+++ b/src/daemons/schedulerGauges.ts
@@ -11,7 +11,7 @@
     ),
     buildGauge('owner_epoch', 'epoch of the present owner', state.ownership.epoch),
     buildGauge('jobs', 'jobs at the owner', state.jobs.size),
-    buildGauge('ready_tasks', 'tasks that wait for room', state.readyTasks.size),
+    buildGauge('ready_tasks', 'tasks that wait for room', countReadyTasks(state)),
     buildGauge('open_runs', 'runs that hold room', state.runs.size),
     buildGauge('open_calls', 'callers that wait for an answer', state.calls.size),
     buildGauge(
@@ -34,6 +34,12 @@
   return gauges;
 }
 
+function countReadyTasks({ readyTasksByStep }: SchedulerState): number {
+  let count = 0;
+  for (const stepKey of readyTasksByStep.keys()) count += readyTasksByStep.count(stepKey);
+  return count;
+}
+
 function buildGauge(name: string, help: string, value: number): GaugeSample {
   return { name, help, labels: {}, value };
 }
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -78,6 +78,11 @@
   readonly stopReason: string | undefined;
 }
 
+/** Whether a start or a stop of the run may have to be sent, now or again. */
+export function hasOpenOrder({ phase, stopReason }: RunRow): boolean {
+  return phase === 'placed' || phase === 'starting' || stopReason !== undefined;
+}
+
 /** A number of ends that may be acknowledged once the job's change is stored. */
 export interface PendingEnd {
   readonly number: number;
@@ -154,6 +159,11 @@
   return `${task}#${run}`;
 }
 
+/** Names the step of one occurrence that a task belongs to: `JOB.K.STEP`. */
+export function formatStepKey(task: TaskRow): string {
+  return `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
+}
+
 export function formatTaskId(jobId: string, k: number, step: number, index: number): string {
   return `${jobId}.${k}.${step}.${index}`;
 }
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -11,6 +11,7 @@
 import type { Timetable } from './timetable.ts';
 import { createTimetable } from './timetable.ts';
 import type { AgentRow, JobRow, ListedEnd, MoveRow, RunRow, TaskRow, WorkerRow } from './rows.ts';
+import { formatStepKey, hasOpenOrder } from './rows.ts';
 
 /** A caller's call that has not been answered. */
 export interface CallRow {
@@ -77,6 +78,8 @@
   configuration: QueueConfiguration | undefined;
   /** Queues of the configuration by name. */
   queues: ReadonlyMap<string, Queue>;
+  /** Whether the starts of some queue need an adviser's ticket. */
+  hasAdvice: boolean;
   /** Versions of the operator's keys, for the comparison that proves them current. */
   readonly versions: Map<string, number>;
   readonly zonesOut: Set<string>;
@@ -140,11 +143,16 @@
   readonly jobs: Table<JobRow>;
   readonly tasks: Table<TaskRow>;
   readonly tasksByJob: TableIndex<TaskRow>;
-  readonly readyTasks: Set<string>;
+  /** Tasks that wait for room, by step. */
+  readonly readyTasksByStep: TableIndex<TaskRow>;
+  /** Tasks that have become ready since the latest placement. */
+  readonly newlyReady: Set<string>;
   readonly runs: Table<RunRow>;
   readonly runsByTask: TableIndex<RunRow>;
   readonly runsByWorker: TableIndex<RunRow>;
   readonly runsByJob: TableIndex<RunRow>;
+  /** Runs with an order that may have to be sent; all under {@link OPEN_ORDER}. */
+  readonly runsWithOrder: TableIndex<RunRow>;
   readonly moves: Table<MoveRow>;
   readonly movesByJob: TableIndex<MoveRow>;
   readonly workers: Table<WorkerRow>;
@@ -160,6 +168,9 @@
   readonly touchedJobs: Set<string>;
 }
 
+/** Key of {@link SchedulerState.runsWithOrder}. */
+export const OPEN_ORDER = 'open';
+
 const NEVER = Number.NEGATIVE_INFINITY;
 
 export interface SchedulerIdentity {
@@ -197,21 +208,22 @@
     peers: new Set(),
     newPeers: new Set(),
     hints: [],
-    intake: {
-      storeVersion: 0,
-      watchAt: NEVER,
-      isWatching: false,
-      listAt: Number.POSITIVE_INFINITY,
-    },
-    load: { prefixes: [], after: undefined, callId: '', version: 0, entries: new Map() },
+    intake: createIntake(),
+    load: createLoad(),
     jobs: Table.create<JobRow>('jobs'),
     tasks,
     tasksByJob: tasks.addIndex((task) => task.jobId),
-    readyTasks: new Set(),
+    readyTasksByStep: tasks.addIndex((task) =>
+      task.phase === 'ready' ? formatStepKey(task) : undefined,
+    ),
+    newlyReady: tasks.addChangeSet(
+      (previous, next) => next?.phase === 'ready' && previous?.phase !== 'ready',
+    ),
     runs,
     runsByTask: runs.addIndex((run) => run.taskId),
     runsByWorker: runs.addIndex((run) => run.workerKey),
     runsByJob: runs.addIndex((run) => run.jobId),
+    runsWithOrder: runs.addIndex((run) => (hasOpenOrder(run) ? OPEN_ORDER : undefined)),
     moves,
     movesByJob: moves.addIndex((move) => move.jobId),
     workers: Table.create<WorkerRow>('workers'),
@@ -230,6 +242,14 @@
   return { id, bootId, zone, address: '', phase: 'starting', stopAt: NEVER };
 }
 
+function createIntake(): SchedulerState['intake'] {
+  return { storeVersion: 0, watchAt: NEVER, isWatching: false, listAt: Number.POSITIVE_INFINITY };
+}
+
+function createLoad(): SchedulerState['load'] {
+  return { prefixes: [], after: undefined, callId: '', version: 0, entries: new Map() };
+}
+
 function createAdviceCall(): AdviceCallState {
   return {
     callId: '',
@@ -246,6 +266,7 @@
   return {
     configuration: undefined,
     queues: new Map(),
+    hasAdvice: false,
     versions: new Map(),
     zonesOut: new Set(),
     storeVersion: 0,
--- a/src/model/scheduler/timetable.ts
+++ b/src/model/scheduler/timetable.ts
@@ -5,6 +5,7 @@
   copyAt: number;
   /** Latest start of a filling task that had been held for long. */
   heldStartAt: number;
+  placementAt: number;
   preemptionAt: number;
   retentionAt: number;
   newsSentAt: number;
@@ -23,6 +24,7 @@
     stallAt: NEVER,
     copyAt: NEVER,
     heldStartAt: NEVER,
+    placementAt: NEVER,
     preemptionAt: NEVER,
     retentionAt: NEVER,
     newsSentAt: NEVER,
--- a/src/systems/scheduler/adviceSystem.ts
+++ b/src/systems/scheduler/adviceSystem.ts
@@ -4,9 +4,9 @@
 import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
 import type { AdvicePolicy } from '../../model/scheduler/queueConfiguration.ts';
 import type { TaskRow, WorkerRow } from '../../model/scheduler/rows.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { logEvent } from './storeCalls.ts';
-import { formatStepKey } from './taskPlacementPolicy.ts';
 import { findTicket } from './tickets.ts';
 import { explainClosedWorker } from './workerRooms.ts';
 
@@ -44,7 +44,7 @@
     for (const { callId, reply, sentAt } of state.inbox.list('adviceReply'))
       if (callId === state.adviceCall.callId) this.receiveReply(state, reply, sentAt, tick.now);
     const { adviceCall } = state;
-    if (adviceCall.callId !== '' || state.readyTasks.size === 0) return;
+    if (!state.operator.hasAdvice || adviceCall.callId !== '') return;
     const question = this.findQuestion(state, tick.now);
     if (question === undefined) return;
     if (tick.now < adviceCall.retryAt) tick.wakeAt(adviceCall.retryAt);
@@ -54,15 +54,12 @@
   private findQuestion(state: SchedulerState, now: number): Question | undefined {
     let best: Question | undefined;
     let bestAcceptedAt = Number.POSITIVE_INFINITY;
-    const seen = new Set<string>();
-    for (const taskId of state.readyTasks) {
-      const task = state.tasks.get(taskId);
+    for (const stepKey of state.readyTasksByStep.keys()) {
+      const task = state.readyTasksByStep.getFirst(stepKey);
       const job = state.jobs.get(task?.jobId ?? '');
       const queue = state.operator.queues.get(job?.job.queue ?? '');
       if (task === undefined || job === undefined || queue?.advice === undefined) continue;
-      const stepKey = formatStepKey(task);
-      if (seen.has(stepKey) || job.acceptedAt >= bestAcceptedAt) continue;
-      seen.add(stepKey);
+      if (job.acceptedAt >= bestAcceptedAt) continue;
       const workers = this.listUnknown(state, task, queue.service, now);
       if (workers.length === 0) continue;
       best = { task, policy: queue.advice, workers: workers.slice(0, WORKERS_PER_QUESTION) };
--- a/src/systems/scheduler/copySystem.ts
+++ b/src/systems/scheduler/copySystem.ts
@@ -4,7 +4,6 @@
 import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { updateTask } from './jobChanges.ts';
 import { recordMove } from './moves.ts';
 import { STALLED_REASON } from './stallSystem.ts';
 import { logEvent } from './storeCalls.ts';
@@ -76,7 +75,7 @@
     });
     state.counters.add('run_copies', { reason });
     recordMove(state, run, `copied: ${reason}`, now, 'copy');
-    updateTask(state, task.id, {
+    state.tasks.update(task.id, {
       phase: 'ready',
       readyAt: now,
       avoided: [...task.avoided.filter((id) => id !== workerId), workerId],
--- a/src/systems/scheduler/endSystem.ts
+++ b/src/systems/scheduler/endSystem.ts
@@ -4,7 +4,7 @@
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
-import { recordJobChange, releaseRun, requestStop, setJobPhase, updateTask } from './jobChanges.ts';
+import { recordJobChange, releaseRun, requestStop, setJobPhase } from './jobChanges.ts';
 import { recordMove } from './moves.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
 import { clearTrouble, recordFailure } from './workerTrouble.ts';
@@ -63,7 +63,7 @@
     if (run === undefined && others.length > 0 && !task.step.speculative) return;
     if (task.step.longRunning) {
       if (run !== undefined) {
-        updateTask(state, task.id, { phase: 'ready', readyAt: now });
+        state.tasks.update(task.id, { phase: 'ready', readyAt: now });
         recordMove(state, run, 'it ended, though its task lasts', now, 'release');
       }
       recordJobChange(state, task.jobId);
@@ -80,7 +80,7 @@
 
   private markDone(state: SchedulerState, task: TaskRow): void {
     if (state.tasks.get(task.id)?.phase === 'done') return;
-    updateTask(state, task.id, { phase: 'done' });
+    state.tasks.update(task.id, { phase: 'done' });
     recordJobChange(state, task.jobId);
     const job = state.jobs.get(task.jobId);
     if (job !== undefined) state.jobs.update(job.id, { openTasks: job.openTasks - 1 });
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -1,6 +1,6 @@
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { JobPhase } from '../../model/scheduler/jobRecord.ts';
-import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
+import type { JobRow, RunRow } from '../../model/scheduler/rows.ts';
 import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { recordMove } from './moves.ts';
@@ -27,7 +27,8 @@
   state.jobs.update(job.id, { phase, phaseChange: change });
   logEvent(state, 'info', 'job_phase', { job: job.id, from: job.phase, to: phase, change });
   if (!isFinal) return;
-  for (const task of state.tasksByJob.list(job.id)) state.readyTasks.delete(task.id);
+  for (const task of state.tasksByJob.list(job.id))
+    if (task.phase === 'ready') state.tasks.update(task.id, { phase: 'waiting' });
   for (const run of state.runsByJob.list(job.id)) requestStop(state, run, `job ${phase}`);
 }
 
@@ -39,17 +40,6 @@
   if (job.phase === 'pending' || job.phase === 'running') setJobPhase(state, job, 'cancelled');
 }
 
-/** Changes a task and keeps the set of ready tasks. */
-export function updateTask(
-  state: SchedulerState,
-  taskId: string,
-  patch: Partial<Omit<TaskRow, 'id'>>,
-): void {
-  const task = state.tasks.update(taskId, patch);
-  if (task?.phase === 'ready') state.readyTasks.add(taskId);
-  else state.readyTasks.delete(taskId);
-}
-
 /** Orders the stop of a run; a run that was never sent is dropped at once. */
 export function requestStop(state: SchedulerState, run: RunRow, reason: string): void {
   if (run.stopReason !== undefined) return;
@@ -88,7 +78,7 @@
   const jobPhase = state.jobs.get(run.jobId)?.phase ?? 'cancelled';
   const isFree =
     task.phase === 'active' && !isFinalPhase(jobPhase) && state.runsByTask.count(task.id) === 0;
-  updateTask(state, task.id, {
+  state.tasks.update(task.id, {
     avoided,
     failures: task.failures + (outcome.failed ? 1 : 0),
     checkpoint: checkpoint === '' ? task.checkpoint : checkpoint,
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -3,7 +3,6 @@
 import type { JobRow, TaskRow } from '../../model/scheduler/rows.ts';
 import { createRunRow, formatTaskId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { updateTask } from './jobChanges.ts';
 
 /** What the store holds of a job beside its submission. */
 export interface StoredProgress {
@@ -124,6 +123,6 @@
   for (const task of tasks) {
     if (task.phase !== 'waiting') continue;
     if (task.step.after.some((step) => openSteps.has(`${task.occurrence}.${step}`))) continue;
-    updateTask(state, task.id, { phase: 'ready', readyAt: now });
+    state.tasks.update(task.id, { phase: 'ready', readyAt: now });
   }
 }
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -177,6 +177,7 @@
     if (parsed.configuration.version < (operator.configuration?.version ?? 0)) return;
     operator.configuration = parsed.configuration;
     operator.queues = new Map(parsed.configuration.queues.map((queue) => [queue.name, queue]));
+    operator.hasAdvice = parsed.configuration.queues.some(({ advice }) => advice !== undefined);
     logEvent(state, 'info', 'configuration_in_force', {
       version: parsed.configuration.version,
       queues: parsed.configuration.queues.length,
--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -4,6 +4,7 @@
 import type { RunRow, WorkerRow } from '../../model/scheduler/rows.ts';
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { OPEN_ORDER } from '../../model/scheduler/schedulerState.ts';
 import { getRunLeaseMs } from './agentLinkSystem.ts';
 import { releaseRun } from './jobChanges.ts';
 import { CLOCK_DRIFT, LEASE_MARGIN_MS } from './ownershipTimes.ts';
@@ -36,7 +37,7 @@
     if (state.ownership.role !== 'owner') return;
     for (const { agentId, message } of state.inbox.list('agentMessage'))
       if (message.kind === 'startResult') this.applyResult(state, agentId, message, tick.now);
-    for (const run of [...state.runs.values()]) {
+    for (const run of state.runsWithOrder.list(OPEN_ORDER)) {
       if (run.phase === 'placed') this.startStored(state, run, tick);
       else this.repeatOrder(state, run, tick);
     }
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -2,7 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { requestStop, updateTask } from './jobChanges.ts';
+import { requestStop } from './jobChanges.ts';
 import { computeSlack, getPairCost, learnSlack } from './slackModel.ts';
 import { logEvent } from './storeCalls.ts';
 import { canHold, estimateSlackWith } from './taskPlacementPolicy.ts';
@@ -168,7 +168,7 @@
     const task = state.tasks.get(run.taskId);
     const workerId = state.workers.get(run.workerKey)?.identity.id;
     if (task === undefined || workerId === undefined) return;
-    updateTask(state, task.id, { avoided: [...task.avoided, workerId] });
+    state.tasks.update(task.id, { avoided: [...task.avoided, workerId] });
     this.setPace(state, run, 0, slack, now);
     requestStop(state, run, 'harms a serving task');
   }
--- a/src/systems/scheduler/preemptionSystem.ts
+++ b/src/systems/scheduler/preemptionSystem.ts
@@ -2,9 +2,12 @@
 import { System } from '../../base/common/system.ts';
 import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
 import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { FullRooms } from './fullRooms.ts';
 import { requestStop } from './jobChanges.ts';
 import { logEvent } from './storeCalls.ts';
+import type { ReadyTask } from './taskOrder.ts';
 import type { WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, takeRoom } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
@@ -18,6 +21,22 @@
 const KEEP_FROM_PERCENT = 30;
 const PREEMPTED = 'a more urgent task needs the room';
 
+interface WaitingStep extends ReadyTask {
+  readonly queue: Queue;
+}
+
+/** A run that may be stopped, with the priority of its queue. */
+interface Candidate {
+  readonly run: RunRow;
+  readonly priority: number;
+}
+
+interface Candidates {
+  readonly byWorker: ReadonlyMap<string, readonly Candidate[]>;
+  /** Highest number among the priorities of the runs; minus infinity without any. */
+  readonly leastUrgent: number;
+}
+
 /**
  * Stops runs of less urgent queues for tasks that found no room. Reads ready tasks, rooms and
  * `runs`; requests stops. Runs after placement. Answers bursts of urgent jobs on a full pool. Tasks
@@ -35,50 +54,96 @@
   }
 
   override run(state: SchedulerState, tick: Tick): void {
-    if (state.ownership.role !== 'owner' || state.readyTasks.size === 0) return;
+    if (state.ownership.role !== 'owner' || state.readyTasksByStep.keyCount === 0) return;
     if (tick.now < state.timetable.preemptionAt) {
       tick.wakeAt(state.timetable.preemptionAt);
       return;
     }
     state.timetable.preemptionAt = tick.now + LOOK_EVERY_MS;
-    const waiting = this.listWaiting(state, tick.now);
+    const waiting = this.listWaitingSteps(state, tick.now);
     if (waiting.length === 0) return;
-    // What is being stopped already will free room for as many tasks as it was stopped for.
-    const isStopping = [...state.runs.values()].some((run) => run.stopReason === PREEMPTED);
-    if (isStopping) return;
+    const candidates = this.collectCandidates(state);
+    if (candidates.leastUrgent === Number.NEGATIVE_INFINITY) return;
     const rooms = collectRooms(state, tick.now);
-    for (const task of waiting) {
-      const queue = findQueue(state, task.jobId);
-      if (queue === undefined) continue;
-      this.evictFor(state, task, queue, rooms);
+    const full = FullRooms.create();
+    for (const ready of waiting) {
+      const { queue } = ready;
+      if (queue.priority >= candidates.leastUrgent) continue;
+      const pool = `${queue.service}@${queue.priority}`;
+      if (full.hasRefused(pool, ready)) continue;
+      const open = rooms.filter(({ worker }) => worker.identity.service === queue.service);
+      if (!this.evictForStep(state, ready, open, candidates, tick.now)) full.add(pool, ready);
     }
   }
 
-  private listWaiting(state: SchedulerState, now: number): TaskRow[] {
-    const waiting: TaskRow[] = [];
-    for (const taskId of state.readyTasks) {
-      const task = state.tasks.get(taskId);
-      if (task !== undefined && !task.step.gang && now - task.readyAt >= WAIT_MS)
-        waiting.push(task);
+  /** The first task of each step that has waited for long, with its queue. */
+  private listWaitingSteps(state: SchedulerState, now: number): WaitingStep[] {
+    const waiting: WaitingStep[] = [];
+    for (const stepKey of state.readyTasksByStep.keys()) {
+      const task = state.readyTasksByStep.getFirst(stepKey);
+      const job = state.jobs.get(task?.jobId ?? '');
+      const queue = state.operator.queues.get(job?.job.queue ?? '');
+      if (task === undefined || job === undefined || queue === undefined) continue;
+      if (!task.step.gang && now - task.readyAt >= WAIT_MS) waiting.push({ task, job, queue });
     }
     return waiting;
   }
 
-  /** Stops the fewest runs of one worker that let the task in, if there are such. */
+  /**
+   * Runs that may be stopped, by worker, the ones with the least progress first. None while earlier
+   * stops go on: they will free room for as many tasks as they were made for.
+   */
+  private collectCandidates(state: SchedulerState): Candidates {
+    const byWorker = new Map<string, Candidate[]>();
+    let leastUrgent = Number.NEGATIVE_INFINITY;
+    for (const run of state.runs.values()) {
+      if (run.stopReason === PREEMPTED)
+        return { byWorker: new Map(), leastUrgent: Number.NEGATIVE_INFINITY };
+      if (!isStoppable(run)) continue;
+      const queue = state.operator.queues.get(state.jobs.get(run.jobId)?.job.queue ?? '');
+      if (queue === undefined) continue;
+      leastUrgent = Math.max(leastUrgent, queue.priority);
+      const others = byWorker.get(run.workerKey);
+      if (others === undefined) byWorker.set(run.workerKey, [{ run, priority: queue.priority }]);
+      else others.push({ run, priority: queue.priority });
+    }
+    for (const candidates of byWorker.values())
+      candidates.sort((left, right) => left.run.percent - right.run.percent);
+    return { byWorker, leastUrgent };
+  }
+
+  /** Makes room for the tasks of a step, and tells whether it was possible for all of them. */
+  private evictForStep(
+    state: SchedulerState,
+    { task: first, queue }: WaitingStep,
+    rooms: readonly WorkerRoom[],
+    { byWorker }: Candidates,
+    now: number,
+  ): boolean {
+    for (const task of state.readyTasksByStep.list(formatStepKey(first))) {
+      if (now - task.readyAt < WAIT_MS) continue;
+      if (!this.evictFor(state, task, queue, rooms, byWorker)) return false;
+    }
+    return true;
+  }
+
+  /** Stops the fewest runs of one worker that let the task in; false when there are none such. */
   private evictFor(
     state: SchedulerState,
     task: TaskRow,
     queue: Queue,
     rooms: readonly WorkerRoom[],
-  ): void {
+    byWorker: Candidates['byWorker'],
+  ): boolean {
     let best: { readonly room: WorkerRoom; readonly victims: readonly RunRow[] } | undefined;
     for (const room of rooms) {
-      if (room.worker.identity.service !== queue.service) continue;
-      const victims = this.findVictims(state, task, queue, room);
+      const candidates = byWorker.get(room.worker.id) ?? [];
+      const victims = this.findVictims(state, task, queue, room, candidates);
       if (victims === undefined) continue;
       if (best === undefined || victims.length < best.victims.length) best = { room, victims };
+      if (victims.length === 0) break;
     }
-    if (best === undefined) return;
+    if (best === undefined) return false;
     for (const run of best.victims) {
       logEvent(state, 'info', 'run_preempted', {
         task: run.taskId,
@@ -92,6 +157,7 @@
       this.releaseRoom(state, best.room, run);
     }
     takeRoom(best.room, task);
+    return true;
   }
 
   /** Runs to stop on a worker, none when it has room already; undefined when it cannot be made. */
@@ -100,14 +166,14 @@
     task: TaskRow,
     queue: Queue,
     room: WorkerRoom,
+    candidates: readonly Candidate[],
   ): readonly RunRow[] | undefined {
-    const candidates = state.runsByWorker
-      .list(room.worker.id)
-      .filter((run) => this.canStop(state, run, queue))
-      .sort((left, right) => left.percent - right.percent);
     const victims: RunRow[] = [];
-    for (const run of candidates) {
+    for (const { run, priority } of candidates) {
       if (canHold(room, task) || victims.length >= MAX_STOPS) break;
+      // An earlier task of this look may have taken the run already.
+      const isStopping = state.runs.get(run.id)?.stopReason !== undefined;
+      if (priority <= queue.priority || isStopping) continue;
       victims.push(run);
       this.releaseRoom(state, room, run);
     }
@@ -116,15 +182,6 @@
     return isEnough ? victims : undefined;
   }
 
-  private canStop(state: SchedulerState, run: RunRow, queue: Queue): boolean {
-    const { step } = run;
-    if (run.phase !== 'running' || run.stopReason !== undefined) return false;
-    if (step.longRunning || step.gang) return false;
-    if (!step.savesProgress && run.percent >= KEEP_FROM_PERCENT) return false;
-    const victimQueue = findQueue(state, run.jobId);
-    return victimQueue !== undefined && victimQueue.priority > queue.priority;
-  }
-
   private releaseRoom(
     state: SchedulerState,
     room: WorkerRoom,
@@ -136,6 +193,8 @@
   }
 }
 
-function findQueue(state: SchedulerState, jobId: string): Queue | undefined {
-  return state.operator.queues.get(state.jobs.get(jobId)?.job.queue ?? '');
+function isStoppable({ phase, stopReason, step, percent }: RunRow): boolean {
+  if (phase !== 'running' || stopReason !== undefined) return false;
+  if (step.longRunning || step.gang) return false;
+  return step.savesProgress || percent < KEEP_FROM_PERCENT;
 }
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -157,16 +157,19 @@
   }
 
   private releaseLapsed(state: SchedulerState, tick: Tick): void {
-    for (const run of [...state.runs.values()]) {
-      if (run.phase === 'placed') continue;
-      const endsAt = this.computeLeaseEnd(state, run);
-      if (tick.now > endsAt) releaseRun(state, run, 'lease lapsed', { now: tick.now });
-      else if (endsAt - tick.now < RUN_LEASE_MS) tick.wakeAt(endsAt + 1);
+    for (const workerKey of [...state.runsByWorker.keys()]) {
+      const endsAt = this.computeLeaseEnd(state, workerKey);
+      if (tick.now <= endsAt) {
+        if (endsAt - tick.now < RUN_LEASE_MS) tick.wakeAt(endsAt + 1);
+        continue;
+      }
+      for (const run of state.runsByWorker.list(workerKey))
+        if (run.phase !== 'placed') releaseRun(state, run, 'lease lapsed', { now: tick.now });
     }
   }
 
-  private computeLeaseEnd(state: SchedulerState, run: RunRow): number {
-    const worker = state.workers.get(run.workerKey);
+  private computeLeaseEnd(state: SchedulerState, workerKey: string): number {
+    const worker = state.workers.get(workerKey);
     if (worker !== undefined) return worker.leaseEndsAt;
     // The owner before may have granted leases until its own window was over.
     return (
--- a/src/systems/scheduler/stallSystem.ts
+++ b/src/systems/scheduler/stallSystem.ts
@@ -2,7 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { requestStop, updateTask } from './jobChanges.ts';
+import { requestStop } from './jobChanges.ts';
 import { logEvent } from './storeCalls.ts';
 import { recordTrouble } from './workerTrouble.ts';
 
@@ -70,7 +70,7 @@
     });
     state.counters.add('stalled_runs');
     recordTrouble(state, worker.id, 'stalled', now);
-    updateTask(state, task.id, { avoided: [...task.avoided, worker.identity.id] });
+    state.tasks.update(task.id, { avoided: [...task.avoided, worker.identity.id] });
     requestStop(state, run, STALLED_REASON);
   }
 }
--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -1,4 +1,5 @@
 import type { TaskRow, WorkerRow } from '../../model/scheduler/rows.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
 
 /** What is known of the slack of serving images, and of what filling images take of it. */
 export interface SlackSource {
@@ -215,10 +216,6 @@
   return step.maxPerWorker === 0 || placed < step.maxPerWorker;
 }
 
-export function formatStepKey(task: TaskRow): string {
-  return `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
-}
-
 /** Takes the room of a task, or with -1 gives it back. */
 export function takeRoom(room: WorkerRoom, task: TaskRow, sign: 1 | -1 = 1): void {
   const { step } = task;
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -2,13 +2,14 @@
 import { System } from '../../base/common/system.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { TaskRow } from '../../model/scheduler/rows.ts';
-import { createRunRow } from '../../model/scheduler/rows.ts';
+import { createRunRow, formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { recordJobChange, updateTask } from './jobChanges.ts';
+import { recordJobChange } from './jobChanges.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
+import { FullRooms } from './fullRooms.ts';
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerRoom } from './taskPlacementPolicy.ts';
-import { canHold, computeLeftCpuMillis, formatStepKey, takeRoom } from './taskPlacementPolicy.ts';
+import { canHold, computeLeftCpuMillis, takeRoom } from './taskPlacementPolicy.ts';
 import { findTicket } from './tickets.ts';
 import { collectRooms } from './workerRooms.ts';
 
@@ -18,6 +19,11 @@
 export const CONFIRMED_FRESH_MS = 1_500;
 /** Room freed by ends wakes the system; this only covers workers that become usable by time alone. */
 const RETRY_MS = 250;
+/**
+ * Pause between placements while tasks wait for room. Each end wakes the loop, hundreds of times a
+ * second on a large pool, and a placement costs the more the more steps wait.
+ */
+const BACKLOG_PAUSE_MS = 20;
 /** Time for which a job of filling tasks may have nothing running while there is room. */
 const MAX_HOLD_MS = 1_500;
 /** Pause between two starts of tasks that were held for long. */
@@ -28,6 +34,8 @@
 /**
  * Assigns ready tasks to workers. Reads `tasks`, `runs`, `workers` and the operator's keys; writes
  * `runs` in phase `placed`, which start once they are stored. Runs after progress, before the commit.
+ * Tasks of a step ask for the same room, so a step is left at its first task without a worker: the
+ * cost of a turn follows the steps that wait, not the tasks.
  */
 export class TaskPlacementSystem extends System<SchedulerState> {
   override readonly name = 'taskPlacement';
@@ -55,44 +63,61 @@
   }
 
   override run(state: SchedulerState, tick: Tick): void {
-    const { ownership, operator } = state;
-    if (ownership.role !== 'owner' || state.readyTasks.size === 0) return;
+    const { ownership, operator, timetable, newlyReady } = state;
+    if (ownership.role !== 'owner' || state.readyTasksByStep.keyCount === 0) return;
+    if (newlyReady.size === 0 && tick.now < timetable.placementAt) {
+      tick.wakeAt(timetable.placementAt);
+      return;
+    }
+    timetable.placementAt = tick.now + BACKLOG_PAUSE_MS;
     tick.wakeAt(tick.now + RETRY_MS);
     if (tick.now - operator.provedAt > PROOF_FRESH_MS) return;
     if (tick.now - ownership.confirmedAt > CONFIRMED_FRESH_MS) return;
-    const rooms = collectRooms(state, tick.now);
-    const byService = new Map<string, WorkerRoom[]>();
-    for (const room of rooms) {
-      const { service } = room.worker.identity;
-      byService.set(service, [...(byService.get(service) ?? []), room]);
-    }
-    const placedGangs = new Set<string>();
-    for (const ready of this.order.sort(this.listReady(state), tick.now)) {
+    newlyReady.clear();
+    const byService = sortByService(collectRooms(state, tick.now));
+    const full = FullRooms.create();
+    for (const ready of this.order.sort(this.listReadySteps(state), tick.now)) {
       const service = ready.queue?.service ?? ready.job.job.service;
-      const open = byService.get(service) ?? [];
-      const stepKey = formatStepKey(ready.task);
-      const candidates =
-        ready.queue?.advice === undefined
-          ? open
-          : open.filter(
-              ({ worker }) => findTicket(state, stepKey, worker.id, tick.now) !== undefined,
-            );
       if (ready.task.step.gang) {
-        if (placedGangs.has(stepKey)) continue;
-        placedGangs.add(stepKey);
+        const candidates = this.listAdvised(state, ready, byService.get(service) ?? [], tick.now);
         this.placeGang(state, ready.task, candidates, tick.now);
-      } else {
-        const room =
-          this.policy.choose(ready.task, candidates) ??
-          this.chooseForHeld(state, ready.task, candidates, tick.now);
-        if (room !== undefined) {
-          takeRoom(room, ready.task);
-          this.placeTask(state, ready.task, room, ready.task.lastRun + 1, tick.now);
-        }
+      } else if (!full.hasRefused(service, ready)) {
+        const candidates = this.listAdvised(state, ready, byService.get(service) ?? [], tick.now);
+        const isPlaced = this.placeStep(state, ready.task, candidates, tick.now);
+        if (!isPlaced) full.add(service, ready);
       }
     }
   }
 
+  /** Places the tasks of a step that find room, and tells whether all of them did. */
+  private placeStep(
+    state: SchedulerState,
+    first: TaskRow,
+    candidates: readonly WorkerRoom[],
+    now: number,
+  ): boolean {
+    for (const task of state.readyTasksByStep.list(formatStepKey(first))) {
+      const room =
+        this.policy.choose(task, candidates) ?? this.chooseForHeld(state, task, candidates, now);
+      if (room === undefined) return false;
+      takeRoom(room, task);
+      this.placeTask(state, task, room, task.lastRun + 1, now);
+    }
+    return true;
+  }
+
+  /** Workers that the adviser of the queue allows; all of them without an adviser. */
+  private listAdvised(
+    state: SchedulerState,
+    { task, queue }: ReadyTask,
+    rooms: readonly WorkerRoom[],
+    now: number,
+  ): readonly WorkerRoom[] {
+    if (queue?.advice === undefined) return rooms;
+    const stepKey = formatStepKey(task);
+    return rooms.filter(({ worker }) => findTicket(state, stepKey, worker.id, now) !== undefined);
+  }
+
   /**
    * A filling task that was held for long starts whatever it costs the serving tasks, so that every
    * job gets on; on workers that are mostly in use one such task at a time.
@@ -113,14 +138,18 @@
     return room;
   }
 
-  private listReady(state: SchedulerState): ReadyTask[] {
+  /** The first ready task of each step. */
+  private listReadySteps(state: SchedulerState): ReadyTask[] {
     const ready: ReadyTask[] = [];
-    for (const taskId of [...state.readyTasks]) {
-      const task = state.tasks.get(taskId);
+    for (const stepKey of [...state.readyTasksByStep.keys()]) {
+      const task = state.readyTasksByStep.getFirst(stepKey);
       const job = task === undefined ? undefined : state.jobs.get(task.jobId);
-      if (task === undefined || job === undefined || isFinalPhase(job.phase))
-        state.readyTasks.delete(taskId);
-      else ready.push({ task, job, queue: state.operator.queues.get(job.job.queue) });
+      if (task === undefined) continue;
+      if (job !== undefined && !isFinalPhase(job.phase))
+        ready.push({ task, job, queue: state.operator.queues.get(job.job.queue) });
+      else
+        for (const { id } of state.readyTasksByStep.list(stepKey))
+          state.tasks.update(id, { phase: 'waiting' });
     }
     return ready;
   }
@@ -151,7 +180,7 @@
     for (const [index, member] of members.entries()) {
       const room = chosen[index];
       if (room === undefined) continue;
-      updateTask(state, member.id, { checkpoint });
+      state.tasks.update(member.id, { checkpoint });
       this.placeTask(state, { ...member, checkpoint }, room, run, now);
     }
   }
@@ -190,7 +219,7 @@
     run: number,
     now: number,
   ): void {
-    updateTask(state, task.id, { phase: 'active', lastRun: run });
+    state.tasks.update(task.id, { phase: 'active', lastRun: run });
     const placedChange = recordJobChange(state, task.jobId);
     state.runs.set(createRunRow(task, run, room.worker.id, 'placed', placedChange, now));
     state.counters.add('placements');
@@ -210,6 +239,17 @@
   }
 }
 
+function sortByService(rooms: readonly WorkerRoom[]): Map<string, WorkerRoom[]> {
+  const byService = new Map<string, WorkerRoom[]>();
+  for (const room of rooms) {
+    const { service } = room.worker.identity;
+    const others = byService.get(service);
+    if (others === undefined) byService.set(service, [room]);
+    else others.push(room);
+  }
+  return byService;
+}
+
 /** Part of the workers' cores that tasks have reserved. */
 function computeUsedPart(rooms: readonly WorkerRoom[]): number {
   let free = 0;
--- a/src/systems/scheduler/tickets.ts
+++ b/src/systems/scheduler/tickets.ts
@@ -1,7 +1,7 @@
 import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { formatStepKey } from './taskPlacementPolicy.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
 
 /** Time that a start needs to reach its worker: the write before it, the links and the order. */
 const TICKET_MARGIN_MS = 300;
--- a/src/systems/scheduler/waitReasons.ts
+++ b/src/systems/scheduler/waitReasons.ts
@@ -1,12 +1,12 @@
 import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
 import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
 import type { TaskRow } from '../../model/scheduler/rows.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { WorkerRoom } from './taskPlacementPolicy.ts';
 import {
   canHold,
   FirstFitTaskPlacement,
-  formatStepKey,
   HoldingTaskPlacement,
   QueueingTaskPlacement,
   takeRoom,
--- /dev/null
+++ b/test/systems/scheduler/backlog.test.ts
@@ -0,0 +1,55 @@
+import { performance } from 'node:perf_hooks';
+import { describe, expect, it } from 'vitest';
+import { createJobId, createWorld } from '../../support/jobWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import type { EntryNode } from '../../support/worldNodes.ts';
+import { writeWorldQueues } from '../../support/worldNodes.ts';
+
+const WORKERS = 12;
+const JOBS = 10;
+const REPETITIONS = 3;
+
+/** A pool full of batch work that cannot make enough room, and urgent jobs that wait for it. */
+function createBacklog(tasksEach: number): { world: SchedulerWorld; entry: EntryNode } {
+  const { world, entry } = createWorld(1, WORKERS);
+  writeWorldQueues(world.store, 2, [{}, { name: 'batch', prefix: '/batch/', priority: 2 }]);
+  world.behave = () => ({ durationMs: 600_000, how: 'done' });
+  world.run(1_500);
+  const batch = { count: 8 * WORKERS, cpuMillis: 1_000, savesProgress: true };
+  world.submit(entry, createJobId(1), [batch], {}, { prefix: '/batch/' });
+  world.run(1_000);
+  for (let index = 0; index < JOBS; index += 1)
+    world.submit(entry, createJobId(10 + index), [{ count: tasksEach, cpuMillis: 6_000 }]);
+  world.run(1_000);
+  return { world, entry };
+}
+
+/** Processor time of the owner's turns in a second, the least of several: others may wait for the processor. */
+function measureTurns({ world, entry }: { world: SchedulerWorld; entry: EntryNode }): number {
+  const { loop } = entry;
+  let tookMs = 0;
+  const runTurn = loop.runTurn.bind(loop);
+  loop.runTurn = () => {
+    const startedAt = performance.now();
+    const wakeAt = runTurn();
+    tookMs += performance.now() - startedAt;
+    return wakeAt;
+  };
+  let leastMs = Number.POSITIVE_INFINITY;
+  for (let repetition = 0; repetition < REPETITIONS; repetition += 1) {
+    tookMs = 0;
+    world.run(1_000);
+    leastMs = Math.min(leastMs, tookMs);
+  }
+  return leastMs;
+}
+
+describe('backlog', () => {
+  describe('of urgent tasks on a full pool', () => {
+    it('does not make a turn of the owner longer with each task of a step that waits', () => {
+      const shortMs = measureTurns(createBacklog(10));
+      const longMs = measureTurns(createBacklog(300));
+      expect(longMs).toBeLessThan(8 * shortMs);
+    });
+  });
+});
