Collect rooms once for a look at the pace of filling tasks

Cause: for each filling task that is slowed below 60 % the pacing collected the rooms of all workers and all their runs to see whether the task could move; with 70 workers that is some ten thousand rows for each of them.

Change: the rooms are collected once for a look, when the first task could move.

--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -5,6 +5,7 @@
 import { requestStop } from './jobChanges.ts';
 import { computeSlack, getPairCost, learnSlack } from './slackModel.ts';
 import { logEvent } from './storeCalls.ts';
+import type { WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, estimateSlackWith } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
 
@@ -33,6 +34,12 @@
 /** A load figure covers half a second, and a pace holds 0.1 s after its order. */
 const SETTLING_MS = 600;
 
+/** One look at all workers. Their rooms are collected once, when the first task could move. */
+interface Look {
+  readonly now: number;
+  rooms: readonly WorkerRoom[] | undefined;
+}
+
 /**
  * Slows filling tasks beside a serving task whose slack runs out, the most costly first and only by
  * what is missing, and speeds them up when there is slack again. Reads the loads of `runs`; writes
@@ -57,6 +64,7 @@
     }
     state.timetable.pacingAt = tick.now + LOOK_EVERY_MS;
     tick.wakeAt(state.timetable.pacingAt);
+    const look: Look = { now: tick.now, rooms: undefined };
     for (const worker of state.workers.values()) {
       const runs = state.runsByWorker.list(worker.id).filter((run) => run.phase === 'running');
       const serving = runs.filter((run) => run.step.targetMs > 0);
@@ -64,7 +72,7 @@
       // Before a report covers the present filling tasks it would teach that they cost nothing.
       const isSettled = filling.every((run) => run.pacedAt + SETTLING_MS < worker.lastReportAt);
       if (isSettled) for (const run of serving) learnSlack(state, run, filling);
-      if (filling.length > 0) this.paceWorker(state, serving, filling, isSettled, tick.now);
+      if (filling.length > 0) this.paceWorker(state, serving, filling, isSettled, look);
     }
   }
 
@@ -73,8 +81,9 @@
     serving: readonly RunRow[],
     filling: readonly RunRow[],
     isSettled: boolean,
-    now: number,
+    look: Look,
   ): void {
+    const { now } = look;
     let worst: RunRow | undefined;
     let leastSlack = Number.POSITIVE_INFINITY;
     let overMs = 0;
@@ -93,7 +102,7 @@
       // The reported loads do not show the latest change of pace; another one would overshoot.
       return;
     } else if (leastSlack < SLOW_BELOW_SLACK) {
-      this.limitFilling(state, worst, leastSlack, filling, now);
+      this.limitFilling(state, worst, leastSlack, filling, look);
     } else if (leastSlack > RAISE_ABOVE_SLACK) {
       this.resumeFilling(state, worst, leastSlack, filling, now);
     }
@@ -104,16 +113,16 @@
     serving: RunRow,
     slack: number,
     filling: readonly RunRow[],
-    now: number,
+    look: Look,
   ): void {
     let missing = AIM_SLACK - slack;
     for (const { run, cost } of this.sortByCost(state, serving, filling).reverse()) {
       if (missing <= 0) return;
       const percent = Math.max(0, Math.floor(run.pacePercent - (missing / cost) * FULL_PERCENT));
       missing -= (cost * (run.pacePercent - percent)) / FULL_PERCENT;
-      if (percent < MOVE_BELOW_PERCENT && this.canMove(state, run, now))
-        this.moveAway(state, run, slack, now);
-      else this.setPace(state, run, percent, slack, now);
+      if (percent < MOVE_BELOW_PERCENT && this.canMove(state, run, look))
+        this.moveAway(state, run, slack, look.now);
+      else this.setPace(state, run, percent, slack, look.now);
     }
   }
 
@@ -151,10 +160,11 @@
   }
 
   /** Whether the task keeps its progress and another worker could take it without harm. */
-  private canMove(state: SchedulerState, run: RunRow, now: number): boolean {
+  private canMove(state: SchedulerState, run: RunRow, look: Look): boolean {
     const task = state.tasks.get(run.taskId);
     if (task?.step.savesProgress !== true || task.avoided.length >= MAX_MOVES) return false;
-    return collectRooms(state, now).some(
+    look.rooms ??= collectRooms(state, look.now);
+    return look.rooms.some(
       (room) =>
         room.worker.id !== run.workerKey &&
         room.worker.identity.service === state.workers.get(run.workerKey)?.identity.service &&
--- a/test/systems/scheduler/backlog.test.ts
+++ b/test/systems/scheduler/backlog.test.ts
@@ -1,5 +1,5 @@
 import { performance } from 'node:perf_hooks';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { createJobId, createWorld } from '../../support/jobWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { EntryNode } from '../../support/worldNodes.ts';
@@ -8,6 +8,7 @@
 const WORKERS = 12;
 const JOBS = 10;
 const REPETITIONS = 3;
+const FILLING_JOBS = 24;
 
 /** A pool full of batch work that cannot make enough room, and urgent jobs that wait for it. */
 function createBacklog(tasksEach: number): { world: SchedulerWorld; entry: EntryNode } {
@@ -44,6 +45,21 @@
   return leastMs;
 }
 
+/** Most passes over the table of workers in one turn of the next seconds. */
+function countMostPasses(world: SchedulerWorld, { loop, state }: EntryNode): number {
+  const passes = vi.spyOn(state.workers, 'values');
+  let most = 0;
+  const runTurn = loop.runTurn.bind(loop);
+  loop.runTurn = () => {
+    passes.mockClear();
+    const wakeAt = runTurn();
+    most = Math.max(most, passes.mock.calls.length);
+    return wakeAt;
+  };
+  world.run(3_000);
+  return most;
+}
+
 describe('backlog', () => {
   describe('of urgent tasks on a full pool', () => {
     it('does not make a turn of the owner longer with each task of a step that waits', () => {
@@ -52,4 +68,25 @@
       expect(longMs).toBeLessThan(8 * shortMs);
     });
   });
+
+  describe('of filling tasks that are slowed', () => {
+    it('does not collect the rooms of all workers anew for each of them', () => {
+      const { world, entry } = createWorld(1, 1);
+      let slack = 3;
+      world.behave = (task) =>
+        task.startsWith(createJobId(1))
+          ? { durationMs: 1_000, how: 'done', isStalled: true, computeLatency: () => 100 / slack }
+          : { durationMs: 60_000, how: 'done' };
+      const serving = { longRunning: true, targetMs: 100, image: 'serving', cpuMillis: 2_000 };
+      world.submit(entry, createJobId(1), [{ count: 1, ...serving }]);
+      world.run(3_000);
+      const filling = { fills: true, image: 'filling', savesProgress: true, cpuMillis: 200 };
+      for (let index = 0; index < FILLING_JOBS; index += 1)
+        world.submit(entry, createJobId(10 + index), [{ count: 1, ...filling }]);
+      world.run(3_000);
+      expect(entry.state.runs.size).toBe(1 + FILLING_JOBS);
+      slack = 0.2;
+      expect(countMostPasses(world, entry)).toBeLessThan(FILLING_JOBS / 2);
+    });
+  });
 });
