Load occurrences that an earlier owner has worked on

Around a change of the owner, a task of an occurrence runs twice when the wall clock of the next owner is behind that of the one before.

Cause: a new owner adds the tasks of the occurrences that are due on its own clock. The stored records of a later occurrence were left aside, so its runs were stopped as unknown, its ends were acknowledged without an effect, and the occurrence started again with run 1 once it was due.

Change: an occurrence that the stored progress names counts as due.

Evidence: npx vitest run test/systems/scheduler/stepKinds.test.ts, tests 'does not run an occurrence again that still runs when the clock of the next owner is behind' and '... that is done ...'. Before: 2 failed, "expected [ { run: 1, agent: 'agent-0' }, ...(1) ] to have a length of 1 but got 2". After: 14 passed.

Why it works: a record exists only for tasks that were placed, so every run that an owner may have started is in the tables of the next one.

--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -56,7 +56,10 @@
   return spec.startAtMs + occurrence * spec.intervalMs - state.wallOffsetMs;
 }
 
-/** Adds the tasks of the occurrences that have become due. */
+/**
+ * Adds the tasks of the occurrences that have become due, and of those that an earlier owner has
+ * worked on: its wall clock may have been ahead.
+ */
 export function addDueOccurrences(
   state: SchedulerState,
   jobId: string,
@@ -66,9 +69,10 @@
   const job = state.jobs.get(jobId);
   if (job === undefined) return;
   let { occurrences, openTasks } = job;
+  const lastRecorded = findLastRecorded(records);
   while (
     occurrences < countOccurrences(job.job) &&
-    computeDueAt(state, job.job, occurrences) <= now
+    (occurrences <= lastRecorded || computeDueAt(state, job.job, occurrences) <= now)
   ) {
     openTasks += addOccurrence(state, job, occurrences, now, records);
     occurrences += 1;
@@ -78,6 +82,13 @@
   state.touchedJobs.add(jobId);
 }
 
+/** Latest occurrence that the records name; -1 without one. */
+function findLastRecorded(records: Readonly<Record<string, TaskRecord>>): number {
+  let last = -1;
+  for (const key of Object.keys(records)) last = Math.max(last, Number.parseInt(key, 10));
+  return last;
+}
+
 function addOccurrence(
   state: SchedulerState,
   job: JobRow,
--- a/test/systems/scheduler/stepKinds.test.ts
+++ b/test/systems/scheduler/stepKinds.test.ts
@@ -116,6 +116,29 @@
         expect(world.listStarts(`${JOB}.${index}.0.0`)).toHaveLength(1);
       expect(readPhase(world, world.owner!)).toBe('completed');
     });
+
+    it.each([
+      ['still runs', 6_000],
+      ['is done', 200],
+    ])(
+      'does not run an occurrence again that %s when the clock of the next owner is behind',
+      (_, durationMs) => {
+        const { world, entry } = createWorld(3, 1);
+        world.behave = () => ({ durationMs, how: 'done' });
+        for (const other of world.entries)
+          if (other !== world.owner) other.state.wallOffsetMs -= 4_000;
+        const startAtMs = world.clock.now + world.owner!.state.wallOffsetMs + 200;
+        world.submit(entry, JOB, [{ count: 1 }], { occurrences: 2, startAtMs, intervalMs: 9_000 });
+        world.run(1_000);
+        expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+        world.kill(world.owner!);
+        world.run(9_000);
+        expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+        expect(world.listStarts(`${JOB}.1.0.0`)).toHaveLength(0);
+        world.run(12_000);
+        expect(world.listStarts(`${JOB}.1.0.0`)).toHaveLength(1);
+      },
+    );
   });
 
   describe('copies', () => {
