Cancel listed jobs after the list has made them known

A job ran although its cancellation had been acknowledged.

Cause: when the store has lost its history, the owner reads the full list of jobs and cancellations. Keys come in order, so a cancellation comes before its job, and one of an unknown job has no effect. The watch then goes on after the list and never names the cancellation again.

Change: the pages are collected, and jobs are added before cancellations are applied, as a new owner does when it loads its tables.

Evidence: npx vitest run test/systems/scheduler/jobPath.test.ts, test 'does not run a job whose cancellation the owner finds in the same list'. Before: "expected 'completed' to be 'cancelled'". After: 20 passed.

Why it works: hints and the watch name a job before its cancellation or are followed by both; the list was the only source that could be the last word and come in the other order.

--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -75,20 +75,32 @@
         intake.listAt = now + RETRY_MS;
         continue;
       }
-      for (const entry of reply.entries)
-        this.applyEntry(state, entry.key, entry.value, now, 'list');
-      const isFirst = load.after === undefined;
-      if (isFirst) load.version = reply.version;
+      if (load.after === undefined) {
+        load.version = reply.version;
+        load.entries.clear();
+      }
+      for (const entry of reply.entries) load.entries.set(entry.key, entry);
       load.after = reply.hasMore ? reply.entries.at(-1)?.key : undefined;
       if (load.after !== undefined) {
         intake.listAt = now;
         continue;
       }
+      this.applyList(state, now);
       intake.listAt = Number.POSITIVE_INFINITY;
       intake.storeVersion = Math.max(intake.storeVersion, load.version);
     }
   }
 
+  /** A cancellation has no effect on a job that is not known, and lists name it first. */
+  private applyList(state: SchedulerState, now: number): void {
+    const { entries } = state.load;
+    for (const isJob of [true, false])
+      for (const [key, { value }] of entries)
+        if (key.startsWith(STORE_KEYS.jobPrefix) === isJob)
+          this.applyEntry(state, key, value, now, 'list');
+    entries.clear();
+  }
+
   private sendCalls(state: SchedulerState, tick: Tick): void {
     const { intake, load } = state;
     if (!intake.isWatching && tick.now >= intake.watchAt) {
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -2,6 +2,7 @@
 import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
 import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
 import { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import { createJobSpec } from '../../support/worldNodes.ts';
 
 describe('path of a job', () => {
   describe('without faults', () => {
@@ -190,6 +191,27 @@
     });
   });
 
+  describe('with a store that has lost its history', () => {
+    it('does not run a job whose cancellation the owner finds in the same list', () => {
+      const { world, entry } = createWorld(1, 1);
+      const job = {
+        queue: 'queue',
+        service: 'svc',
+        spec: createJobSpec([{ count: 1 }], {}),
+        acceptedAtMs: world.clock.now,
+      };
+      for (const [key, value] of [
+        [STORE_KEYS.job(JOB), job],
+        [STORE_KEYS.cancel(JOB), { by: 'entry-1' }],
+      ] as const)
+        world.store.handle({ op: 'write', key, expectedVersion: 0, value });
+      world.store.dropHistory();
+      world.run(3_000);
+      expect(entry.state.jobs.get(JOB)?.phase).toBe('cancelled');
+      expect(world.listStarts(`${JOB}.0.0.0`)).toEqual([]);
+    });
+  });
+
   describe('after a restart of everything', () => {
     it('does not wait long on a first call that the store never answers', () => {
       const world = SchedulerWorld.create(2, 1);
