Forget a job only once the store has deleted it

A job that is long over runs again.

Cause: the owner removed an old job from its tables before the store had answered the deletion. When the store refused it, the job stayed there, and a repeated submission or a full list made it known again as a new job. Its commit was then taken for an earlier write of the same owner, so its tasks started again with run 1.

Evidence: npx vitest run test/systems/scheduler/jobPath.test.ts, test 'does not run a job again whose deletion the store has refused'. Before: "expected [ { run: 1, agent: 'agent-0' }, ...(1) ] to have a length of 1 but got 2". After: 21 passed.

Why it works: as long as the store may hold a job, its row says that it is final.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -120,6 +120,8 @@
   readonly operator: OperatorState;
   readonly ownership: Ownership;
   readonly commit: CommitState;
+  /** Jobs that the store is asked to delete; empty call id without a request. */
+  readonly deletion: { callId: string; jobIds: readonly string[] };
   readonly calls: Table<CallRow>;
   /** Phases of jobs that callers may be told, at every entry. */
   readonly statuses: Table<JobStatus>;
@@ -190,6 +192,7 @@
     operator: createOperatorState(),
     ownership: createOwnership(),
     commit: { callId: '', jobs: [], retryAt: NEVER, sequence: 0 },
+    deletion: { callId: '', jobIds: [] },
     calls: Table.create<CallRow>('calls'),
     statuses,
     statusesByQueue: statuses.addIndex((status) => status.queue),
--- a/src/systems/scheduler/dropOwnership.ts
+++ b/src/systems/scheduler/dropOwnership.ts
@@ -25,6 +25,7 @@
   state.adviceCall.callId = '';
   state.commit.callId = '';
   state.commit.jobs = [];
+  state.deletion.callId = '';
   state.intake.isWatching = false;
   state.intake.listAt = Number.POSITIVE_INFINITY;
   state.listedEnds.length = 0;
--- a/src/systems/scheduler/retentionSystem.ts
+++ b/src/systems/scheduler/retentionSystem.ts
@@ -2,7 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import { isFinalPhase, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { sendStoreCall } from './storeCalls.ts';
+import { listStoreReplies, sendStoreCall } from './storeCalls.ts';
 
 const SWEEP_EVERY_MS = 5_000;
 /** Three keys a job; a transaction takes 32 entries, one of them the owner key. */
@@ -11,7 +11,8 @@
 
 /**
  * Forgets final jobs: their tasks once nothing of them runs, and all of them when their state need
- * not stay readable any longer. Reads and writes `jobs`, `tasks`, `advice`, `moves` and `statuses`. Runs near the end.
+ * not stay readable any longer and the store has deleted them. Reads and writes `jobs`, `tasks`,
+ * `advice`, `moves` and `statuses`. Runs near the end.
  */
 export class RetentionSystem extends System<SchedulerState> {
   override readonly name = 'retention';
@@ -25,7 +26,9 @@
   }
 
   override run(state: SchedulerState, tick: Tick): void {
-    if (state.ownership.role !== 'owner' || tick.now < state.timetable.retentionAt) return;
+    if (state.ownership.role !== 'owner') return;
+    this.receiveDeletion(state);
+    if (tick.now < state.timetable.retentionAt) return;
     state.timetable.retentionAt = tick.now + SWEEP_EVERY_MS;
     tick.wakeAt(state.timetable.retentionAt);
     const expired: string[] = [];
@@ -38,16 +41,27 @@
       const isExpired = wallMs - (job.endedAtWallMs ?? wallMs) > 2_000 * state.bounds.statusSeconds;
       if (isExpired && expired.length < MAX_JOBS_PER_SWEEP) expired.push(job.id);
     }
-    if (expired.length > 0) this.deleteJobs(state, expired);
+    if (expired.length > 0 && state.deletion.callId === '') this.requestDeletion(state, expired);
   }
 
-  private deleteJobs(state: SchedulerState, jobIds: readonly string[]): void {
-    for (const id of jobIds) {
-      state.jobs.remove(id);
-      for (const move of state.movesByJob.list(id)) state.moves.remove(move.id);
-      state.statuses.remove(id);
+  /** A job that the store may still hold stays known; otherwise it would be taken for a new one. */
+  private receiveDeletion(state: SchedulerState): void {
+    const { deletion } = state;
+    for (const { callId, reply } of listStoreReplies(state, 'forget')) {
+      if (callId !== deletion.callId) continue;
+      deletion.callId = '';
+      if (reply.kind !== 'written') continue;
+      for (const id of deletion.jobIds) {
+        state.jobs.remove(id);
+        for (const move of state.movesByJob.list(id)) state.moves.remove(move.id);
+        state.statuses.remove(id);
+      }
     }
-    sendStoreCall(
+  }
+
+  private requestDeletion(state: SchedulerState, jobIds: readonly string[]): void {
+    state.deletion.jobIds = jobIds;
+    state.deletion.callId = sendStoreCall(
       state,
       'forget',
       {
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -212,6 +212,27 @@
     });
   });
 
+  describe('with the deletion of an old job', () => {
+    it('does not run a job again whose deletion the store has refused', () => {
+      const { world, entry } = createWorld(1, 1);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      entry.state.bounds.statusSeconds = 1;
+      world.run(entry.state.timetable.retentionAt - world.clock.now - 10);
+      entry.store = 'refuses';
+      world.run(100);
+      entry.store = 'up';
+      world.run(500);
+      const callId = world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(3_000);
+      expect(entry.answers.get(callId)?.kind).toBe('accepted');
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+      world.run(5_000);
+      expect(readPhase(world, entry)).toBe('gone');
+    });
+  });
+
   describe('after a restart of everything', () => {
     it('does not wait long on a first call that the store never answers', () => {
       const world = SchedulerWorld.create(2, 1);
