Send nothing more to a worker that another incarnation has replaced

A task runs again although its done end was acknowledged.

Cause: a worker may restart under its id, and a start on its way may reach the new incarnation before its first beat. The agent noticed that another incarnation answered its looks, left the lists aside and went on looking with the number of the last end of the one before. The worker then forgot its own ends up to that number, unread. Once the beat came, the run was neither running nor listed as ended, so it was released and the task started again.

Change: an answer of a newer incarnation drops the worker that the agent knows, with its orders, lease and numbers, until the next beat. The agent logs worker_replaced.

Evidence: npx vitest run test/systems/scheduler/lostAnswers.test.ts, test 'does not acknowledge ends of the next incarnation by the numbers of the one before'. Before: "expected [ { run: 1, agent: 'agent-0' }, ...(1) ] to have a length of 1 but got 2". After: 15 passed.

Why it works: the beat starts the numbers anew. A single look can still reach the new incarnation first, so an end within about 0.1 s of the restart may be forgotten; the platform's calls name an id, not an incarnation.

--- a/src/systems/runnerAgent/agentCalls.ts
+++ b/src/systems/runnerAgent/agentCalls.ts
@@ -31,6 +31,20 @@
   return hold.sent + 1;
 }
 
+/** Forgets what belongs to an incarnation of the worker: orders, lease, acknowledged ends and looks. */
+export function resetIncarnation(state: RunnerAgentState, now: number): void {
+  state.orders.clear();
+  state.workerExit = 'none';
+  state.lease.bornMs = 0;
+  state.lease.untilMs = 0;
+  state.lease.lastSeen = 0;
+  state.hold.callId = '';
+  state.hold.epoch = 0;
+  state.hold.lastListed = 0;
+  state.hold.nextAt = now;
+  state.owner.reportAt = now;
+}
+
 /** Sends a message to the owner; without a link it is dropped, the owner asks again. */
 export function sendOwner(state: RunnerAgentState, message: AgentMessage): void {
   if (state.owner.linkId === '') return;
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -1,9 +1,10 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import type { WorkerIdentity } from '../../model/scheduler/links.ts';
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerReply } from '../../model/scheduler/runnerCall.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
-import { logAgentEvent, sendOwner, sendRunnerCall } from './agentCalls.ts';
+import { logAgentEvent, resetIncarnation, sendOwner, sendRunnerCall } from './agentCalls.ts';
 
 /** A look waits this long for an end; it also carries the lease, so it has to come back often. */
 const WAIT_MS = 1_000;
@@ -43,6 +44,25 @@
     this.sendHold(state);
   }
 
+  /**
+   * Another incarnation answered, and its beat tells what it is. Until then it gets no calls: the
+   * numbers of ends are those of the one before, and would acknowledge its ends unread.
+   */
+  private dropReplaced(
+    state: RunnerAgentState,
+    worker: WorkerIdentity,
+    bornMs: number,
+    now: number,
+  ): void {
+    if (bornMs < worker.bornMs) {
+      state.hold.nextAt = now + RETRY_MS;
+      return;
+    }
+    logAgentEvent(state, 'info', 'worker_replaced', { worker: worker.id, born: bornMs });
+    resetIncarnation(state, now);
+    state.worker = undefined;
+  }
+
   /** A look that waits for an end may take a second; an urgent one replaces it, at a bounded rate. */
   private dropWaitingLook({ hold }: RunnerAgentState, tick: Tick): void {
     if (!hold.isUrgent || !hold.isWaiting || hold.callId === '') return;
@@ -102,8 +122,7 @@
     hold.failures = 0;
     if (worker === undefined) return;
     if (reply.bornMs !== undefined && reply.bornMs !== worker.bornMs) {
-      // Another incarnation answered; its beat tells what it is.
-      hold.nextAt = now + RETRY_MS;
+      this.dropReplaced(state, worker, reply.bornMs, now);
       return;
     }
     // A list that is cut short does not show which runs are not there.
--- a/src/systems/runnerAgent/workerBeatSystem.ts
+++ b/src/systems/runnerAgent/workerBeatSystem.ts
@@ -1,7 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { RunnerAgentState, WorkerBeat } from '../../model/scheduler/runnerAgentState.ts';
-import { logAgentEvent, requestLook } from './agentCalls.ts';
+import { logAgentEvent, requestLook, resetIncarnation } from './agentCalls.ts';
 
 /**
  * Knows which incarnation of the worker is up. Reads beats; writes `worker`. Runs first.
@@ -45,7 +45,7 @@
         born: identity.bornMs,
         address: identity.address,
       });
-      this.startIncarnation(state, now);
+      resetIncarnation(state, now);
     } else if (worker.isDraining !== identity.isDraining) {
       logAgentEvent(state, 'info', 'worker_draining', {
         worker: identity.id,
@@ -54,17 +54,4 @@
       state.owner.reportAt = now;
     }
   }
-
-  private startIncarnation(state: RunnerAgentState, now: number): void {
-    state.orders.clear();
-    state.workerExit = 'none';
-    state.lease.bornMs = 0;
-    state.lease.untilMs = 0;
-    state.lease.lastSeen = 0;
-    state.hold.callId = '';
-    state.hold.epoch = 0;
-    state.hold.lastListed = 0;
-    state.hold.nextAt = now;
-    state.owner.reportAt = now;
-  }
 }
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { AgentNode } from '../../support/worldNodes.ts';
 
@@ -158,6 +158,27 @@
       expect(readPhase(world, entry)).toBe('completed');
     });
 
+    it('does not acknowledge ends of the next incarnation by the numbers of the one before', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      world.behave = () => ({ durationMs: 300, how: 'done' });
+      world.submit(entry, createJobId(7), [{ count: 1 }]);
+      world.run(1_500);
+      expect(agent!.state.lease.lastSeen).toBe(1);
+      // The start reaches the incarnation whose beat comes after the end of the run.
+      let hasRestarted = false;
+      agent!.disturb = (call) => {
+        if (call.op !== 'start' || hasRestarted) return undefined;
+        hasRestarted = true;
+        world.restartRunner(agent!, 1_000);
+        return 'lost';
+      };
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
     it('does not release runs of an incarnation on a late beat of an earlier one', () => {
       const { world, entry } = createWorld(2, 3);
       world.behave = () => ({ durationMs: 4_000, how: 'done' });
