Do not send the start of a run that has just been released

What callers saw: a task of a gang ran twice at the same time, and its worker was given more work than it has room for. It needs no lost answer: one closed link in the turn in which the placement of the gang is stored is enough.

Cause: the owner goes through a copy of its runs. When it cannot send the start of one member of a gang, it releases that run and with it the members that were not sent either. The copy still named them as placed, so their starts were sent although their runs were not in the tables any more; the tasks were placed again in the same turn or the next.

Change: each run is read from the table when its turn comes.

Evidence: npx vitest run test/systems/scheduler/stepKinds.test.ts, test 'does not send the start of a member that was released with one before it'. Before: "expected [ { run: 1, agent: 'agent-1' } ] to deeply equal []".

Why it works: only a run that is in the table holds room and is waited for, and only such a run is started.

--- a/src/systems/scheduler/orderSystem.ts
+++ b/src/systems/scheduler/orderSystem.ts
@@ -36,9 +36,11 @@
     if (state.ownership.role !== 'owner') return;
     for (const { agentId, message } of state.inbox.list('agentMessage'))
       if (message.kind === 'startResult') this.applyResult(state, agentId, message, tick.now);
-    for (const run of [...state.runs.values()]) {
-      if (run.phase === 'placed') this.startStored(state, run, tick);
-      else this.repeatOrder(state, run, tick);
+    for (const { id } of [...state.runs.values()]) {
+      // The release of one member of a gang releases the others that were not sent.
+      const run = state.runs.get(id);
+      if (run?.phase === 'placed') this.startStored(state, run, tick);
+      else if (run !== undefined) this.repeatOrder(state, run, tick);
     }
   }
 
--- a/test/systems/scheduler/stepKinds.test.ts
+++ b/test/systems/scheduler/stepKinds.test.ts
@@ -141,6 +141,22 @@
     );
   });
 
+  describe('gangs', () => {
+    it('does not send the start of a member that was released with one before it', () => {
+      const { world, entry } = createWorld(1, 2);
+      world.submit(entry, JOB, [{ count: 2, cpuMillis: 5_000, gang: true }]);
+      world.run(6);
+      const first = entry.state.runs.get(`${JOB}.0.0.0#1`)!;
+      expect(first.phase).toBe('placed');
+      const agent = world.agents.find(({ id }) => first.workerKey.startsWith(`${id}|`))!;
+      world.closeAgentLink(entry, agent);
+      world.run(100);
+      expect(world.listStarts(`${JOB}.0.0.1`)).toEqual([]);
+      world.run(3_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+  });
+
   describe('copies', () => {
     it('does not wait for the lease of a silent worker when copies may run', () => {
       const { world, entry } = createWorld(1, 2);
