--- a/src/base/node/boundedLog.ts
+++ b/src/base/node/boundedLog.ts
@@ -18,6 +18,8 @@
  */
 export class BoundedLog extends LogWriter {
   private readonly windows = new Map<string, { startMs: number; lines: number; dropped: number }>();
+  /** Lines that were left out since the start. */
+  leftOutLines = 0;
 
   private constructor(private readonly output: Writable) {
     super(false);
@@ -42,6 +44,7 @@
     const isFull = this.output.writableLength > MAX_WAITING_BYTES;
     if (window.lines >= MAX_LINES[level] || isFull) {
       window.dropped += 1;
+      this.leftOutLines += 1;
       return;
     }
     window.lines += 1;
--- /dev/null
+++ b/src/daemons/exchangeTimes.ts
@@ -0,0 +1,41 @@
+import type { Clock } from '../base/common/clock.ts';
+import type { Metrics } from '../base/node/metrics.ts';
+
+/** Exchanges whose answers are waited for at most; the oldest are forgotten, as lost answers are. */
+const MAX_OPEN = 5_000;
+
+/**
+ * Measures the time from a message to another process of the system to its answer: `start` from the
+ * owner to an agent and its worker, `call` from an entry to the owner.
+ */
+export class ExchangeTimes {
+  private readonly sentAt = new Map<string, number>();
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+  ) {}
+
+  static create(clock: Clock, metrics: Metrics): ExchangeTimes {
+    return new ExchangeTimes(clock, metrics);
+  }
+
+  get size(): number {
+    return this.sentAt.size;
+  }
+
+  start(exchange: 'start' | 'call', id: string): void {
+    this.sentAt.set(`${exchange} ${id}`, this.clock.now);
+    if (this.sentAt.size <= MAX_OPEN) return;
+    const [oldest] = this.sentAt.keys();
+    if (oldest !== undefined) this.sentAt.delete(oldest);
+  }
+
+  record(exchange: 'start' | 'call', id: string): void {
+    const key = `${exchange} ${id}`;
+    const sentAt = this.sentAt.get(key);
+    if (sentAt === undefined) return;
+    this.sentAt.delete(key);
+    this.metrics.recordDuration('exchange_duration_ms', { exchange }, this.clock.now - sentAt);
+  }
+}
--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -17,6 +17,7 @@
 import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { buildJobExplanation } from '../systems/scheduler/jobExplanation.ts';
 import { createSchedulerSystems } from '../systems/scheduler/schedulerSystems.ts';
+import { ExchangeTimes } from './exchangeTimes.ts';
 import { LoopDaemon } from './loopDaemon.ts';
 
 /** Where a daemon of the scheduler listens for the others. */
@@ -30,6 +31,7 @@
   private readonly answers = new Map<string, (answer: QueueAnswer) => void>();
   private readonly agents = new Map<string, JsonLink<AgentMessage>>();
   private readonly peers = new Map<string, JsonLink<EntryHint>>();
+  private readonly exchanges = ExchangeTimes.create(this.clock, this.metrics);
   private owner: JsonLink<OwnerMessage> | undefined;
   private server: JsonLinkServer | undefined;
   private nextId = 1;
@@ -67,6 +69,11 @@
     return this.state.self.phase === 'serving';
   }
 
+  /** The daemon's monotonic clock, ms. */
+  get now(): number {
+    return this.clock.now;
+  }
+
   get isStopping(): boolean {
     return this.state.self.phase === 'stopping';
   }
@@ -160,6 +167,8 @@
         return;
       case 'orderAgent':
         this.agents.get(effect.agentId)?.send(effect.order);
+        if (effect.order.kind === 'start')
+          this.exchanges.start('start', `${effect.agentId} ${formatRun(effect.order)}`);
         return;
       case 'openOwner':
         this.openOwner(effect.address);
@@ -170,6 +179,7 @@
         return;
       case 'hintOwner':
         this.owner?.send(effect.hint);
+        if (effect.hint.kind === 'call') this.exchanges.start('call', effect.hint.callId);
         return;
       case 'sendPeer':
         this.peers.get(effect.peerId)?.send(effect.message);
@@ -221,6 +231,8 @@
         this.loop.receive({ kind: 'agentLink', agentId, isOpen: true });
       },
       onMessage: (message) => {
+        if (message.kind === 'startResult')
+          this.exchanges.record('start', `${agentId} ${formatRun(message)}`);
         this.loop.receive({ kind: 'agentMessage', agentId, message });
       },
       onClose: () => {
@@ -239,6 +251,7 @@
         this.loop.receive({ kind: 'ownerLink', isOpen: true });
       },
       onMessage: (message) => {
+        if (message.kind === 'answer') this.exchanges.record('call', message.callId);
         this.loop.receive({ kind: 'ownerMessage', message });
       },
       onClose: () => {
@@ -250,3 +263,12 @@
     this.owner = link;
   }
 }
+
+/** A start and its answer name the sending; an answer that the lists prove (attempt 0) is not timed. */
+function formatRun(message: {
+  readonly task: string;
+  readonly run: number;
+  readonly attempt: number;
+}): string {
+  return `${message.task}#${message.run}#${message.attempt}`;
+}
--- a/src/daemons/schedulerGauges.ts
+++ b/src/daemons/schedulerGauges.ts
@@ -1,39 +1,152 @@
 import type { GaugeSample } from '../base/node/metrics.ts';
+import type { RunnerAgentState } from '../model/scheduler/runnerAgentState.ts';
+import type { WorkerIdentity } from '../model/scheduler/links.ts';
 import type { SchedulerState } from '../model/scheduler/schedulerState.ts';
+import { collectRooms } from '../systems/scheduler/workerRooms.ts';
 
-/** Sizes and ages that the metrics page shows. */
-export function listSchedulerGauges(state: SchedulerState): GaugeSample[] {
-  const gauges: GaugeSample[] = [
-    buildGauge(
-      'is_owner',
-      'whether this entry owns the scheduling duty',
-      Number(state.ownership.role === 'owner'),
-    ),
-    buildGauge('owner_epoch', 'epoch of the present owner', state.ownership.epoch),
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** Amounts of the kinds of room: thousandths of a core, MB and accelerators. */
+interface RoomAmounts {
+  cpu_millis: number;
+  memory_mb: number;
+  gpus: number;
+}
+
+/** Sizes and ages that an entry's metrics page shows. */
+export function listSchedulerGauges(state: SchedulerState, now: number): GaugeSample[] {
+  return [
+    ...listOwnershipGauges(state, now),
     buildGauge('jobs', 'jobs at the owner', state.jobs.size),
     buildGauge('ready_tasks', 'tasks that wait for room', state.readyTasks.size),
     buildGauge('open_runs', 'runs that hold room', state.runs.size),
     buildGauge('open_calls', 'callers that wait for an answer', state.calls.size),
+    ...listQueueGauges(state),
+    ...listRoomGauges(state, now),
+  ];
+}
+
+/** What an agent's metrics page shows of its worker and its owner. */
+export function listRunnerAgentGauges(state: RunnerAgentState): GaugeSample[] {
+  return [
+    buildGauge('worker_known', 'whether a worker reports', Number(state.worker !== undefined)),
+    buildGauge('worker_silent_looks', 'looks without an answer in a row', state.hold.failures),
+    buildGauge('owner_linked', 'whether an owner is linked', Number(state.owner.linkId !== '')),
+    buildGauge('owner_epoch', 'epoch of the latest owner', state.owner.epoch),
+    buildGauge('open_orders', 'orders that are not settled', state.orders.size),
+  ];
+}
+
+/** What every process shows of itself. */
+export function listProcessGauges(log: { readonly leftOutLines: number }): GaugeSample[] {
+  const cpu = process.cpuUsage();
+  return [
+    buildGauge('log_lines_left_out', 'lines that the bound of the log kept out', log.leftOutLines),
+    buildGauge('resident_bytes', 'resident memory', process.memoryUsage.rss()),
     buildGauge(
-      'configuration_version',
-      'version in force',
-      state.operator.configuration?.version ?? 0,
+      'cpu_seconds',
+      'processor time since the start',
+      (cpu.user + cpu.system) / MICROSECONDS_PER_SECOND,
     ),
-    buildGauge('zones_out', 'zones out of service', state.operator.zonesOut.size),
   ];
-  for (const worker of state.workers.values()) {
-    let usedCpuMillis = 0;
-    for (const run of state.runsByWorker.values(worker.id))
-      usedCpuMillis += run.step.fills ? 0 : run.step.cpuMillis;
-    const labels = { worker: worker.identity.id, zone: worker.identity.zone };
+}
+
+function listOwnershipGauges(state: SchedulerState, now: number): GaugeSample[] {
+  const { ownership, operator } = state;
+  const gauges = [
+    buildGauge('is_owner', 'whether this entry is the owner', Number(ownership.role === 'owner')),
+    buildGauge('owner_epoch', 'epoch of the present owner', ownership.epoch),
+    buildGauge('configuration_version', 'version in force', operator.configuration?.version ?? 0),
+    buildGauge('zones_out', 'zones out of service', operator.zonesOut.size),
+  ];
+  // Before the first proof there is no age; a page without the gauge says so.
+  if (Number.isFinite(operator.provedAt))
     gauges.push(
-      { ...buildGauge('worker_cpu_used', 'thousandths of a core promised', usedCpuMillis), labels },
-      { ...buildGauge('worker_cpu', 'thousandths of a core', worker.identity.cpuMillis), labels },
+      buildGauge(
+        'configuration_age_ms',
+        'time since the store confirmed that the operator keys are current',
+        now - operator.provedAt,
+      ),
+    );
+  if (ownership.role === 'owner')
+    gauges.push(
+      buildGauge(
+        'ownership_age_ms',
+        'time since the store confirmed the ownership',
+        now - ownership.confirmedAt,
+      ),
     );
-  }
   return gauges;
 }
 
+/** Tasks that wait for room and pending jobs of each queue of the configuration. */
+function listQueueGauges(state: SchedulerState): GaugeSample[] {
+  if (state.ownership.role !== 'owner') return [];
+  const waiting = new Map<string, number>();
+  for (const taskId of state.readyTasks) {
+    const job = state.jobs.get(state.tasks.get(taskId)?.jobId ?? '');
+    const name = job?.job.queue ?? '';
+    waiting.set(name, (waiting.get(name) ?? 0) + 1);
+  }
+  // Hundreds of idle queues would drown the page; one that is missing has nothing waiting.
+  return [...waiting].map(([queue, count]) => ({
+    ...buildGauge('queue_waiting_tasks', 'tasks of a queue that wait for room', count),
+    labels: { queue },
+  }));
+}
+
+/** Room in use, free for new tasks, and closed to them, by service and zone. */
+function listRoomGauges(state: SchedulerState, now: number): GaugeSample[] {
+  if (state.ownership.role !== 'owner') return [];
+  const used = new Map<string, RoomAmounts>();
+  const free = new Map<string, RoomAmounts>();
+  for (const agent of state.agents.values()) {
+    const worker = state.workers.get(agent.workerKey ?? '');
+    if (worker === undefined) continue;
+    const amounts = takeAmounts(used, worker.identity);
+    takeAmounts(free, worker.identity);
+    for (const { step } of state.runsByWorker.values(worker.id)) {
+      amounts.cpu_millis += step.fills ? 0 : step.cpuMillis;
+      amounts.memory_mb += step.memoryMb;
+      amounts.gpus += step.gpus;
+    }
+  }
+  for (const room of collectRooms(state, now)) {
+    const amounts = takeAmounts(free, room.worker.identity);
+    amounts.cpu_millis += Math.max(0, room.freeCpuMillis);
+    amounts.memory_mb += Math.max(0, room.freeMemoryMb);
+    amounts.gpus += Math.max(0, room.freeGpus);
+  }
+  return [
+    ...renderRoom('room_used', 'room that open runs hold', used),
+    ...renderRoom('room_free', 'room of workers that take work now', free),
+  ];
+}
+
+function takeAmounts(
+  byPool: Map<string, RoomAmounts>,
+  { service, zone }: WorkerIdentity,
+): RoomAmounts {
+  const key = `${service}|${zone}`;
+  const amounts = byPool.get(key) ?? { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+  byPool.set(key, amounts);
+  return amounts;
+}
+
+function renderRoom(
+  name: string,
+  help: string,
+  byPool: ReadonlyMap<string, RoomAmounts>,
+): GaugeSample[] {
+  return [...byPool].flatMap(([key, amounts]) => {
+    const [service = '', zone = ''] = key.split('|');
+    return Object.entries(amounts).map(([resource, value]: [string, number]) => ({
+      ...buildGauge(name, help, value),
+      labels: { service, zone, resource },
+    }));
+  });
+}
+
 function buildGauge(name: string, help: string, value: number): GaugeSample {
   return { name, help, labels: {}, value };
 }
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -141,6 +141,8 @@
   readonly tasks: Table<TaskRow>;
   readonly tasksByJob: TableIndex<TaskRow>;
   readonly readyTasks: Set<string>;
+  /** When the steps that are not done were ready to start, owner's clock ms, by job and step. */
+  readonly stepTimes: Map<string, Map<number, number>>;
   readonly runs: Table<RunRow>;
   readonly runsByTask: TableIndex<RunRow>;
   readonly runsByWorker: TableIndex<RunRow>;
@@ -208,6 +210,7 @@
     tasks,
     tasksByJob: tasks.addIndex((task) => task.jobId),
     readyTasks: new Set(),
+    stepTimes: new Map(),
     runs,
     runsByTask: runs.addIndex((run) => run.taskId),
     runsByWorker: runs.addIndex((run) => run.workerKey),
--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -2,6 +2,7 @@
 import { BoundedLog } from '../base/node/boundedLog.ts';
 import { runUntilStopped } from '../cli/runDaemon.ts';
 import { RunnerAgentDaemon } from '../daemons/runnerAgentDaemon.ts';
+import { listProcessGauges, listRunnerAgentGauges } from '../daemons/schedulerGauges.ts';
 import { runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
 import { loadSettings, watchSettings } from './settingsFile.ts';
@@ -20,7 +21,11 @@
 );
 await WireStatusServer.create(
   settings.beatAddress,
-  { counters: daemon.state.counters, metrics: daemon.metrics, listGauges: () => [] },
+  {
+    counters: daemon.state.counters,
+    metrics: daemon.metrics,
+    listGauges: () => [...listRunnerAgentGauges(daemon.state), ...listProcessGauges(log)],
+  },
   (request, response) =>
     receiveBeat(request, response, {
       onBeat: (beat) => {
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -3,7 +3,7 @@
 import { BoundedLog } from '../base/node/boundedLog.ts';
 import { runUntilStopped } from '../cli/runDaemon.ts';
 import { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
-import { listSchedulerGauges } from '../daemons/schedulerGauges.ts';
+import { listProcessGauges, listSchedulerGauges } from '../daemons/schedulerGauges.ts';
 import { schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
 import { loadSettings, watchSettings } from './settingsFile.ts';
@@ -32,7 +32,7 @@
   {
     counters: daemon.state.counters,
     metrics: daemon.metrics,
-    listGauges: () => listSchedulerGauges(daemon.state),
+    listGauges: () => [...listSchedulerGauges(daemon.state, daemon.now), ...listProcessGauges(log)],
   },
   createEntryStatusHandler(daemon),
 );
--- a/src/systems/scheduler/dropOwnership.ts
+++ b/src/systems/scheduler/dropOwnership.ts
@@ -28,6 +28,7 @@
   state.intake.isWatching = false;
   state.intake.listAt = Number.POSITIVE_INFINITY;
   state.listedEnds.length = 0;
+  state.stepTimes.clear();
   for (const set of [state.readyTasks, state.dirtyJobs, state.touchedJobs, state.changedStatuses])
     set.clear();
 }
--- a/src/systems/scheduler/progressSystem.ts
+++ b/src/systems/scheduler/progressSystem.ts
@@ -5,6 +5,7 @@
 import type { JobRow } from '../../model/scheduler/rows.ts';
 import { setJobPhase } from './jobChanges.ts';
 import { addDueOccurrences, computeDueAt, countOccurrences, markReadyTasks } from './jobTables.ts';
+import { recordStepTimes } from './stepTimes.ts';
 import { recordDuration } from './storeCalls.ts';
 import { estimateObjectiveMs } from './taskOrder.ts';
 
@@ -41,6 +42,7 @@
     const job = state.jobs.get(jobId);
     if (job === undefined || isFinalPhase(job.phase)) return;
     markReadyTasks(state, job, now);
+    recordStepTimes(state, job, now);
     if (job.openTasks === 0 && job.occurrences >= countOccurrences(job.job)) {
       setJobPhase(state, job, 'completed');
       this.recordCompletion(state, job, now);
--- a/src/systems/scheduler/retentionSystem.ts
+++ b/src/systems/scheduler/retentionSystem.ts
@@ -34,6 +34,7 @@
       if (!isFinalPhase(job.phase) || state.dirtyJobs.has(job.id)) continue;
       if (state.runsByJob.count(job.id) > 0) continue;
       for (const task of state.tasksByJob.list(job.id)) state.tasks.remove(task.id);
+      state.stepTimes.delete(job.id);
       for (const row of state.adviceByJob.list(job.id)) state.advice.remove(row.id);
       const isExpired = wallMs - (job.endedAtWallMs ?? wallMs) > 2_000 * state.bounds.statusSeconds;
       if (isExpired && expired.length < MAX_JOBS_PER_SWEEP) expired.push(job.id);
--- /dev/null
+++ b/src/systems/scheduler/stepTimes.ts
@@ -0,0 +1,45 @@
+import type { JobRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { recordDuration } from './storeCalls.ts';
+
+/** A job has no more steps than this, so that one number names a step of an occurrence. */
+const MAX_STEPS = 1_000;
+
+/**
+ * Notes when steps become ready and records their time once all their tasks are done. A step has its
+ * part of the job's objective: `stretch` times the submitter's estimate, and the latency objective.
+ * Steps that last have no end, and of steps that an earlier owner began the start is not known.
+ */
+export function recordStepTimes(state: SchedulerState, job: JobRow, now: number): void {
+  const open = new Set<number>();
+  const ready = new Set<number>();
+  const begun = new Set<number>();
+  for (const task of state.tasksByJob.list(job.id)) {
+    if (task.step.longRunning) continue;
+    const key = task.occurrence * MAX_STEPS + task.stepIndex;
+    if (task.phase !== 'done') open.add(key);
+    if (task.phase === 'ready') ready.add(key);
+    if (task.lastRun > 0) begun.add(key);
+  }
+  const times = state.stepTimes.get(job.id) ?? new Map<number, number>();
+  for (const key of ready) if (!begun.has(key) && !times.has(key)) times.set(key, now);
+  for (const [key, readyAt] of times) {
+    if (open.has(key)) continue;
+    times.delete(key);
+    recordStep(state, job, key % MAX_STEPS, now - readyAt);
+  }
+  if (times.size > 0) state.stepTimes.set(job.id, times);
+  else state.stepTimes.delete(job.id);
+}
+
+function recordStep(state: SchedulerState, job: JobRow, stepIndex: number, tookMs: number): void {
+  const { queue: name, spec } = job.job;
+  const queue = state.operator.queues.get(name);
+  const objectiveMs =
+    (spec.steps[stepIndex]?.estimatedMs ?? 0) * (queue?.stretch ?? 1) +
+    (queue?.latencyObjectiveMs ?? 0);
+  recordDuration(state, 'step_duration_ms', tookMs, {
+    queue: name,
+    objective: tookMs <= objectiveMs ? 'met' : 'missed',
+  });
+}
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -279,6 +279,13 @@
   });
 
   describe('on the metrics page', () => {
+    it('does not leave out the time from an order to the answer of its agent', async () => {
+      await send(front.port, 'POST', `/kits/${JOB}`, { steps: [{ count: 2 }] });
+      await waitFor(async () => (await readState()) === 'completed');
+      const page = await entry.metrics.render([], []);
+      expect(page).toContain('bramleyladder_exchange_duration_ms_count{exchange="start"} 2');
+    });
+
     it('does not mix the waits of two queues', async () => {
       const other = { ...ROUTE, name: 'r-2', prefix: '/other/' };
       store.write('op/config', { version: 4, routes: [ROUTE, other], services: [], limits: {} });
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -38,6 +38,7 @@
   readonly entries: EntryNode[] = [];
   readonly agents: AgentNode[] = [];
   readonly logs: { readonly node: string; readonly event: string }[] = [];
+  readonly durations: Extract<SchedulerEffect, { kind: 'duration' }>[] = [];
   private readonly events = WorldEvents.create(this.clock);
   private readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
   private readonly random = SeededRandom.create(7);
@@ -241,6 +242,9 @@
       case 'log':
         this.logs.push({ node: entry.id, event: effect.event });
         return;
+      case 'duration':
+        this.durations.push(effect);
+        return;
       case 'callStore':
         this.storeLink.call(entry.store, effect.call, effect.timeoutMs, (reply, sentAt) => {
           this.deliver(0, entry, { kind: 'storeReply', callId: effect.callId, reply, sentAt });
@@ -274,20 +278,13 @@
       case 'hintOwner': {
         const owner = this.entries.find(({ id }) => id === entry.ownerId);
         if (owner !== undefined)
-          this.deliver(LINK_MS, owner, {
-            kind: 'peerHint',
-            peerId: entry.id,
-            hint: effect.hint,
-          });
+          this.deliver(LINK_MS, owner, { kind: 'peerHint', peerId: entry.id, hint: effect.hint });
         return;
       }
       case 'sendPeer': {
         const peer = this.entries.find(({ id }) => id === effect.peerId);
         if (peer?.ownerId === entry.id)
-          this.deliver(LINK_MS, peer, {
-            kind: 'ownerMessage',
-            message: effect.message,
-          });
+          this.deliver(LINK_MS, peer, { kind: 'ownerMessage', message: effect.message });
         return;
       }
       case 'closeOwner':
