Test the two platform programs as processes of their own

Cause: that a blocked output blocks nothing was tested on the log class with a stub, not on a program with a real pipe; faults in the settings file and the answer before the first configuration had no test on the platform path. Change: test/platform/programs.test.ts builds the two bundles and runs them beside the store stand-in. With an unread pipe (proved full by log_lines_left_out) the entry answers callers within 1 s, accepts a job and stays the owner, and the agent takes beats. Settings with faults end a start with status 2 and one line that names each field; on SIGHUP they change nothing. Before a configuration an entry answers 503 with Retry-After and not 404; 404, 410 and 200 are told apart after it.

--- /dev/null
+++ b/test/platform/programs.test.ts
@@ -0,0 +1,184 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import {
+  buildPrograms,
+  createAgentSettings,
+  createEntrySettings,
+  findPorts,
+  PlatformProgram,
+} from '../support/platformProgram.ts';
+import { PlatformStoreStandIn } from '../support/platformStandIn.ts';
+
+const LIMIT_MS = 10_000;
+/** The balancer looks every second; a blocked process answers nothing at all. */
+const ANSWER_MS = 1_000;
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+  readonly retryAfter: string | null;
+}
+
+async function call(port: number, path: string, init: RequestInit = {}): Promise<Answer> {
+  const signal = AbortSignal.timeout(ANSWER_MS);
+  const response = await fetch(`http://127.0.0.1:${port}${path}`, { ...init, signal });
+  const retryAfter = response.headers.get('retry-after');
+  return { status: response.status, text: await response.text(), retryAfter };
+}
+
+async function waitFor(check: () => boolean | Promise<boolean>): Promise<void> {
+  const until = performance.now() + LIMIT_MS;
+  while (!(await check())) {
+    if (performance.now() > until) throw new Error('the condition did not come true');
+    await delay(20);
+  }
+}
+
+async function readGauge(port: number, name: string): Promise<number> {
+  const { text } = await call(port, '/metrics');
+  return Number(new RegExp(`^bramleyladder_${name} (.*)$`, 'm').exec(text)?.[1]);
+}
+
+describe('programs on the platform', () => {
+  let store: PlatformStoreStandIn;
+  let programs: PlatformProgram[];
+  let ports: number[];
+
+  beforeAll(() => {
+    buildPrograms();
+  });
+
+  beforeEach(async () => {
+    store = await PlatformStoreStandIn.create();
+    ports = await findPorts(2);
+    programs = [];
+  });
+
+  afterEach(() => {
+    for (const program of programs) program.dispose();
+    store.dispose();
+  });
+
+  function start(name: 'entry' | 'agent', changes: object = {}, isRead = true): PlatformProgram {
+    const create = name === 'entry' ? createEntrySettings : createAgentSettings;
+    const settings = { ...create(store.address, ports), ...changes };
+    const program = PlatformProgram.create(name, settings, isRead);
+    programs.push(program);
+    return program;
+  }
+
+  function configure(): void {
+    const host = `127.0.0.1:${ports[0]}`;
+    const routes = [{ name: 'r', host, prefix: '/q/', service: 'svc' }];
+    store.write('op/config', { version: 1, routes, services: [], limits: {} });
+  }
+
+  async function isListening(port: number): Promise<boolean> {
+    return call(port, '/metrics').then(
+      () => true,
+      () => false,
+    );
+  }
+
+  describe('without a configuration', () => {
+    it('an entry does not call a queue missing that it cannot know yet', async () => {
+      start('entry');
+      await waitFor(() => isListening(ports[1]!));
+      const early = await call(ports[0]!, '/q/');
+      expect(early.status).toBe(503);
+      expect(Number(early.retryAfter)).toBeGreaterThan(0);
+      expect((await call(ports[1]!, '/bramleyladder/ready')).status).toBe(503);
+      configure();
+      await waitFor(async () => (await call(ports[1]!, '/bramleyladder/ready')).status === 200);
+      expect((await call(ports[0]!, '/q/')).status).toBe(200);
+      expect((await call(ports[0]!, '/never/')).status).toBe(404);
+      expect((await call(ports[0]!, '/q/00000000000000b1')).status).toBe(410);
+    });
+  });
+
+  describe('with faults in their settings', () => {
+    it.each(['entry', 'agent'] as const)(
+      'the %s does not start, and names every fault in one line',
+      async (name) => {
+        const program = start(name, { id: '', zone: 7, linkPort: 'x' });
+        await waitFor(() => program.exitCode !== undefined);
+        expect(program.exitCode).toBe(2);
+        expect(program.countLines('settings_invalid')).toBe(1);
+        for (const field of ['id', 'zone', 'linkPort'])
+          expect(program.output).toMatch(new RegExp(`\\b${field}\\b`));
+      },
+    );
+
+    it('an entry does not give up the settings in force for ones with faults', async () => {
+      configure();
+      const program = start('entry');
+      await waitFor(async () => (await isListening(ports[1]!)) && isReadyWith(200));
+      for (const settings of [{ id: 'edge-1' }, 'no object', { ...createSettings(), zone: '' }]) {
+        program.writeSettings(settings);
+        const before = program.countLines('settings_invalid');
+        program.reload();
+        await waitFor(() => program.countLines('settings_invalid') > before);
+        expect((await call(ports[0]!, '/q/')).status).toBe(200);
+      }
+      program.writeSettings(createSettings());
+      program.reload();
+      await waitFor(() => program.output.includes('event=settings_reloaded'));
+      expect(program.exitCode).toBeUndefined();
+    });
+  });
+
+  describe('whose output nobody reads', () => {
+    it('an entry does not stop serving', async () => {
+      configure();
+      const program = start('entry', {}, false);
+      await waitFor(async () => (await isListening(ports[1]!)) && isReadyWith(200));
+      // Each reload writes a line of several KB; a pipe and its reader hold some 128 KB.
+      program.writeSettings({ zones: Array.from({ length: 200 }, () => 7) });
+      await waitFor(async () => {
+        program.reload();
+        return (await readGauge(ports[1]!, 'log_lines_left_out')) > 20;
+      });
+      for (let turn = 0; turn < 50; turn += 1) {
+        program.reload();
+        expect((await call(ports[0]!, '/q/')).status).toBe(200);
+        await delay(10);
+      }
+      const submission = JSON.stringify({ steps: [{ count: 1, cpu: 1 }] });
+      const submitted = await call(ports[0]!, '/q/00000000000000b1', {
+        method: 'POST',
+        body: submission,
+      });
+      expect(submitted.status).toBe(200);
+      expect(await readGauge(ports[1]!, 'is_owner')).toBe(1);
+    });
+
+    it('an agent does not stop taking beats', async () => {
+      const program = start('agent', {}, false);
+      const port = ports[0]!;
+      await waitFor(() => isListening(port));
+      const beat = async (body: object): Promise<number> =>
+        (
+          await call(port, `/bramleyladder/instances/${'i'.repeat(2_000)}/heartbeat`, {
+            method: 'POST',
+            body: JSON.stringify(body),
+          })
+        ).status;
+      await waitFor(async () => {
+        await beat({ state: 'asleep' });
+        return (await readGauge(port, 'log_lines_left_out')) > 20;
+      });
+      const good = { service: 'svc', addr: '127.0.0.1:1', zone: 'a', state: 'ready', seq: 1 };
+      expect(await beat({ ...good, capacity: { cpu: 1_000, mem_mb: 100 } })).toBe(200);
+      expect(await readGauge(port, 'worker_known')).toBe(1);
+      expect(program.exitCode).toBeUndefined();
+    });
+  });
+
+  function createSettings(): Record<string, unknown> {
+    return createEntrySettings(store.address, ports);
+  }
+
+  async function isReadyWith(status: number): Promise<boolean> {
+    return (await call(ports[1]!, '/bramleyladder/ready')).status === status;
+  }
+});
