Keep an owner with stored values that it cannot read

A stored progress of another form was dropped with its version, so every commit with that job failed and the entries lost the duty in turn, for good (6 of 6 values, no owner 25 s after the takeover). An owner key of another form was taken for a living owner, so nobody claimed the duty (6 of 6). Records of agents of another form were left aside without a log line. A move away from a serving task did not look at how many tasks of a lasting step may be away. Change: unreadable progress keeps its version; an unreadable owner key is claimed over with owner_unreadable; agent_unreadable is logged; canTakeAway bounds moves by maxUnavailable. The worker stand-in writes checkpoints and resumes from them, so that lost work shows in tests.

--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -6,6 +6,10 @@
   readonly task: string;
   readonly run: number;
   readonly startedAt: number;
+  /** Work of the whole task, and the part of it that the checkpoint of the start held, ms. */
+  readonly workMs: number;
+  readonly restoredMs: number;
+  readonly savesEveryMs: number;
   endsAt: number;
   readonly processors: number;
   readonly how: RunEnd;
@@ -19,6 +23,8 @@
 export interface RunBehaviour {
   readonly durationMs: number;
   readonly how: RunEnd;
+  /** Work after which the task writes a checkpoint, ms; without it a restart begins anew. */
+  readonly savesEveryMs?: number;
   /** Whether the task stands still until it is stopped. */
   readonly isStalled?: boolean;
   /** Part of the worker's processors that the task asks for; such tasks share the processors evenly. */
@@ -32,7 +38,12 @@
   readonly running = new Map<string, MemoryRun>();
   readonly ended: EndedRun[] = [];
   /** Every start that was carried out, in order. */
-  readonly starts: { readonly task: string; readonly run: number; readonly at: number }[] = [];
+  readonly starts: {
+    readonly task: string;
+    readonly run: number;
+    readonly at: number;
+    readonly checkpoint: string;
+  }[] = [];
   /** Whether a start's ticket is good; every one is unless a test sets this. */
   checkTicket: (task: string, ticket: string) => boolean = () => true;
   /** Time that a stopped run takes to end, ms; the stop is answered at once. */
@@ -93,12 +104,12 @@
 
   /** What runs now, as a list reports it. */
   listRunning(): RunningRun[] {
-    return [...this.running.values()].map(({ task, run, startedAt, endsAt, computeLatency }) => ({
-      task,
-      run,
-      checkpoint: '',
-      percent: computeLatency === undefined ? this.computePercent(startedAt, endsAt) : 100,
-      load: Math.round(computeLatency?.(this.countOthers(task)) ?? 0),
+    return [...this.running.values()].map((run) => ({
+      task: run.task,
+      run: run.run,
+      checkpoint: this.formatCheckpoint(run, run.savesEveryMs),
+      percent: run.computeLatency === undefined ? this.computePercent(run) : 100,
+      load: Math.round(run.computeLatency?.(this.countOthers(run.task)) ?? 0),
     }));
   }
 
@@ -124,17 +135,23 @@
     if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
     if (!this.checkTicket(call.task, call.ticket)) return { kind: 'rejected', reason: 'ticket' };
     this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
-    const { durationMs, how, isStalled, processors, computeLatency } = this.behave(
+    const { durationMs, how, isStalled, savesEveryMs, processors, computeLatency } = this.behave(
       call.task,
       call.run,
       call.payload,
     );
-    this.starts.push({ task: call.task, run: call.run, at: this.clock.now });
+    const restoredMs = Math.min(durationMs, Number(call.checkpoint));
+    const { task, run, checkpoint } = call;
+    this.starts.push({ task, run, at: this.clock.now, checkpoint });
     this.running.set(call.task, {
       task: call.task,
       run: call.run,
       startedAt: this.clock.now,
-      endsAt: isStalled === true ? Number.POSITIVE_INFINITY : this.clock.now + durationMs,
+      workMs: durationMs,
+      restoredMs,
+      savesEveryMs: savesEveryMs ?? 0,
+      endsAt:
+        isStalled === true ? Number.POSITIVE_INFINITY : this.clock.now + durationMs - restoredMs,
       processors: processors ?? 0,
       how,
       computeLatency,
@@ -155,8 +172,17 @@
       if (run.processors > 0) run.endsAt += elapsedMs * (1 - 1 / asked);
   }
 
-  private computePercent(startedAt: number, endsAt: number): number {
-    return Math.floor((100 * (this.clock.now - startedAt)) / (endsAt - startedAt));
+  private computePercent({ startedAt, endsAt, workMs, restoredMs }: MemoryRun): number {
+    const part = (this.clock.now - startedAt) / (endsAt - startedAt);
+    return Math.floor((100 * (restoredMs + part * (workMs - restoredMs))) / workMs);
+  }
+
+  /** Work that a restart need not repeat, in steps of so many ms, as the text of a checkpoint. */
+  private formatCheckpoint(run: MemoryRun, everyMs: number): string {
+    if (run.savesEveryMs === 0) return '';
+    const left = Math.min(run.workMs - run.restoredMs, Math.max(0, run.endsAt - this.clock.now));
+    const savedMs = Math.floor((run.workMs - left) / everyMs) * everyMs;
+    return savedMs === 0 ? '' : String(Math.max(savedMs, run.restoredMs));
   }
 
   /** Other tasks at work, each counted by its pace. */
@@ -174,10 +200,14 @@
     this.advance();
   }
 
-  private recordEnd({ task, run }: MemoryRun, how: RunEnd): void {
+  private recordEnd(ended: MemoryRun, how: RunEnd): void {
+    const { task, run } = ended;
     this.running.delete(task);
     this.blocked.set(task, Math.max(run, this.blocked.get(task) ?? 0));
     this.lastEnd += 1;
-    this.ended.push({ number: this.lastEnd, task, run, how, checkpoint: '' });
+    // A stop writes a checkpoint of all work; any other end leaves the latest regular one.
+    const everyMs = how === 'stopped' ? 1 : ended.savesEveryMs;
+    const checkpoint = this.formatCheckpoint(ended, everyMs);
+    this.ended.push({ number: this.lastEnd, task, run, how, checkpoint });
   }
 }
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -1,15 +1,26 @@
+import { parseValue } from '../../base/common/parse.ts';
 import type { AgentRecord } from '../../model/scheduler/jobRecord.ts';
+import { agentRecordSchema } from '../../model/scheduler/jobRecord.ts';
 import { formatWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseRun } from './jobChanges.ts';
+import { logEvent } from './storeCalls.ts';
 
-/** Takes over an agent's record: its address, and the end of its worker when it tells of one. */
-export function applyAgentRecord(
+/**
+ * Takes over an agent's record: its address, and the end of its worker when it tells of one. A record
+ * of another form is left aside.
+ */
+export function applyStoredAgent(
   state: SchedulerState,
   id: string,
-  record: AgentRecord,
+  value: unknown,
   now: number,
 ): void {
+  const record = parseValue(agentRecordSchema, value).toMaybe().extract();
+  if (record === undefined) {
+    logEvent(state, 'error', 'agent_unreadable', { agent: id });
+    return;
+  }
   addAgent(state, id, record);
   if (record.goneWorker === undefined) return;
   const { id: workerId, bornMs } = record.goneWorker;
--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -1,13 +1,9 @@
 import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import {
-  agentRecordSchema,
-  STORE_KEYS,
-  submittedJobSchema,
-} from '../../model/scheduler/jobRecord.ts';
+import { STORE_KEYS, submittedJobSchema } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { applyAgentRecord } from './agentTables.ts';
+import { applyStoredAgent } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
@@ -133,8 +129,7 @@
     if (key.startsWith(STORE_KEYS.cancelPrefix)) {
       applyCancel(state, id);
     } else if (key.startsWith(STORE_KEYS.agentPrefix)) {
-      const agent = parseValue(agentRecordSchema, value).toMaybe().extract();
-      if (agent !== undefined) applyAgentRecord(state, id, agent, now);
+      applyStoredAgent(state, id, value, now);
     } else if (key.startsWith(STORE_KEYS.jobPrefix) && !state.jobs.has(id)) {
       this.addStoredJob(state, id, value, now, source);
     }
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -118,8 +118,12 @@
     this.readEpoch(state, entries);
     const entry = entries.find(({ key }) => key === STORE_KEYS.owner);
     const owner = parseValue(ownerRecordSchema, entry?.value).toMaybe().extract();
-    if (entry === undefined || entry.version === 0 || owner === undefined) {
-      if (entry?.version === 0) this.startClaim(state, 0);
+    if (entry === undefined) return;
+    if (entry.version === 0 || owner === undefined) {
+      // A record of another form names no owner, and the one before has lost its key with it.
+      if (entry.version !== 0)
+        logEvent(state, 'error', 'owner_unreadable', { version: entry.version });
+      this.startClaim(state, entry.version);
       return;
     }
     if (owner.entryId === state.self.id) {
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { canTakeAway } from './availability.ts';
 import { requestStop, updateTask } from './jobChanges.ts';
 import { computeSlack, getPairCost, learnSlack } from './slackModel.ts';
 import { logEvent } from './storeCalls.ts';
@@ -154,6 +155,7 @@
   private canMove(state: SchedulerState, run: RunRow, now: number): boolean {
     const task = state.tasks.get(run.taskId);
     if (task?.step.savesProgress !== true || task.avoided.length >= MAX_MOVES) return false;
+    if (!canTakeAway(state, task)) return false;
     return collectRooms(state, now).some(
       (room) =>
         room.worker.id !== run.workerKey &&
--- a/src/systems/scheduler/takeoverSystem.ts
+++ b/src/systems/scheduler/takeoverSystem.ts
@@ -2,13 +2,13 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import {
-  agentRecordSchema,
   jobProgressSchema,
   STORE_KEYS,
   submittedJobSchema,
 } from '../../model/scheduler/jobRecord.ts';
+import type { JobProgress } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { applyAgentRecord } from './agentTables.ts';
+import { applyStoredAgent } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import type { StoredProgress } from './jobTables.ts';
 import { addJob } from './jobTables.ts';
@@ -17,6 +17,8 @@
 /** A page of a slow store takes up to 0.4 s and the time of its bytes. */
 const PAGE_TIMEOUT_MS = 1_000;
 
+const NO_PROGRESS: JobProgress = { phase: 'pending', epoch: 0, change: 0, tasks: {} };
+
 /**
  * Loads the tables of a new owner from the store: jobs, cancellations, agents and progress. Reads
  * store replies; writes `jobs`, `tasks`, `runs` and `agents`. Runs after the ownership system.
@@ -78,11 +80,8 @@
       this.loadJob(state, key.slice(STORE_KEYS.jobPrefix.length), value, tick.now);
     for (const { key } of this.listEntries(state, STORE_KEYS.cancelPrefix))
       applyCancel(state, key.slice(STORE_KEYS.cancelPrefix.length));
-    for (const { key, value } of this.listEntries(state, STORE_KEYS.agentPrefix)) {
-      const agent = parseValue(agentRecordSchema, value).toMaybe().extract();
-      if (agent !== undefined)
-        applyAgentRecord(state, key.slice(STORE_KEYS.agentPrefix.length), agent, tick.now);
-    }
+    for (const { key, value } of this.listEntries(state, STORE_KEYS.agentPrefix))
+      applyStoredAgent(state, key.slice(STORE_KEYS.agentPrefix.length), value, tick.now);
     load.entries.clear();
     state.intake.storeVersion = load.version;
     state.intake.watchAt = tick.now;
@@ -121,7 +120,8 @@
     const progress = parseValue(jobProgressSchema, entry.value).toMaybe().extract();
     if (progress === undefined) {
       logEvent(state, 'error', 'progress_unreadable', { job: id, version: entry.version });
-      return undefined;
+      // With the version the next change replaces the value; without it no write of the job succeeds.
+      return { version: entry.version, progress: NO_PROGRESS };
     }
     return { version: entry.version, progress };
   }
--- a/test/support/platformStandIn.ts
+++ b/test/support/platformStandIn.ts
@@ -215,8 +215,14 @@
       send(response, 200, {
         clock_ms: reply.clockMs,
         born: reply.bornMs,
-        running: reply.running.map((run) => [run.task, run.run, '', run.percent, run.load]),
-        ended: reply.ended.map((end) => [end.number, end.task, end.run, end.how, '']),
+        running: reply.running.map((run) => [
+          run.task,
+          run.run,
+          run.checkpoint,
+          run.percent,
+          run.load,
+        ]),
+        ended: reply.ended.map((end) => [end.number, end.task, end.run, end.how, end.checkpoint]),
       });
     else if (reply.kind === 'rejected') send(response, 409, { reason: reply.reason, clock_ms: 1 });
     else send(response, 200, { clock_ms: 1 });
@@ -239,7 +245,8 @@
   if (path.endsWith('pace')) return { op: 'pace', task, run, fence, percent: Number(body.percent) };
   const leaseUntilMs = Number(body.deadline_ms);
   const ticket = typeof body.ticket === 'string' ? body.ticket : '';
-  return { op: 'start', task, run, fence, payload: '', leaseUntilMs, checkpoint: '', ticket };
+  const checkpoint = typeof body.checkpoint === 'string' ? body.checkpoint : '';
+  return { op: 'start', task, run, fence, payload: '', leaseUntilMs, checkpoint, ticket };
 }
 
 async function readBody(request: IncomingMessage): Promise<unknown> {
--- /dev/null
+++ b/test/systems/scheduler/storeValues.test.ts
@@ -0,0 +1,88 @@
+import { describe, expect, it } from 'vitest';
+import { OPERATOR_KEYS } from '../../../src/model/scheduler/queueConfiguration.ts';
+import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
+import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+
+/** Values that no process of this version writes. */
+const BAD_VALUES: readonly unknown[] = [7, null, 'text', [], {}, { phase: 'asleep', tasks: 3 }];
+
+/** Writes a value over whatever the key holds. */
+function write(world: SchedulerWorld, key: string, value: unknown): void {
+  const read = world.store.handle({ op: 'read', key });
+  const expectedVersion = read.kind === 'entry' ? read.entry.version : 0;
+  world.store.handle({ op: 'write', key, expectedVersion, value });
+}
+
+function countLogs(world: SchedulerWorld, event: string): number {
+  return world.logs.filter((log) => log.event === event).length;
+}
+
+describe('values in the store that cannot be read', () => {
+  describe('jobs and agents', () => {
+    it('do not hold up other jobs, at once or after a takeover', () => {
+      const { world, entry } = createWorld(2, 2);
+      for (const [index, value] of BAD_VALUES.entries())
+        write(world, STORE_KEYS.job(createJobId(100 + index)), value);
+      world.submit(entry, JOB, [{ count: 2 }]);
+      world.run(3_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      expect(countLogs(world, 'job_unreadable')).toBe(BAD_VALUES.length);
+      world.kill(world.owner!);
+      world.run(6_000);
+      const owner = world.owner!;
+      world.submit(owner, createJobId(2), [{ count: 2 }]);
+      world.run(3_000);
+      expect(readPhase(world, owner, createJobId(2))).toBe('completed');
+      expect(owner.state.jobs.size).toBe(2);
+    });
+
+    it('do not take a known agent away or stop the others', () => {
+      const { world, entry } = createWorld(1, 2);
+      for (const [index, value] of BAD_VALUES.entries())
+        write(world, STORE_KEYS.agent(index === 0 ? 'agent-0' : `stranger-${index}`), value);
+      world.run(1_000);
+      world.submit(entry, JOB, [{ count: 2, cpuMillis: 8_000 }]);
+      world.run(3_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      expect(countLogs(world, 'agent_unreadable')).toBe(BAD_VALUES.length);
+      expect(entry.state.agents.size).toBe(2);
+    });
+  });
+
+  describe('progress', () => {
+    it.each(BAD_VALUES)('%j does not leave the job unfinished or end the owner', (value) => {
+      const { world, entry } = createWorld(2, 2);
+      world.submit(entry, JOB, [{ count: 2 }]);
+      world.run(300);
+      write(world, STORE_KEYS.progress(JOB), value);
+      world.kill(world.owner!);
+      world.run(25_000);
+      expect(countLogs(world, 'progress_unreadable')).toBeGreaterThan(0);
+      expect(readPhase(world, world.owner!)).toBe('completed');
+    });
+  });
+
+  describe('the owner record', () => {
+    it.each(BAD_VALUES)('%j does not leave the system without an owner', (value) => {
+      const { world } = createWorld(2, 1);
+      const before = world.owner!.state.ownership.epoch;
+      world.kill(world.owner!);
+      write(world, STORE_KEYS.owner, value);
+      world.run(10_000);
+      expect(world.owner?.state.ownership.epoch).toBeGreaterThan(before);
+    });
+  });
+
+  describe("the operator's keys", () => {
+    it.each(BAD_VALUES)('%j does not replace the configuration in force', (value) => {
+      const { world, entry } = createWorld(1, 1);
+      write(world, OPERATOR_KEYS.configuration, value);
+      world.run(2_000);
+      expect(countLogs(world, 'configuration_unreadable')).toBe(1);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(2_500);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+  });
+});
