Log links between processes, and test queues that come and go

Change: agent_linked, agent_unlinked, owner_linked and owner_unlinked, one line a change and not one a try.

--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -9,6 +9,7 @@
   REPORT_FRESH_MS,
   RUN_LEASE_MS,
 } from './ownershipTimes.ts';
+import { logEvent } from './storeCalls.ts';
 
 const RETRY_FIRST_MS = 250;
 /** An agent that is away for long is tried again this often. */
@@ -48,6 +49,10 @@
   private receiveLink(state: SchedulerState, agentId: string, isOpen: boolean, now: number): void {
     const agent = state.agents.get(agentId);
     if (agent === undefined) return;
+    // A link that fails to open says nothing new; the first loss is what decides.
+    if (isOpen) logEvent(state, 'info', 'agent_linked', { agent: agentId, tries: agent.failures });
+    else if (agent.link === 'open' || agent.failures === 0)
+      logEvent(state, 'warn', 'agent_unlinked', { agent: agentId, link: agent.link });
     if (isOpen) {
       state.agents.update(agentId, { link: 'open', openedAt: now, heardAt: now, failures: 0 });
       const worker = state.workers.get(agent.workerKey ?? '');
@@ -81,6 +86,7 @@
 
   private keepLink(state: SchedulerState, agent: AgentRow, tick: Tick): void {
     if (tick.now - agent.heardAt > LINK_SILENT_MS) {
+      logEvent(state, 'warn', 'agent_unlinked', { agent: agent.id, link: 'silent' });
       state.outbox.append({ kind: 'closeAgent', agentId: agent.id });
       state.agents.update(agent.id, { link: 'closed', retryAt: tick.now });
       tick.wakeAt(tick.now);
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { JobStatus, OwnerNews } from '../../model/scheduler/links.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { logEvent } from './storeCalls.ts';
 
 const NEWS_EVERY_MS = 300;
 /** An owner that the store has not confirmed for longer may have been replaced. */
@@ -41,7 +42,11 @@
   private receiveOwner(state: SchedulerState, tick: Tick): void {
     const { ownership } = state;
     for (const { isOpen } of state.inbox.list('ownerLink')) {
+      const before = ownership.ownerLink;
       ownership.ownerLink = isOpen ? 'open' : 'closed';
+      if (isOpen) logEvent(state, 'info', 'owner_linked', { owner: ownership.ownerId });
+      else if (before === 'open')
+        logEvent(state, 'warn', 'owner_unlinked', { owner: ownership.ownerId });
       if (!isOpen) ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
       tick.wakeAt(tick.now);
     }
--- /dev/null
+++ b/test/support/platformWorld.ts
@@ -0,0 +1,186 @@
+import { request } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { LogWriter } from '../../src/base/node/logWriter.ts';
+import { RunnerAgentDaemon } from '../../src/daemons/runnerAgentDaemon.ts';
+import { SchedulerDaemon } from '../../src/daemons/schedulerDaemon.ts';
+import { PlatformStoreClient } from '../../src/platform/platformStoreClient.ts';
+import { receiveBeat } from '../../src/platform/wireBeats.ts';
+import { WireAdviceClient } from '../../src/platform/wireAdviceClient.ts';
+import { createEntryStatusHandler } from '../../src/platform/wireEntryStatus.ts';
+import { WireFront } from '../../src/platform/wireFront.ts';
+import { WireRunnerClient } from '../../src/platform/wireRunnerClient.ts';
+import { WireStatusServer } from '../../src/platform/wireStatusServer.ts';
+import { PlatformRunnerStandIn, PlatformStoreStandIn } from './platformStandIn.ts';
+import { BOUNDS } from './worldNodes.ts';
+
+/** Host of the callers' requests, unless told. */
+export const HOST = 'kits.example';
+/** Id of the job in tests that submit one. */
+export const JOB = '00000000000000b1';
+/** The queue of the first configuration. */
+export const ROUTE = {
+  name: 'r-1',
+  host: HOST,
+  prefix: '/kits/',
+  service: 'svc',
+  attempts: 2,
+  stretch: 2,
+  slo_ms: 300,
+  priority: 0,
+};
+const LOG = LogWriter.create(true);
+/** Nothing reads the gauges of these daemons. */
+const listGauges = (): never[] => [];
+
+/** What a caller got back. */
+export interface Answer {
+  readonly status: number;
+  readonly body: Record<string, unknown>;
+  readonly retryAfter: string | undefined;
+}
+
+/** Sends one request on a connection of its own. */
+export async function send(
+  port: number,
+  method: string,
+  path: string,
+  body?: unknown,
+  host = HOST,
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request(
+      { host: '127.0.0.1', port, method, path, headers: { host, 'deadline-ms': '2000' } },
+      (response) => {
+        let text = '';
+        response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+        response.on('end', () => {
+          resolve({
+            status: response.statusCode ?? 0,
+            body: text === '' ? {} : (JSON.parse(text) as Record<string, unknown>),
+            retryAfter: response.headers['retry-after'],
+          });
+        });
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end(typeof body === 'string' ? body : JSON.stringify(body));
+  });
+}
+
+export async function waitFor(check: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 300; tries += 1) {
+    if (await check()) return;
+    await delay(20);
+  }
+  throw new Error('the condition did not come true in 6 s');
+}
+
+interface Parts {
+  readonly store: PlatformStoreStandIn;
+  readonly runner: PlatformRunnerStandIn;
+  readonly entry: SchedulerDaemon;
+  readonly agent: RunnerAgentDaemon;
+  readonly front: WireFront;
+  readonly beats: WireStatusServer;
+  readonly status: WireStatusServer;
+  /** Workers whose beats had another form. */
+  readonly invalidBeats: string[];
+  /** Time that tasks take that start from now on, ms. */
+  readonly times: { taskMs: number };
+}
+
+/** An entry, an agent and their fronts over sockets, beside stand-ins of the store and the worker. */
+export class PlatformWorld {
+  private constructor(readonly parts: Parts) {}
+
+  /** A world whose owner knows the worker `i-1` and has room there. */
+  static async create(): Promise<PlatformWorld> {
+    const store = await PlatformStoreStandIn.create();
+    store.write('op/config', { version: 3, routes: [ROUTE], services: [], limits: {} });
+    const times = { taskMs: 150 };
+    const runner = await PlatformRunnerStandIn.create(() => ({
+      durationMs: times.taskMs,
+      how: 'done',
+    }));
+    const entry = await SchedulerDaemon.create(
+      { id: 'e-1', bootId: 'b-1', zone: 'a', zones: ['a', 'b'], bounds: { ...BOUNDS } },
+      { host: '127.0.0.1', port: 0 },
+      PlatformStoreClient.create(store.address),
+      WireAdviceClient.create(''),
+      LOG,
+    );
+    const agent = await RunnerAgentDaemon.create(
+      { id: 'a-1', zone: 'a' },
+      { host: '127.0.0.1', port: 0 },
+      PlatformStoreClient.create(store.address),
+      WireRunnerClient.create(),
+      LOG,
+    );
+    const invalidBeats: string[] = [];
+    const front = await WireFront.create('127.0.0.1:0', entry);
+    const beats = await createBeatServer(agent, invalidBeats);
+    const status = await WireStatusServer.create(
+      '127.0.0.1:0',
+      { counters: entry.state.counters, metrics: entry.metrics, listGauges },
+      createEntryStatusHandler(entry),
+    );
+    const parts = { store, runner, entry, agent, front, beats, status, invalidBeats, times };
+    const world = new PlatformWorld(parts);
+    await waitFor(() => entry.isReady && entry.state.ownership.role === 'owner');
+    const { status: answered } = await world.beat();
+    if (answered !== 200) throw new Error(`the beat was answered with ${answered}`);
+    await waitFor(() => [...entry.state.workers.values()].some(({ isFenced }) => isFenced));
+    return world;
+  }
+
+  dispose(): void {
+    const { store, runner, entry, agent, front, beats, status } = this.parts;
+    for (const part of [front, beats, status, entry, agent, store, runner]) part.dispose();
+  }
+
+  /** Sends a beat of the worker. */
+  async beat(fields: Record<string, unknown> = {}): Promise<Answer> {
+    return send(this.parts.beats.port, 'POST', '/bramleyladder/instances/i-1/heartbeat', {
+      service: 'svc',
+      addr: this.parts.runner.address,
+      zone: 'a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      cold_left_ms: 0,
+      capacity: { cpu: 8_000, mem_mb: 8_000, gpu: 0 },
+      labels: ['k'],
+      clock_ms: 5,
+      seq: Date.now(),
+      born: 77,
+      ...fields,
+    });
+  }
+
+  /** State that a caller is told of the job {@link JOB}. */
+  async readState(): Promise<unknown> {
+    return (await send(this.parts.front.port, 'GET', `/kits/${JOB}`)).body.state;
+  }
+}
+
+async function createBeatServer(
+  agent: RunnerAgentDaemon,
+  invalidBeats: string[],
+): Promise<WireStatusServer> {
+  return WireStatusServer.create(
+    '127.0.0.1:0',
+    { counters: agent.state.counters, metrics: agent.metrics, listGauges },
+    (incoming, response) =>
+      receiveBeat(incoming, response, {
+        onBeat: (value) => {
+          agent.receiveBeat(value);
+        },
+        onLeave: (workerId) => {
+          agent.receiveLeave(workerId);
+        },
+        onInvalid: (workerId) => {
+          invalidBeats.push(workerId);
+        },
+      }),
+  );
+}
