--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -4,6 +4,8 @@
 import { Table } from '../../base/common/table.ts';
 import type { PlatformBounds } from './bounds.ts';
 import type { SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
+import type { Ownership } from './ownership.ts';
+import { createOwnership } from './ownership.ts';
 import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
 import type { QueueCall } from './queueCall.ts';
 import type { Queue, QueueConfiguration } from './queueConfiguration.ts';
@@ -44,35 +46,6 @@
   readonly value: number;
 }
 
-/** What an entry knows about the owner, and about its own claim. */
-export interface Ownership {
-  role: 'follower' | 'claiming' | 'loading' | 'owner';
-  /** Epoch of the owner that this entry follows or is. */
-  epoch: number;
-  leaseId: string;
-  /** Version of the owner key that this entry wrote. */
-  keyVersion: number;
-  epochKeyVersion: number;
-  /** Start of the latest store call that confirmed the claim; on the monotonic clock. */
-  confirmedAt: number;
-  renewAt: number;
-  claimAt: number;
-  /** Id of the owner, when it is another entry and its record has been read. */
-  ownerId: string;
-  /** Address of the owner, when it is another entry. */
-  ownerAddress: string;
-  ownerLink: 'closed' | 'opening' | 'open';
-  /** Latest news of an owner that the store had confirmed lately, and latest news of any. */
-  ownerHeardAt: number;
-  newsAt: number;
-  /** When the owner last asked whether a peer could take over. */
-  askedAt: number;
-  /** Version of an owner key whose holder has handed the duty over; 0 for none. */
-  claimableVersion: number;
-  /** When the owner's tables were loaded. */
-  loadedAt: number;
-}
-
 /** What an entry knows of the operator's keys. */
 export interface OperatorState {
   configuration: QueueConfiguration | undefined;
@@ -149,6 +122,8 @@
   readonly readyTasksByStep: TableIndex<TaskRow>;
   /** Tasks that have become ready since the latest placement. */
   readonly newlyReady: Set<string>;
+  /** When the steps that are not done were ready to start, owner's clock ms, by job and step. */
+  readonly stepTimes: Map<string, Map<number, number>>;
   readonly runs: Table<RunRow>;
   readonly runsByTask: TableIndex<RunRow>;
   readonly runsByWorker: TableIndex<RunRow>;
@@ -222,6 +197,7 @@
     newlyReady: tasks.addChangeSet(
       (previous, next) => next?.phase === 'ready' && previous?.phase !== 'ready',
     ),
+    stepTimes: new Map(),
     runs,
     runsByTask: runs.addIndex((run) => run.taskId),
     runsByWorker: runs.addIndex((run) => run.workerKey),
@@ -279,24 +255,3 @@
     watchAt: NEVER,
   };
 }
-
-function createOwnership(): Ownership {
-  return {
-    role: 'follower',
-    epoch: 0,
-    leaseId: '',
-    keyVersion: 0,
-    epochKeyVersion: 0,
-    confirmedAt: NEVER,
-    renewAt: NEVER,
-    claimAt: NEVER,
-    ownerId: '',
-    ownerAddress: '',
-    ownerLink: 'closed',
-    ownerHeardAt: NEVER,
-    newsAt: NEVER,
-    askedAt: NEVER,
-    claimableVersion: 0,
-    loadedAt: NEVER,
-  };
-}
