Refuse a count of waiting jobs that is not current

Cause: every entry counted the phases it knew, however old they were. An entry whose link to the owner is not open knows only what it accepted itself.

The count is now refused with 503 and Retry-After while neither news of a confirmed owner nor, at the owner, the store's confirmation are younger than 2 s.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -64,6 +64,8 @@
   /** Latest news of an owner that the store had confirmed lately, and latest news of any. */
   ownerHeardAt: number;
   newsAt: number;
+  /** When an owner in touch with the store last brought the statuses up to date here. */
+  statusesAt: number;
   /** When the owner last asked whether a peer could take over. */
   askedAt: number;
   /** Version of an owner key whose holder has handed the duty over; 0 for none. */
@@ -271,6 +273,7 @@
     ownerLink: 'closed',
     ownerHeardAt: NEVER,
     newsAt: NEVER,
+    statusesAt: NEVER,
     askedAt: NEVER,
     claimableVersion: 0,
     loadedAt: NEVER,
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -22,6 +22,10 @@
 const ANSWER_MARGIN_SHARE = 0.1;
 /** News of the owner come every 300 ms; older phases are read from the store instead. */
 const OWNER_CURRENT_MS = 1_200;
+/** The job interface lets a count of waiting jobs be this old. */
+const COUNT_CURRENT_MS = 2_000;
+/** Owners change and links open within about a second. */
+const COUNT_RETRY_AFTER_MS = 1_000;
 const JOB_ID = /^[0-9a-f]{16}$/i;
 
 /**
@@ -88,10 +92,7 @@
     }
     const jobId = arrival.path.slice(queue.prefix.length).replace(/^\//, '');
     if (jobId === '' && arrival.call.kind === 'read') {
-      const waiting = state.statusesByQueue
-        .list(queue.name)
-        .filter(({ phase }) => phase === 'pending').length;
-      answerCall(state, arrival.callId, { kind: 'count', waiting });
+      this.answerCount(state, arrival, queue.name, now);
       return;
     }
     if (!JOB_ID.test(jobId)) {
@@ -128,6 +129,32 @@
     state.calls.set(call);
   }
 
+  /** An entry that has lost touch with the owner would leave out the jobs that others accepted. */
+  private answerCount(
+    state: SchedulerState,
+    { callId, path }: QueueCallArrival,
+    queueName: string,
+    now: number,
+  ): void {
+    const { role, confirmedAt, statusesAt } = state.ownership;
+    const currentAt = role === 'owner' ? confirmedAt : statusesAt;
+    if (now - currentAt > COUNT_CURRENT_MS) {
+      refuseCall(
+        state,
+        callId,
+        path,
+        'no_owner',
+        'no owner has told of its jobs lately',
+        COUNT_RETRY_AFTER_MS,
+      );
+      return;
+    }
+    const waiting = state.statusesByQueue
+      .list(queueName)
+      .filter(({ phase }) => phase === 'pending').length;
+    answerCall(state, callId, { kind: 'count', waiting });
+  }
+
   /** Answers what needs no store: phases known here, and submissions while the store is away. */
   private answerAtOnce(state: SchedulerState, call: CallRow, now: number): boolean {
     if (isStoreAway(state, now) && call.call.kind !== 'read' && forwardCall(state, call, now))
--- a/src/systems/scheduler/dropOwnership.ts
+++ b/src/systems/scheduler/dropOwnership.ts
@@ -7,6 +7,7 @@
   logEvent(state, 'warn', 'ownership_lost', { epoch: ownership.epoch, reason });
   state.counters.add('ownership_losses', { reason });
   ownership.role = 'follower';
+  ownership.statusesAt = ownership.confirmedAt;
   ownership.leaseId = '';
   ownership.claimAt = now;
   ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -66,7 +66,10 @@
     if (news.epoch < ownership.epoch) return;
     ownership.epoch = news.epoch;
     ownership.newsAt = now;
-    if (news.confirmedAgoMs < CONFIRMED_FRESH_MS) ownership.ownerHeardAt = now;
+    if (news.confirmedAgoMs < CONFIRMED_FRESH_MS) {
+      ownership.ownerHeardAt = now;
+      ownership.statusesAt = now;
+    }
     if (news.isComplete) {
       const named = new Set(news.jobs.map(({ id }) => id));
       for (const status of state.statuses.list())
--- /dev/null
+++ b/test/systems/scheduler/waitingCounts.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from 'vitest';
+import type { QueueAnswer } from '../../../src/model/scheduler/queueCall.ts';
+import { createJobId, createWorld } from '../../support/jobWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import type { EntryNode } from '../../support/worldNodes.ts';
+
+const JOBS = 4;
+
+/** A world whose jobs find no worker, and an entry that is not the owner. */
+function createWaitingWorld(): { world: SchedulerWorld; owner: EntryNode; follower: EntryNode } {
+  const { world } = createWorld(3, 0);
+  const owner = world.owner!;
+  const [follower, accepting] = world.entries.filter((entry) => entry !== owner);
+  for (let index = 1; index <= JOBS; index += 1)
+    world.submit(accepting!, createJobId(index), [{ count: 1 }]);
+  world.run(1_000);
+  return { world, owner, follower: follower! };
+}
+
+function countWaiting(world: SchedulerWorld, entry: EntryNode): QueueAnswer | undefined {
+  const callId = world.call(entry, '', { kind: 'read' });
+  world.run(50);
+  return entry.answers.get(callId);
+}
+
+describe('count of waiting jobs', () => {
+  describe('at an entry in touch with the owner', () => {
+    it('does not leave out jobs that another entry accepted', () => {
+      const { world, follower, owner } = createWaitingWorld();
+      for (const entry of [follower, owner])
+        expect(countWaiting(world, entry)).toEqual({ kind: 'count', waiting: JOBS });
+    });
+  });
+
+  describe('at an entry out of touch with the owner', () => {
+    it('does not tell what it knew before, without the jobs accepted since', () => {
+      const { world, owner, follower } = createWaitingWorld();
+      const { entries } = world;
+      for (const entry of entries) entry.store = 'silent';
+      world.kill(owner);
+      world.run(2_500);
+      expect(countWaiting(world, follower)).toMatchObject({ kind: 'refused', error: 'no_owner' });
+    });
+
+    it('does not tell of no jobs when it has just started, until it is the owner itself', () => {
+      const { world, owner } = createWaitingWorld();
+      for (const entry of world.entries) entry.store = 'silent';
+      world.kill(owner);
+      const entry = world.addEntry('entry-new');
+      world.run(500);
+      expect(countWaiting(world, entry)).toMatchObject({ kind: 'refused', error: 'no_owner' });
+      world.run(3_000);
+      expect(countWaiting(world, entry)).toEqual({ kind: 'count', waiting: JOBS });
+    });
+  });
+
+  describe('at an owner that the store does not answer', () => {
+    it('does not leave out jobs that are stored meanwhile', () => {
+      const { world, owner } = createWaitingWorld();
+      for (const entry of world.entries) entry.store = 'silent';
+      world.run(2_500);
+      expect(countWaiting(world, owner)).toMatchObject({ kind: 'refused', error: 'no_owner' });
+    });
+  });
+});
