--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -2,10 +2,13 @@
 import { System } from '../../base/common/system.ts';
 import type { JobStatus, OwnerNews } from '../../model/scheduler/links.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { logEvent } from './storeCalls.ts';
 
 const NEWS_EVERY_MS = 300;
 /** An owner that the store has not confirmed for longer may have been replaced. */
 const CONFIRMED_FRESH_MS = 1_500;
+/** Age of the news that is logged at most; before the first news it is infinite. */
+const NEWS_AGE_MOST_MS = 60_000;
 /** A link that does not open by then is given up. */
 const LINK_OPEN_MS = 1_000;
 
@@ -42,6 +45,11 @@
     const { ownership } = state;
     for (const { isOpen } of state.inbox.list('ownerLink')) {
       ownership.ownerLink = isOpen ? 'open' : 'closed';
+      logEvent(state, 'info', 'owner_link', {
+        owner: ownership.ownerAddress,
+        open: isOpen,
+        newsAgeMs: Math.round(Math.min(NEWS_AGE_MOST_MS, tick.now - ownership.newsAt)),
+      });
       if (!isOpen) ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
       tick.wakeAt(tick.now);
     }
