Accept a claim of the owner's key only with its own lease

Two owners could grant leases of runs for longer than a successor waits, so a task could run twice.

Cause: an entry whose claim went unanswered claims again with a new store lease. When the first claim is carried out late, between the two, the entry took the key for its own and renewed the second lease, to which no key is attached. The key lapsed, the renewals went on to confirm the ownership, and the other entries heard a confirmed owner. Another entry out of its reach could claim the free key meanwhile, while the first went on granting leases.

Change: the owner's record names its store lease; a record with another lease is replaced by a new claim.

Evidence: npx vitest run test/systems/scheduler/jobPath.test.ts, test 'does not keep the duty alive with the lease of another claim'. Before: the key has version 0 where the owner believes version 3. After: 22 passed.

Why it works: a renewal confirms the ownership only if the key ends with the lease that is renewed.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -50,6 +50,8 @@
   bootId: z.string(),
   address: z.string(),
   epoch: z.int(),
+  /** Store lease that the record is attached to. */
+  leaseId: z.optional(z.string()),
 });
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -1,6 +1,7 @@
 import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import type { OwnerRecord } from '../../model/scheduler/jobRecord.ts';
 import { ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
@@ -123,8 +124,9 @@
       return;
     }
     if (owner.entryId === state.self.id) {
-      // A claim of this process whose answer was lost, or of its predecessor, which is dead.
-      if (owner.bootId === state.self.bootId && ownership.leaseId !== '')
+      // The latest claim of this process, whose answer was lost. An earlier one, or one of its dead
+      // predecessor, is attached to a lease that nobody renews.
+      if (owner.bootId === state.self.bootId && owner.leaseId === ownership.leaseId)
         this.acceptClaim(state, owner.epoch, entry.version, now);
       else this.startClaim(state, entry.version);
       return;
@@ -172,7 +174,13 @@
       }
       ownership.leaseId = reply.leaseId;
       const epoch = ownership.epoch + 1;
-      const value = { entryId: self.id, bootId: self.bootId, address: self.address, epoch };
+      const value: OwnerRecord = {
+        entryId: self.id,
+        bootId: self.bootId,
+        address: self.address,
+        epoch,
+        leaseId: reply.leaseId,
+      };
       sendStoreCall(
         state,
         'claim',
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -233,6 +233,33 @@
     });
   });
 
+  describe('with a claim that is carried out late', () => {
+    it('does not keep the duty alive with the lease of another claim', () => {
+      const world = SchedulerWorld.create(1, 1);
+      const [entry] = world.entries;
+      while (entry!.state.ownership.role !== 'claiming') world.run(1);
+      const lease = world.store.handle({ op: 'grantLease', ttlMs: 1_500 });
+      const { id: entryId, bootId, address } = entry!.state.self;
+      world.store.handle({
+        op: 'transact',
+        expected: [],
+        puts: [
+          {
+            key: STORE_KEYS.owner,
+            value: { entryId, bootId, address, epoch: 1 },
+            ...(lease.kind === 'lease' ? { leaseId: lease.leaseId } : {}),
+          },
+          { key: STORE_KEYS.epoch, value: 1 },
+        ],
+        deletes: [],
+      });
+      world.run(4_000);
+      const owner = world.store.handle({ op: 'read', key: STORE_KEYS.owner });
+      expect(entry!.state.ownership.role).toBe('owner');
+      expect(owner).toMatchObject({ entry: { version: entry!.state.ownership.keyVersion } });
+    });
+  });
+
   describe('after a restart of everything', () => {
     it('does not wait long on a first call that the store never answers', () => {
       const world = SchedulerWorld.create(2, 1);
