--- a/src/cli/jobLocal.ts
+++ b/src/cli/jobLocal.ts
@@ -1,5 +1,6 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { NodeClock } from '../base/node/nodeClock.ts';
+import { LogWriter } from '../base/node/logWriter.ts';
 import type { JobPhase } from '../model/scheduler/jobRecord.ts';
 import { ENDLESS_PAYLOAD, LOCAL_QUEUE, LocalScheduler } from './localScheduler.ts';
 import { CommandError, EXIT_FAILED, printJson, printLine } from './output.ts';
@@ -115,11 +116,18 @@
   printLine('running; try these in another terminal, and stop with Ctrl-C:');
   for (const command of ['submit examples/steps.json', 'watch', 'cancel', 'status'])
     printLine(`  bramleyladder job ${command} ${where}`);
+  const { statusAddress } = scheduler;
+  printLine(`  bramleyladder explain job 00000000000000b1 --address ${statusAddress}`);
+  printLine(`  curl http://${statusAddress}/metrics`);
 }
 
 /** `job local`: runs the scheduler in this process with stand-ins and shows three jobs on it. */
 export async function runJobLocal(options: LocalJobOptions): Promise<void> {
-  const scheduler = await LocalScheduler.create(options.port);
+  const scheduler = await LocalScheduler.create(
+    options.port,
+    // The log would stand between the lines of a sample that ends by itself.
+    LogWriter.create(options.keep !== true),
+  );
   await scheduler.waitReady();
   const jobs = await runSample(scheduler);
   if (options.json === true) printJson(jobs);
--- a/src/cli/localScheduler.ts
+++ b/src/cli/localScheduler.ts
@@ -7,7 +7,10 @@
 import type { PlatformBounds } from '../model/scheduler/bounds.ts';
 import type { Queue } from '../model/scheduler/queueConfiguration.ts';
 import { OPERATOR_KEYS } from '../model/scheduler/queueConfiguration.ts';
+import { listSchedulerGauges } from '../daemons/schedulerGauges.ts';
+import { serveExplanation } from '../protocol/node/explanationFront.ts';
 import { QueueFront } from '../protocol/node/queueFront.ts';
+import { StatusServer } from '../protocol/node/statusServer.ts';
 import { MemoryAdviceClient } from '../standins/memoryAdviceClient.ts';
 import { MemoryAdviser } from '../standins/memoryAdviser.ts';
 import type { RunBehaviour } from '../standins/memoryRunner.ts';
@@ -119,6 +122,7 @@
     readonly agents: readonly RunnerAgentDaemon[],
     readonly runners: readonly MemoryRunner[],
     private readonly front: QueueFront,
+    private readonly status: StatusServer,
   ) {}
 
   static async create(port = 0, log: LogWriter = LogWriter.create(true)): Promise<LocalScheduler> {
@@ -145,7 +149,16 @@
       agents.push(await openAgent(index, store, runner, log));
     }
     const front = await QueueFront.create(HOST, port, entry);
-    return new LocalScheduler(entry, agents, runners, front);
+    const status = await StatusServer.create(
+      { host: HOST, port: 0 },
+      {
+        counters: entry.state.counters,
+        metrics: entry.metrics,
+        listGauges: () => listSchedulerGauges(entry.state, entry.now),
+      },
+      (request, response) => serveExplanation(request, response, entry),
+    );
+    return new LocalScheduler(entry, agents, runners, front, status);
   }
 
   /** Address of the queue front. */
@@ -153,6 +166,11 @@
     return `http://${HOST}:${this.front.port}`;
   }
 
+  /** Address of the metrics page and of explanations, `ip:port`. */
+  get statusAddress(): string {
+    return `${HOST}:${this.status.port}`;
+  }
+
   /** Waits until the entry may start tasks on every worker. */
   async waitReady(): Promise<void> {
     const untilMs = TIMES.clock.now + READY_TIMEOUT_MS;
@@ -187,6 +205,6 @@
   }
 
   dispose(): void {
-    for (const part of [this.front, ...this.agents, this.entry]) part.dispose();
+    for (const part of [this.front, this.status, ...this.agents, this.entry]) part.dispose();
   }
 }
--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -3,12 +3,12 @@
 import { runUntilStopped } from '../cli/runDaemon.ts';
 import { RunnerAgentDaemon } from '../daemons/runnerAgentDaemon.ts';
 import { listProcessGauges, listRunnerAgentGauges } from '../daemons/schedulerGauges.ts';
-import { runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
+import { parseAddress, runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
+import { StatusServer } from '../protocol/node/statusServer.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
 import { loadSettings, watchSettings } from './settingsFile.ts';
 import { receiveBeat } from './wireBeats.ts';
 import { WireRunnerClient } from './wireRunnerClient.ts';
-import { WireStatusServer } from './wireStatusServer.ts';
 
 const log = BoundedLog.createFor(process.stdout);
 const settings = loadSettings(runnerAgentSettingsSchema, log);
@@ -19,8 +19,8 @@
   WireRunnerClient.create(),
   log,
 );
-await WireStatusServer.create(
-  settings.beatAddress,
+await StatusServer.create(
+  parseAddress(settings.beatAddress),
   {
     counters: daemon.state.counters,
     metrics: daemon.metrics,
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -4,13 +4,13 @@
 import { runUntilStopped } from '../cli/runDaemon.ts';
 import { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
 import { listProcessGauges, listSchedulerGauges } from '../daemons/schedulerGauges.ts';
-import { schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
+import { parseAddress, schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
+import { StatusServer } from '../protocol/node/statusServer.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
 import { loadSettings, watchSettings } from './settingsFile.ts';
 import { WireAdviceClient } from './wireAdviceClient.ts';
 import { createEntryStatusHandler } from './wireEntryStatus.ts';
 import { WireFront } from './wireFront.ts';
-import { WireStatusServer } from './wireStatusServer.ts';
 
 const log = BoundedLog.createFor(process.stdout);
 const settings = loadSettings(schedulerSettingsSchema, log);
@@ -27,8 +27,8 @@
   WireAdviceClient.create(settings.adviserAddress),
   log,
 );
-await WireStatusServer.create(
-  settings.readyAddress,
+await StatusServer.create(
+  parseAddress(settings.readyAddress),
   {
     counters: daemon.state.counters,
     metrics: daemon.metrics,
--- a/src/platform/wireEntryStatus.ts
+++ b/src/platform/wireEntryStatus.ts
@@ -1,6 +1,6 @@
 import { serveExplanation } from '../protocol/node/explanationFront.ts';
 import type { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
-import type { RequestHandler } from './wireStatusServer.ts';
+import type { RequestHandler } from '../protocol/node/statusServer.ts';
 
 /** What an entry serves beside the metrics: whether callers may be sent to it, and explanations. */
 export function createEntryStatusHandler(daemon: SchedulerDaemon): RequestHandler {
--- a/src/platform/wireStatusServer.ts
+++ b/src/protocol/node/statusServer.ts
@@ -1,10 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { Disposable } from '../base/common/disposable.ts';
-import type { Counters } from '../base/common/counters.ts';
-import { getHttpPort, openHttpServer } from '../base/node/httpListening.ts';
-import type { GaugeSample, Metrics } from '../base/node/metrics.ts';
-import { parseAddress } from '../daemons/schedulerSettings.ts';
+import type { Disposable } from '../../base/common/disposable.ts';
+import type { Counters } from '../../base/common/counters.ts';
+import { getHttpPort, openHttpServer } from '../../base/node/httpListening.ts';
+import type { GaugeSample, Metrics } from '../../base/node/metrics.ts';
 
 export interface StatusSource {
   readonly counters: Counters;
@@ -16,14 +15,14 @@
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => boolean;
 
 /** HTTP server with the metrics page and what a role serves beside it. */
-export class WireStatusServer implements Disposable {
+export class StatusServer implements Disposable {
   private constructor(private readonly server: Server) {}
 
   static async create(
-    address: string,
+    { host, port }: { readonly host: string; readonly port: number },
     source: StatusSource,
     handler: RequestHandler,
-  ): Promise<WireStatusServer> {
+  ): Promise<StatusServer> {
     const server = createServer((request, response) => {
       if (request.url === '/metrics') {
         void source.metrics.render(source.counters.list(), source.listGauges()).then((page) => {
@@ -33,9 +32,8 @@
         response.writeHead(404).end();
       }
     });
-    const { host, port } = parseAddress(address);
     await openHttpServer(server, host, port);
-    return new WireStatusServer(server);
+    return new StatusServer(server);
   }
 
   get port(): number {
--- a/test/daemons/queuePath.test.ts
+++ b/test/daemons/queuePath.test.ts
@@ -132,4 +132,21 @@
       expect(Number(unready.retryAfter)).toBeGreaterThan(0);
     });
   });
+
+  describe('for on-call engineers', () => {
+    it('does not leave out in local mode why a job waits, or its metrics', async () => {
+      const tooLarge = { payload: '100', steps: [{ count: 1, cpuMillis: 900_000 }] };
+      expect((await call('PUT', `${JOBS}/${JOB}`, tooLarge)).status).toBeLessThan(300);
+      const status = `http://${scheduler.statusAddress}`;
+      await waitFor(async () => {
+        const { body } = await request(`${status}/v1/explain/job/${JOB}`);
+        return JSON.stringify(await body.json()).includes('no room');
+      });
+      const page = await (await request(`${status}/metrics`)).body.text();
+      expect(page).toContain('bramleyladder_is_owner 1');
+      expect(page).toContain(`queue_waiting_tasks{queue="${LOCAL_QUEUE.name}"} 1`);
+      expect(page).toMatch(/room_free\{.*resource="cpu_millis"\} [1-9]/);
+      expect(page).toContain('job_submit_duration_ms_count');
+    });
+  });
 });
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -59,6 +59,8 @@
 
     it('does not end the process on a path that is no URL', async () => {
       expect((await send(front.port, 'GET', '//')).status).toBe(404);
+      expect((await send(status.port, 'GET', '//')).status).toBe(404);
+      expect((await send(beats.port, 'GET', '//')).status).toBe(404);
       expect((await send(front.port, 'GET', '/kits/%E0')).status).toBe(400);
       expect(
         (await send(beats.port, 'POST', '/bramleyladder/instances/%E0/heartbeat')).status,
--- a/test/support/platformWorld.ts
+++ b/test/support/platformWorld.ts
@@ -9,7 +9,7 @@
 import { createEntryStatusHandler } from '../../src/platform/wireEntryStatus.ts';
 import { WireFront } from '../../src/platform/wireFront.ts';
 import { WireRunnerClient } from '../../src/platform/wireRunnerClient.ts';
-import { WireStatusServer } from '../../src/platform/wireStatusServer.ts';
+import { StatusServer } from '../../src/protocol/node/statusServer.ts';
 import { PlatformRunnerStandIn, PlatformStoreStandIn } from './platformStandIn.ts';
 import { BOUNDS } from './worldNodes.ts';
 
@@ -81,8 +81,8 @@
   readonly entry: SchedulerDaemon;
   readonly agent: RunnerAgentDaemon;
   readonly front: WireFront;
-  readonly beats: WireStatusServer;
-  readonly status: WireStatusServer;
+  readonly beats: StatusServer;
+  readonly status: StatusServer;
   /** Workers whose beats had another form. */
   readonly invalidBeats: string[];
   /** Time that tasks take that start from now on, ms. */
@@ -119,8 +119,8 @@
     const invalidBeats: string[] = [];
     const front = await WireFront.create('127.0.0.1:0', entry);
     const beats = await createBeatServer(agent, invalidBeats);
-    const status = await WireStatusServer.create(
-      '127.0.0.1:0',
+    const status = await StatusServer.create(
+      { host: '127.0.0.1', port: 0 },
       { counters: entry.state.counters, metrics: entry.metrics, listGauges },
       createEntryStatusHandler(entry),
     );
@@ -166,9 +166,9 @@
 async function createBeatServer(
   agent: RunnerAgentDaemon,
   invalidBeats: string[],
-): Promise<WireStatusServer> {
-  return WireStatusServer.create(
-    '127.0.0.1:0',
+): Promise<StatusServer> {
+  return StatusServer.create(
+    { host: '127.0.0.1', port: 0 },
     { counters: agent.state.counters, metrics: agent.metrics, listGauges },
     (incoming, response) =>
       receiveBeat(incoming, response, {
