Fill the agent's pipe in the test by few lines, and prove it full

Cause: in a full run beside other work (load average 31 on 8 cores) the test "an agent does not stop taking beats" ran out of its 10 s, because it filled the pipe with one beat of 2 KB at a time (190 of them). Change: 150 beats of 8 KB in batches of ten, which is below the log's bound of 200 lines a second, so that lines can be left out only because the pipe is full; this is asserted. What is checked afterwards is unchanged.

--- a/test/platform/programs.test.ts
+++ b/test/platform/programs.test.ts
@@ -158,15 +158,15 @@
       await waitFor(() => isListening(port));
       const beat = async (body: object): Promise<number> =>
         (
-          await call(port, `/bramleyladder/instances/${'i'.repeat(2_000)}/heartbeat`, {
+          await call(port, `/bramleyladder/instances/${'i'.repeat(8_000)}/heartbeat`, {
             method: 'POST',
             body: JSON.stringify(body),
           })
         ).status;
-      await waitFor(async () => {
-        await beat({ state: 'asleep' });
-        return (await readGauge(port, 'log_lines_left_out')) > 20;
-      });
+      // Fewer lines than the bound of a second allows, so that only a full pipe keeps some out.
+      for (let batch = 0; batch < 15; batch += 1)
+        await Promise.all(Array.from({ length: 10 }, async () => beat({ state: 'asleep' })));
+      expect(await readGauge(port, 'log_lines_left_out')).toBeGreaterThan(20);
       const good = { service: 'svc', addr: '127.0.0.1:1', zone: 'a', state: 'ready', seq: 1 };
       expect(await beat({ ...good, capacity: { cpu: 1_000, mem_mb: 100 } })).toBe(200);
       expect(await readGauge(port, 'worker_known')).toBe(1);
