Acknowledge ends only after an answered look

Cause: when a worker crashes and comes back under its id, the agent's next look still carries the number of the last end of the incarnation before. The new one forgets its ends up to that number, unread, at once or when it carries the look out late. A task whose done end was forgotten so is started again.

Change: a look after one that failed carries no number. A crash breaks the look that waits, so the first look that reaches a new incarnation acknowledges nothing, and its answer shows the incarnation.

Evidence: npx vitest run test/systems/scheduler/lostAnswers.test.ts, test 'does not acknowledge ends by a look that follows one without an answer'. Before: "expected [ { run: 1, agent: 'agent-0' }, ...(1) ] to have a length of 1 but got 2". After: 16 passed.

Why it works: only an answered look tells which incarnation the numbers belong to.

--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -80,6 +80,8 @@
     const { hold, owner, lease, worker } = state;
     const isGranted = lease.bornMs === worker?.bornMs && lease.untilMs > 0;
     const isFirst = hold.epoch !== owner.epoch;
+    // A failed look may be the first sign of a new incarnation, whose ends have other numbers.
+    const mayAcknowledge = isGranted && hold.failures === 0;
     const waitMs = isFirst || hold.isUrgent || hold.lastListed > lease.lastSeen ? 0 : WAIT_MS;
     hold.epoch = owner.epoch;
     hold.isUrgent = false;
@@ -90,7 +92,7 @@
       {
         op: 'hold',
         fence: owner.epoch,
-        lastSeen: isGranted ? lease.lastSeen : 0,
+        lastSeen: mayAcknowledge ? lease.lastSeen : 0,
         waitMs,
         ...(isGranted ? { leaseUntilMs: lease.untilMs } : {}),
       },
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -179,6 +179,29 @@
       expect(readPhase(world, entry)).toBe('completed');
     });
 
+    it('does not acknowledge ends by a look that follows one without an answer', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      world.behave = () => ({ durationMs: 10, how: 'done' });
+      world.submit(entry, createJobId(7), [{ count: 1 }]);
+      world.run(1_500);
+      expect(agent!.state.lease.lastSeen).toBe(1);
+      // The crash breaks the look that waits, and the next one reaches the new incarnation.
+      let hasRestarted = false;
+      agent!.disturb = (call) => {
+        if (hasRestarted) return undefined;
+        if (call.op === 'hold') return 'lost';
+        hasRestarted = true;
+        world.restartRunner(agent!, 1_000);
+        return 'lost';
+      };
+      world.run(150);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
     it('does not release runs of an incarnation on a late beat of an earlier one', () => {
       const { world, entry } = createWorld(2, 3);
       world.behave = () => ({ durationMs: 4_000, how: 'done' });
