Hand the duty over to an entry with a much larger processor

An entry with twice the owner's processor time, by its settings, now offers to take over when the store serves it and it isn't stopping; an owner that has had the duty for 2 s hands it over by the way that exists for owners whom the store turns away.

--- a/src/cli/localScheduler.ts
+++ b/src/cli/localScheduler.ts
@@ -125,7 +125,14 @@
     const store = MemoryStore.create(TIMES.clock);
     writeConfiguration(store);
     const entry = await SchedulerDaemon.create(
-      { id: 'entry-0', bootId: 'local', zone: ZONE, zones: [ZONE], bounds: { ...BOUNDS } },
+      {
+        id: 'entry-0',
+        bootId: 'local',
+        zone: ZONE,
+        zones: [ZONE],
+        cores: 1,
+        bounds: { ...BOUNDS },
+      },
       { host: HOST, port: 0 },
       MemoryStoreClient.create(store, TIMES),
       MemoryAdviceClient.create(
--- a/src/daemons/schedulerSettings.ts
+++ b/src/daemons/schedulerSettings.ts
@@ -23,6 +23,8 @@
   readyAddress: addressSchema,
   /** The adviser on placement; empty when no queue needs it. */
   adviserAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
+  /** Part of a processor that the entry has, and the processor's speed against a plain core. */
+  processor: z._default(z.object({ share: z.number(), speed: z.number() }), { share: 1, speed: 1 }),
   bounds: platformBoundsSchema,
 });
 export type SchedulerSettings = z.infer<typeof schedulerSettingsSchema>;
--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -129,6 +129,8 @@
   jobs: z.array(jobStatusSchema),
   /** Milliseconds since the store last confirmed the ownership. */
   confirmedAgoMs: z.number(),
+  /** Processor time that the owner has, in plain cores. */
+  cores: z.optional(z.number()),
 });
 export type OwnerNews = z.infer<typeof ownerNewsSchema>;
 
@@ -163,6 +165,8 @@
   }),
   /** The store has just answered the entry; it could take the duty over. */
   z.object({ kind: z.literal('canTakeOver') }),
+  /** The entry has a larger processor than the owner and could take the duty over. */
+  z.object({ kind: z.literal('offerTakeOver'), cores: z.number() }),
   /** The sender has taken the duty over and listens at the address. */
   z.object({ kind: z.literal('successor'), address: z.string() }),
 ]);
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -69,6 +69,8 @@
   statusesAt: number;
   /** When the owner last asked whether a peer could take over. */
   askedAt: number;
+  /** When this entry last offered to take the duty over. */
+  offeredAt: number;
   /** Version of an owner key whose holder has handed the duty over; 0 for none. */
   claimableVersion: number;
   /** When the owner's tables were loaded. */
@@ -111,6 +113,7 @@
     readonly id: string;
     readonly bootId: string;
     readonly zone: string;
+    cores: number;
     address: string;
     phase: 'starting' | 'serving' | 'stopping';
     stopAt: number;
@@ -180,6 +183,8 @@
   readonly bootId: string;
   readonly zone: string;
   readonly zones: readonly string[];
+  /** Processor time that the entry has, in plain cores. */
+  readonly cores: number;
   readonly bounds: PlatformBounds;
 }
 
@@ -240,8 +245,8 @@
   };
 }
 
-function createSelf({ id, bootId, zone }: SchedulerIdentity): SchedulerState['self'] {
-  return { id, bootId, zone, address: '', phase: 'starting', stopAt: NEVER };
+function createSelf({ id, bootId, zone, cores }: SchedulerIdentity): SchedulerState['self'] {
+  return { id, bootId, zone, cores, address: '', phase: 'starting', stopAt: NEVER };
 }
 
 function createIntake(): SchedulerState['intake'] {
@@ -296,6 +301,7 @@
     newsAt: NEVER,
     statusesAt: NEVER,
     askedAt: NEVER,
+    offeredAt: NEVER,
     claimableVersion: 0,
     loadedAt: NEVER,
   };
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -20,6 +20,7 @@
     bootId: randomUUID(),
     zone: settings.zone,
     zones: settings.zones,
+    cores: settings.processor.share * settings.processor.speed,
     bounds: settings.bounds,
   },
   { host: settings.host, port: settings.linkPort },
--- a/src/systems/scheduler/handOverSystem.ts
+++ b/src/systems/scheduler/handOverSystem.ts
@@ -10,10 +10,19 @@
 const ASK_AFTER_MS = 350;
 const ASK_EVERY_MS = 300;
 const PROBE_TIMEOUT_MS = 500;
+/**
+ * How much larger a peer's processor has to be for the duty to pass on. A change of the owner stops
+ * new starts for some tenths of a second.
+ */
+const LARGER_FACTOR = 2;
+/** Least time between the start of a duty and its hand-over to a larger entry. */
+const LEAST_DUTY_MS = 2_000;
+const OFFER_EVERY_MS = 1_000;
 
 /**
- * Hands the duty over from an owner whom the store turns away to an entry whom it serves. In an
- * outage for all no entry answers, and the owner keeps its duty. Reads messages between entries and
+ * Hands the duty over from an owner whom the store turns away to an entry whom it serves, and from
+ * an owner with little processor time to an entry with much more. In an outage for all no entry
+ * answers, and the owner keeps its duty. Reads messages between entries and
  * the health of the store; writes `ownership`. Runs before the ownership system.
  */
 export class HandOverSystem extends System<SchedulerState> {
@@ -30,12 +39,14 @@
   override run(state: SchedulerState, tick: Tick): void {
     this.answerOwner(state, tick.now);
     this.followSuccessor(state);
+    this.sendOffer(state, tick.now);
+    this.acceptOffer(state, tick.now);
     const { ownership, storeHealth, peers } = state;
     const isFailing = tick.now - storeHealth.failingSince >= ASK_AFTER_MS;
     if (ownership.role !== 'owner' || !isFailing) return;
     for (const { peerId, hint } of state.inbox.list('peerHint')) {
       if (hint.kind !== 'canTakeOver') continue;
-      this.releaseTo(state, peerId, tick.now);
+      this.releaseTo(state, peerId, 'the store turns this entry away', tick.now);
       return;
     }
     if (tick.now >= ownership.askedAt + ASK_EVERY_MS) {
@@ -46,11 +57,37 @@
     tick.wakeAt(ownership.askedAt + ASK_EVERY_MS);
   }
 
-  private releaseTo(state: SchedulerState, peerId: string, now: number): void {
+  private sendOffer(state: SchedulerState, now: number): void {
+    const { ownership, self, storeHealth } = state;
+    if (ownership.role !== 'follower' || self.phase !== 'serving') return;
+    if (storeHealth.failingSince !== Number.POSITIVE_INFINITY) return;
+    for (const { message } of state.inbox.list('ownerMessage')) {
+      if (message.kind !== 'news' || message.cores === undefined) continue;
+      if (self.cores < LARGER_FACTOR * message.cores) continue;
+      if (now - ownership.offeredAt < OFFER_EVERY_MS) continue;
+      ownership.offeredAt = now;
+      state.outbox.append({
+        kind: 'hintOwner',
+        hint: { kind: 'offerTakeOver', cores: self.cores },
+      });
+    }
+  }
+
+  private acceptOffer(state: SchedulerState, now: number): void {
+    const { ownership, self } = state;
+    for (const { peerId, hint } of state.inbox.list('peerHint')) {
+      if (hint.kind !== 'offerTakeOver' || ownership.role !== 'owner') continue;
+      if (now - ownership.loadedAt < LEAST_DUTY_MS) continue;
+      if (hint.cores >= LARGER_FACTOR * self.cores)
+        this.releaseTo(state, peerId, 'a peer has a larger processor', now);
+    }
+  }
+
+  private releaseTo(state: SchedulerState, peerId: string, reason: string, now: number): void {
     const { ownership } = state;
     const { keyVersion } = ownership;
     state.counters.add('hand_overs');
-    dropOwnership(state, 'the store turns this entry away', now);
+    dropOwnership(state, reason, now);
     // Until the lease of the key ends, only the peer may replace it.
     ownership.claimAt = now + state.bounds.storeLeaseMinMs + OWNER_LEASE_SLACK_MS;
     state.outbox.append({ kind: 'sendPeer', peerId, message: { kind: 'handOver', keyVersion } });
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -90,7 +90,8 @@
   private sendNews(state: SchedulerState, tick: Tick): void {
     const { ownership, peers, newPeers, changedStatuses } = state;
     const confirmedAgoMs = Math.max(0, Math.round(tick.now - ownership.confirmedAt));
-    const head = { kind: 'news' as const, epoch: ownership.epoch, confirmedAgoMs };
+    const { cores } = state.self;
+    const head = { kind: 'news' as const, epoch: ownership.epoch, confirmedAgoMs, cores };
     for (const peerId of newPeers)
       this.send(state, peerId, { ...head, isComplete: true, jobs: state.statuses.list() });
     const isDue = tick.now - state.timetable.newsSentAt >= NEWS_EVERY_MS;
--- a/test/platform/platformPath.test.ts
+++ b/test/platform/platformPath.test.ts
@@ -105,7 +105,7 @@
     invalidBeats = [];
     taskMs = 150;
     entry = await SchedulerDaemon.create(
-      { id: 'e-1', bootId: 'b-1', zone: 'a', zones: ['a', 'b'], bounds: { ...BOUNDS } },
+      { id: 'e-1', bootId: 'b-1', zone: 'a', zones: ['a', 'b'], cores: 1, bounds: { ...BOUNDS } },
       { host: '127.0.0.1', port: 0 },
       PlatformStoreClient.create(store.address),
       WireAdviceClient.create(''),
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -107,6 +107,7 @@
     bootId: `${id}-${now}`,
     zone: 'a',
     zones: ['a', 'b'],
+    cores: 1,
     bounds: { ...BOUNDS },
   });
   state.self.address = id;
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -52,6 +52,7 @@
         bootId: 'boot',
         zone: 'a',
         zones: ['a'],
+        cores: 1,
         bounds: BOUNDS,
       });
       const neighbours = [[], ['heavy'], ['light'], ['heavy', 'light'], ['light', 'light']];
