--- a/src/model/scheduler/ownership.ts
+++ b/src/model/scheduler/ownership.ts
@@ -23,6 +23,8 @@
   statusesAt: number;
   /** When the owner last asked whether a peer could take over. */
   askedAt: number;
+  /** When this entry last offered to take the duty over. */
+  offeredAt: number;
   /** Version of an owner key whose holder has handed the duty over; 0 for none. */
   claimableVersion: number;
   /** When the owner's tables were loaded. */
@@ -48,6 +50,7 @@
     newsAt: NEVER,
     statusesAt: NEVER,
     askedAt: NEVER,
+    offeredAt: NEVER,
     claimableVersion: 0,
     loadedAt: NEVER,
   };
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -92,6 +92,7 @@
     readonly id: string;
     readonly bootId: string;
     readonly zone: string;
+    cores: number;
     address: string;
     phase: 'starting' | 'serving' | 'stopping';
     stopAt: number;
@@ -166,6 +167,8 @@
   readonly bootId: string;
   readonly zone: string;
   readonly zones: readonly string[];
+  /** Processor time that the entry has, in plain cores. */
+  readonly cores: number;
   readonly bounds: PlatformBounds;
 }
 
@@ -229,8 +232,8 @@
   };
 }
 
-function createSelf({ id, bootId, zone }: SchedulerIdentity): SchedulerState['self'] {
-  return { id, bootId, zone, address: '', phase: 'starting', stopAt: NEVER };
+function createSelf({ id, bootId, zone, cores }: SchedulerIdentity): SchedulerState['self'] {
+  return { id, bootId, zone, cores, address: '', phase: 'starting', stopAt: NEVER };
 }
 
 function createIntake(): SchedulerState['intake'] {
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -2,13 +2,14 @@
 import { System } from '../../base/common/system.ts';
 import type { JobStatus, OwnerNews } from '../../model/scheduler/links.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { OWNER_HANDSHAKE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 const NEWS_EVERY_MS = 300;
 /** An owner that the store has not confirmed for longer may have been replaced. */
 const CONFIRMED_FRESH_MS = 1_500;
-/** A link that does not open by then is given up. */
-const LINK_OPEN_MS = 1_000;
+/** A link that does not open by then is given up; later than the daemon's own time-out. */
+const LINK_OPEN_MS = OWNER_HANDSHAKE_MS + 200;
 
 /**
  * Spreads job phases from the owner to the other entries, and takes them there. Reads links and
@@ -86,7 +87,8 @@
   private sendNews(state: SchedulerState, tick: Tick): void {
     const { ownership, peers, newPeers, changedStatuses } = state;
     const confirmedAgoMs = Math.max(0, Math.round(tick.now - ownership.confirmedAt));
-    const head = { kind: 'news' as const, epoch: ownership.epoch, confirmedAgoMs };
+    const { cores } = state.self;
+    const head = { kind: 'news' as const, epoch: ownership.epoch, confirmedAgoMs, cores };
     for (const peerId of newPeers)
       this.send(state, peerId, { ...head, isComplete: true, jobs: state.statuses.list() });
     const isDue = tick.now - state.timetable.newsSentAt >= NEWS_EVERY_MS;
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -29,6 +29,8 @@
   store: StoreMode;
   isUp: boolean;
   ownerId: string;
+  /** Number of the latest attempt to open the link to the owner. */
+  ownerAttempt: number;
 }
 
 export interface AgentNode {
@@ -105,6 +107,7 @@
     bootId: `${id}-${now}`,
     zone: 'a',
     zones: ['a', 'b'],
+    cores: 1,
     bounds: { ...BOUNDS },
   });
   state.self.address = id;
@@ -208,3 +211,17 @@
     ...agent.shape,
   };
 }
+
+/** A start of a task on a worker. */
+export interface TaskStart {
+  readonly run: number;
+  readonly agent: string;
+}
+
+export function listTaskStarts(agents: readonly AgentNode[], task: string): TaskStart[] {
+  return agents.flatMap((agent) =>
+    agent.runner.starts
+      .filter((start) => start.task === task)
+      .map(({ run }) => ({ run, agent: agent.id })),
+  );
+}
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -51,6 +51,7 @@
     bootId: 'boot',
     zone: 'a',
     zones: ['a'],
+    cores: 1,
     bounds: BOUNDS,
   });
 }
