--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -4,6 +4,8 @@
 import { Table } from '../../base/common/table.ts';
 import type { PlatformBounds } from './bounds.ts';
 import type { SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
+import type { Ownership } from './ownership.ts';
+import { createOwnership } from './ownership.ts';
 import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
 import type { QueueCall } from './queueCall.ts';
 import type { Queue, QueueConfiguration } from './queueConfiguration.ts';
@@ -42,39 +44,16 @@
   /** `SERVING|FILLING`; without a filling image it is the serving image's slack alone. */
   readonly id: string;
   readonly value: number;
+  /** Of the estimate; 0 where only a mean is kept. */
+  readonly variance: number;
 }
 
-/** What an entry knows about the owner, and about its own claim. */
-export interface Ownership {
-  role: 'follower' | 'claiming' | 'loading' | 'owner';
-  /** Epoch of the owner that this entry follows or is. */
-  epoch: number;
-  leaseId: string;
-  /** Version of the owner key that this entry wrote. */
-  keyVersion: number;
-  epochKeyVersion: number;
-  /** Start of the latest store call that confirmed the claim; on the monotonic clock. */
-  confirmedAt: number;
-  renewAt: number;
-  claimAt: number;
-  /** Id of the owner, when it is another entry and its record has been read. */
-  ownerId: string;
-  /** Address of the owner, when it is another entry. */
-  ownerAddress: string;
-  ownerLink: 'closed' | 'opening' | 'open';
-  /** Latest news of an owner that the store had confirmed lately, and latest news of any. */
-  ownerHeardAt: number;
-  newsAt: number;
-  /** When an owner in touch with the store last brought the statuses up to date here. */
-  statusesAt: number;
-  /** When the owner last asked whether a peer could take over. */
-  askedAt: number;
-  /** When this entry last offered to take the duty over. */
-  offeredAt: number;
-  /** Version of an owner key whose holder has handed the duty over; 0 for none. */
-  claimableVersion: number;
-  /** When the owner's tables were loaded. */
-  loadedAt: number;
+/** Present slack of the tasks of a serving job alone; they share the load of the job's callers. */
+export interface ServingLoadRow {
+  /** `JOB|IMAGE`. */
+  readonly id: string;
+  readonly slack: number;
+  readonly variance: number;
 }
 
 /** What an entry knows of the operator's keys. */
@@ -128,6 +107,8 @@
   readonly operator: OperatorState;
   readonly ownership: Ownership;
   readonly commit: CommitState;
+  /** Jobs that the store is asked to delete; empty call id without a request. */
+  readonly deletion: { callId: string; jobIds: readonly string[] };
   readonly calls: Table<CallRow>;
   /** Phases of jobs that callers may be told, at every entry. */
   readonly statuses: Table<JobStatus>;
@@ -152,6 +133,8 @@
   readonly readyTasksByStep: TableIndex<TaskRow>;
   /** Tasks that have become ready since the latest placement. */
   readonly newlyReady: Set<string>;
+  /** When the steps that are not done were ready to start, owner's clock ms, by job and step. */
+  readonly stepTimes: Map<string, Map<number, number>>;
   readonly runs: Table<RunRow>;
   readonly runsByTask: TableIndex<RunRow>;
   readonly runsByWorker: TableIndex<RunRow>;
@@ -163,6 +146,7 @@
   readonly workers: Table<WorkerRow>;
   readonly agents: Table<AgentRow>;
   readonly slacks: Table<SlackRow>;
+  readonly servingLoads: Table<ServingLoadRow>;
   readonly advice: Table<AdviceRow>;
   readonly adviceByJob: TableIndex<AdviceRow>;
   readonly adviceCall: AdviceCallState;
@@ -208,6 +192,7 @@
     operator: createOperatorState(),
     ownership: createOwnership(),
     commit: { callId: '', jobs: [], retryAt: NEVER, sequence: 0 },
+    deletion: { callId: '', jobIds: [] },
     calls: Table.create<CallRow>('calls'),
     statuses,
     statusesByQueue: statuses.addIndex((status) => status.queue),
@@ -226,6 +211,7 @@
     newlyReady: tasks.addChangeSet(
       (previous, next) => next?.phase === 'ready' && previous?.phase !== 'ready',
     ),
+    stepTimes: new Map(),
     runs,
     runsByTask: runs.addIndex((run) => run.taskId),
     runsByWorker: runs.addIndex((run) => run.workerKey),
@@ -236,6 +222,7 @@
     workers: Table.create<WorkerRow>('workers'),
     agents: Table.create<AgentRow>('agents'),
     slacks: Table.create<SlackRow>('slacks'),
+    servingLoads: Table.create<ServingLoadRow>('servingLoads'),
     advice,
     adviceByJob: advice.addIndex((row) => row.jobId),
     adviceCall: createAdviceCall(),
@@ -283,26 +270,3 @@
     watchAt: NEVER,
   };
 }
-
-function createOwnership(): Ownership {
-  return {
-    role: 'follower',
-    epoch: 0,
-    leaseId: '',
-    keyVersion: 0,
-    epochKeyVersion: 0,
-    confirmedAt: NEVER,
-    renewAt: NEVER,
-    claimAt: NEVER,
-    ownerId: '',
-    ownerAddress: '',
-    ownerLink: 'closed',
-    ownerHeardAt: NEVER,
-    newsAt: NEVER,
-    statusesAt: NEVER,
-    askedAt: NEVER,
-    offeredAt: NEVER,
-    claimableVersion: 0,
-    loadedAt: NEVER,
-  };
-}
--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -2,12 +2,13 @@
 import { BoundedLog } from '../base/node/boundedLog.ts';
 import { runUntilStopped } from '../cli/runDaemon.ts';
 import { RunnerAgentDaemon } from '../daemons/runnerAgentDaemon.ts';
-import { runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
+import { listProcessGauges, listRunnerAgentGauges } from '../daemons/schedulerGauges.ts';
+import { parseAddress, runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
+import { StatusServer } from '../protocol/node/statusServer.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
 import { loadSettings, watchSettings } from './settingsFile.ts';
 import { receiveBeat } from './wireBeats.ts';
 import { WireRunnerClient } from './wireRunnerClient.ts';
-import { WireStatusServer } from './wireStatusServer.ts';
 
 const log = BoundedLog.createFor(process.stdout);
 const settings = loadSettings(runnerAgentSettingsSchema, log);
@@ -18,9 +19,13 @@
   WireRunnerClient.create(),
   log,
 );
-await WireStatusServer.create(
-  settings.beatAddress,
-  { counters: daemon.state.counters, metrics: daemon.metrics, listGauges: () => [] },
+await StatusServer.create(
+  parseAddress(settings.beatAddress),
+  {
+    counters: daemon.state.counters,
+    metrics: daemon.metrics,
+    listGauges: () => [...listRunnerAgentGauges(daemon.state), ...listProcessGauges(log)],
+  },
   (request, response) =>
     receiveBeat(request, response, {
       onBeat: (beat) => {
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -1,9 +1,10 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import type { WorkerIdentity } from '../../model/scheduler/links.ts';
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerReply } from '../../model/scheduler/runnerCall.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
-import { logAgentEvent, sendOwner, sendRunnerCall } from './agentCalls.ts';
+import { logAgentEvent, resetIncarnation, sendOwner, sendRunnerCall } from './agentCalls.ts';
 
 /** A look waits this long for an end; it also carries the lease, so it has to come back often. */
 const WAIT_MS = 1_000;
@@ -43,6 +44,25 @@
     this.sendHold(state);
   }
 
+  /**
+   * Another incarnation answered, and its beat tells what it is. Until then it gets no calls: the
+   * numbers of ends are those of the one before, and would acknowledge its ends unread.
+   */
+  private dropReplaced(
+    state: RunnerAgentState,
+    worker: WorkerIdentity,
+    bornMs: number,
+    now: number,
+  ): void {
+    if (bornMs < worker.bornMs) {
+      state.hold.nextAt = now + RETRY_MS;
+      return;
+    }
+    logAgentEvent(state, 'info', 'worker_replaced', { worker: worker.id, born: bornMs });
+    resetIncarnation(state, now);
+    state.worker = undefined;
+  }
+
   /** A look that waits for an end may take a second; an urgent one replaces it, at a bounded rate. */
   private dropWaitingLook({ hold }: RunnerAgentState, tick: Tick): void {
     if (!hold.isUrgent || !hold.isWaiting || hold.callId === '') return;
@@ -60,6 +80,8 @@
     const { hold, owner, lease, worker } = state;
     const isGranted = lease.bornMs === worker?.bornMs && lease.untilMs > 0;
     const isFirst = hold.epoch !== owner.epoch;
+    // A failed look may be the first sign of a new incarnation, whose ends have other numbers.
+    const mayAcknowledge = isGranted && hold.failures === 0;
     const waitMs = isFirst || hold.isUrgent || hold.lastListed > lease.lastSeen ? 0 : WAIT_MS;
     hold.epoch = owner.epoch;
     hold.isUrgent = false;
@@ -70,7 +92,7 @@
       {
         op: 'hold',
         fence: owner.epoch,
-        lastSeen: isGranted ? lease.lastSeen : 0,
+        lastSeen: mayAcknowledge ? lease.lastSeen : 0,
         waitMs,
         ...(isGranted ? { leaseUntilMs: lease.untilMs } : {}),
       },
@@ -102,8 +124,7 @@
     hold.failures = 0;
     if (worker === undefined) return;
     if (reply.bornMs !== undefined && reply.bornMs !== worker.bornMs) {
-      // Another incarnation answered; its beat tells what it is.
-      hold.nextAt = now + RETRY_MS;
+      this.dropReplaced(state, worker, reply.bornMs, now);
       return;
     }
     // A list that is cut short does not show which runs are not there.
--- a/src/systems/scheduler/dropOwnership.ts
+++ b/src/systems/scheduler/dropOwnership.ts
@@ -20,15 +20,18 @@
     state.moves,
     state.workers,
     state.agents,
+    state.servingLoads,
     state.advice,
   ])
     table.clear();
   state.adviceCall.callId = '';
   state.commit.callId = '';
   state.commit.jobs = [];
+  state.deletion.callId = '';
   state.intake.isWatching = false;
   state.intake.listAt = Number.POSITIVE_INFINITY;
   state.listedEnds.length = 0;
+  state.stepTimes.clear();
   for (const set of [state.newlyReady, state.dirtyJobs, state.touchedJobs, state.changedStatuses])
     set.clear();
 }
--- a/src/systems/scheduler/newsSystem.ts
+++ b/src/systems/scheduler/newsSystem.ts
@@ -8,8 +8,6 @@
 const NEWS_EVERY_MS = 300;
 /** An owner that the store has not confirmed for longer may have been replaced. */
 const CONFIRMED_FRESH_MS = 1_500;
-/** Age of the news that is logged at most; before the first news it is infinite. */
-const NEWS_AGE_MOST_MS = 60_000;
 /** A link that does not open by then is given up; later than the daemon's own time-out. */
 const LINK_OPEN_MS = OWNER_HANDSHAKE_MS + 200;
 
@@ -45,12 +43,11 @@
   private receiveOwner(state: SchedulerState, tick: Tick): void {
     const { ownership } = state;
     for (const { isOpen } of state.inbox.list('ownerLink')) {
+      const before = ownership.ownerLink;
       ownership.ownerLink = isOpen ? 'open' : 'closed';
-      logEvent(state, 'info', 'owner_link', {
-        owner: ownership.ownerAddress,
-        open: isOpen,
-        newsAgeMs: Math.round(Math.min(NEWS_AGE_MOST_MS, tick.now - ownership.newsAt)),
-      });
+      if (isOpen) logEvent(state, 'info', 'owner_linked', { owner: ownership.ownerId });
+      else if (before === 'open')
+        logEvent(state, 'warn', 'owner_unlinked', { owner: ownership.ownerId });
       if (!isOpen) ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
       tick.wakeAt(tick.now);
     }
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -1,6 +1,7 @@
 import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
+import type { OwnerRecord } from '../../model/scheduler/jobRecord.ts';
 import { ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
@@ -118,13 +119,18 @@
     this.readEpoch(state, entries);
     const entry = entries.find(({ key }) => key === STORE_KEYS.owner);
     const owner = parseValue(ownerRecordSchema, entry?.value).toMaybe().extract();
-    if (entry === undefined || entry.version === 0 || owner === undefined) {
-      if (entry?.version === 0) this.startClaim(state, 0);
+    if (entry === undefined) return;
+    if (entry.version === 0 || owner === undefined) {
+      // A record of another form names no owner, and the one before has lost its key with it.
+      if (entry.version !== 0)
+        logEvent(state, 'error', 'owner_unreadable', { version: entry.version });
+      this.startClaim(state, entry.version);
       return;
     }
     if (owner.entryId === state.self.id) {
-      // A claim of this process whose answer was lost, or of its predecessor, which is dead.
-      if (owner.bootId === state.self.bootId && ownership.leaseId !== '')
+      // The latest claim of this process, whose answer was lost. An earlier one, or one of its dead
+      // predecessor, is attached to a lease that nobody renews.
+      if (owner.bootId === state.self.bootId && owner.leaseId === ownership.leaseId)
         this.acceptClaim(state, owner.epoch, entry.version, now);
       else this.startClaim(state, entry.version);
       return;
@@ -172,7 +178,13 @@
       }
       ownership.leaseId = reply.leaseId;
       const epoch = ownership.epoch + 1;
-      const value = { entryId: self.id, bootId: self.bootId, address: self.address, epoch };
+      const value: OwnerRecord = {
+        entryId: self.id,
+        bootId: self.bootId,
+        address: self.address,
+        epoch,
+        leaseId: reply.leaseId,
+      };
       sendStoreCall(
         state,
         'claim',
