Reach each endpoint of the README walk by zones, not by load

Cause: the check that the endpoint behind the agent's own bundle answers sent 60 requests and expected all three endpoints among the answers. Routing prefers the own zone while it has room, so on a busy machine, where requests come slower than one endpoint answers, all 60 are answered by kit-0.

Change: for each endpoint the other zones are taken out of service; then that endpoint has to answer all of 20 requests at once. The check is stricter: it names the endpoint that answers, and asks for each of the three.

--- a/test/docs/readme.test.ts
+++ b/test/docs/readme.test.ts
@@ -9,6 +9,8 @@
 import { buildBundle } from '../support/builtBundle.ts';
 
 const READY_MS = 20_000;
+/** Requests at once to the endpoint that is left in service. */
+const REQUESTS = 20;
 /** Characters of each process's log in the message of a failed check. */
 const LOG_TAIL = 600;
 
@@ -111,6 +113,15 @@
     });
   }
 
+  /** Takes every zone but one out of service, or back in. */
+  async function changeZones(direction: 'in' | 'out', kept: string): Promise<void> {
+    for (const zone of ['busan-a', 'ulsan-b', 'daegu-c'].filter((other) => other !== kept)) {
+      const line = `node dist/bramleyladder.js zone ${direction} ${zone} --operator http://127.0.0.1:7102`;
+      const { code, output } = await runCommand(line);
+      expect(`${line}: ${code}${code === 0 ? '' : output}`).toBe(`${line}: 0`);
+    }
+  }
+
   beforeAll(async () => {
     bundle = buildBundle('readme');
     folder = mkdtempSync(join(tmpdir(), 'bramleyladder-'));
@@ -160,15 +171,22 @@
     }
   });
 
-  it("does not leave out the endpoint behind the agent's own bundle", async () => {
-    const names = new Set<string>();
-    // Routing prefers the own zone while it has room, so only many requests at once reach every zone.
-    const requests = Array.from({ length: 60 }, async (_, index) => {
-      const answer = await fetch(setPorts(`http://127.0.0.1:7101/kits/${index}`));
-      names.add(((await answer.json()) as { endpoint: string }).endpoint);
-    });
-    await Promise.all(requests);
-    expect([...names].sort(), readLogs()).toEqual(['kit-0', 'kit-1', 'kit-2']);
+  it.each([
+    { endpoint: 'kit-0', zone: 'busan-a' },
+    { endpoint: 'kit-1', zone: 'ulsan-b' },
+    // This one is behind the agent's own bundle.
+    { endpoint: 'kit-2', zone: 'daegu-c' },
+  ])('does not leave out endpoint $endpoint', async ({ endpoint, zone }) => {
+    const readEndpoint = async (): Promise<string> => {
+      const answer = await fetch(setPorts('http://127.0.0.1:7101/kits/7'));
+      return ((await answer.json()) as { endpoint: string }).endpoint;
+    };
+    // Routing prefers the own zone while it has room, so the other zones are taken out of service.
+    await changeZones('out', zone);
+    await waitFor(endpoint, async () => (await readEndpoint()) === endpoint, readLogs);
+    const names = await Promise.all(Array.from({ length: REQUESTS }, readEndpoint));
+    expect(new Set(names), readLogs()).toEqual(new Set([endpoint]));
+    await changeZones('in', zone);
   });
 
   it('does not lose the job that was submitted twice, or run it twice', async () => {
