Let an endpoint announce itself again when its first announcement hangs

The stand-in logged its start and began its periodic announcements only after the first one had been answered, and that call had no time-out of its own.

Conclusion: suspected, not shown: the log of a failed run could not tell an unanswered announcement from a process that had not started yet; now it can.

--- a/src/cli/endpoint.ts
+++ b/src/cli/endpoint.ts
@@ -30,6 +30,7 @@
     const answer = await sendRequest(`${agent}/v1/endpoints`, {
       method: 'PUT',
       body: JSON.stringify(announcement),
+      headersTimeout: ANNOUNCE_PERIOD_MS,
     });
     const text = await answer.body.text();
     if (answer.statusCode !== 200)
@@ -55,11 +56,11 @@
   const server = await EndpointServer.create({ host, port, name, timer: NodeTimer.create() });
   server.serviceMs = options.serviceMs;
   const announcement = { name, service, origin: server.origin, slots, connections };
-  await sendAnnouncement(agent, announcement, log);
   log.write('info', 'endpoint_started', { name, origin: server.origin });
   const period = setInterval(() => {
     void sendAnnouncement(agent, announcement, log);
   }, ANNOUNCE_PERIOD_MS);
+  await sendAnnouncement(agent, announcement, log);
   let resolveStopped: () => void = () => undefined;
   const stopped = new Promise<void>((resolve) => {
     resolveStopped = resolve;
