Reject late calls to an earlier incarnation of a worker

Cause: a worker that restarts under its id has seen no fence and starts its clock and the numbers of its ends anew. A call to the incarnation before that is carried out 2 to 12 s late was therefore valid on the new one. Found by reading; three cases of one cause, brought about in the stand-in: - a start that had been given up ran beside the task's next run, - a look acknowledged ends that nobody had read, and the task ran again, - a look gave a lease up to the platform's maximum to a worker that had gone out of reach meanwhile, and the task was started elsewhere before it lapsed.

Change: the fence of an agent's calls is the owner's epoch followed by the start of the incarnation that is meant. After the first call to the new incarnation, which the agent sends at its first announcement, the earlier calls have a lower fence. Neither a restart of the agent nor a takeover forgets it. No wait becomes longer.

A call that is carried out between the restart and the first announcement still has its effect. A worker that has seen the longer fences rejects calls of earlier versions of the agent until it restarts, so a roll-back needs a restart of the workers.

--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -48,6 +48,8 @@
   checkTicket: (task: string, ticket: string) => boolean = () => true;
   /** Time that a stopped run takes to end, ms; the stop is answered at once. */
   stopMs = 0;
+  /** Longest lease; a longer one is shortened to it, ms. */
+  maxLeaseMs = Number.POSITIVE_INFINITY;
   /** Most ends that a list names. */
   maxListedEnds = Number.POSITIVE_INFINITY;
   private readonly blocked = new Map<string, number>();
@@ -56,11 +58,16 @@
   private lastEnd = 0;
   private advancedAt = Number.POSITIVE_INFINITY;
 
+  /** Each incarnation's clock starts anew. */
+  private readonly startedAt: number;
+
   private constructor(
     private readonly clock: Clock,
     readonly bornMs: number,
     private readonly behave: (task: string, run: number, payload: string) => RunBehaviour,
-  ) {}
+  ) {
+    this.startedAt = clock.now;
+  }
 
   static create(
     clock: Clock,
@@ -82,11 +89,11 @@
         return this.start(call);
       case 'stop':
         this.stop(call.task, call.run);
-        return { kind: 'done', clockMs: this.clock.now };
+        return { kind: 'done', clockMs: this.clockMs };
       case 'pace': {
         const run = this.running.get(call.task);
         if (run !== undefined) run.pacePercent = call.percent;
-        return { kind: 'done', clockMs: this.clock.now };
+        return { kind: 'done', clockMs: this.clockMs };
       }
     }
   }
@@ -96,7 +103,7 @@
     this.recordSharing();
     for (const run of [...this.running.values()]) {
       const isStopping = run.stopsAt < Number.POSITIVE_INFINITY;
-      if (this.clock.now > this.leaseUntil) this.recordEnd(run, 'lapsed');
+      if (this.clockMs > this.leaseUntil) this.recordEnd(run, 'lapsed');
       else if (Math.min(run.endsAt, run.stopsAt) <= this.clock.now)
         this.recordEnd(run, isStopping ? 'stopped' : run.how);
     }
@@ -113,14 +120,22 @@
     }));
   }
 
+  private get clockMs(): number {
+    return this.clock.now - this.startedAt;
+  }
+
+  private extendLease(untilMs: number): void {
+    const longest = this.clockMs + this.maxLeaseMs;
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(untilMs, longest));
+  }
+
   private answerHold(call: Extract<RunnerCall, { op: 'hold' }>): RunnerReply {
-    if (call.leaseUntilMs !== undefined)
-      this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
+    if (call.leaseUntilMs !== undefined) this.extendLease(call.leaseUntilMs);
     const kept = this.ended.filter(({ number }) => number > call.lastSeen);
     this.ended.splice(0, this.ended.length, ...kept);
     return {
       kind: 'lists',
-      clockMs: this.clock.now,
+      clockMs: this.clockMs,
       bornMs: this.bornMs,
       running: this.listRunning(),
       ended: this.ended.slice(0, this.maxListedEnds),
@@ -130,11 +145,11 @@
 
   private start(call: Extract<RunnerCall, { op: 'start' }>): RunnerReply {
     const known = this.running.get(call.task);
-    if (known?.run === call.run) return { kind: 'done', clockMs: this.clock.now };
-    if (call.leaseUntilMs < this.clock.now) return { kind: 'rejected', reason: 'late' };
+    if (known?.run === call.run) return { kind: 'done', clockMs: this.clockMs };
+    if (call.leaseUntilMs < this.clockMs) return { kind: 'rejected', reason: 'late' };
     if (call.run <= (this.blocked.get(call.task) ?? 0)) return { kind: 'rejected', reason: 'old' };
     if (!this.checkTicket(call.task, call.ticket)) return { kind: 'rejected', reason: 'ticket' };
-    this.leaseUntil = Math.max(this.leaseUntil, call.leaseUntilMs);
+    this.extendLease(call.leaseUntilMs);
     const { durationMs, how, isStalled, savesEveryMs, processors, computeLatency } = this.behave(
       call.task,
       call.run,
@@ -158,7 +173,7 @@
       pacePercent: 100,
       stopsAt: Number.POSITIVE_INFINITY,
     });
-    return { kind: 'done', clockMs: this.clock.now };
+    return { kind: 'done', clockMs: this.clockMs };
   }
 
   /** Puts off the ends of the tasks that got only a part of the processors they ask for. */
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -4,7 +4,13 @@
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerReply } from '../../model/scheduler/runnerCall.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
-import { logAgentEvent, resetIncarnation, sendOwner, sendRunnerCall } from './agentCalls.ts';
+import {
+  computeFence,
+  logAgentEvent,
+  resetIncarnation,
+  sendOwner,
+  sendRunnerCall,
+} from './agentCalls.ts';
 
 /** A look waits this long for an end; it also carries the lease, so it has to come back often. */
 const WAIT_MS = 1_000;
@@ -91,7 +97,7 @@
       state,
       {
         op: 'hold',
-        fence: owner.epoch,
+        fence: computeFence(state),
         lastSeen: mayAcknowledge ? lease.lastSeen : 0,
         waitMs,
         ...(isGranted ? { leaseUntilMs: lease.untilMs } : {}),
--- a/src/systems/runnerAgent/workerOrderSystem.ts
+++ b/src/systems/runnerAgent/workerOrderSystem.ts
@@ -3,7 +3,13 @@
 import type { OrderRow, RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { RunnerCall, RunnerReply } from '../../model/scheduler/runnerCall.ts';
-import { logAgentEvent, requestLook, sendOwner, sendRunnerCall } from './agentCalls.ts';
+import {
+  computeFence,
+  logAgentEvent,
+  requestLook,
+  sendOwner,
+  sendRunnerCall,
+} from './agentCalls.ts';
 
 /** Answers come within milliseconds; an order without one is repeated, which is harmless. */
 const ORDER_TIMEOUT_MS = 300;
@@ -65,7 +71,7 @@
   private buildCall(state: RunnerAgentState, row: OrderRow): RunnerCall {
     const { order } = row;
     const { task, run } = order;
-    const fence = state.owner.epoch;
+    const fence = computeFence(state);
     if (order.kind === 'start' && row.step === 'sending') {
       const { payload, checkpoint, ticket, leaseUntilMs } = order;
       return { op: 'start', task, run, payload, checkpoint, ticket, leaseUntilMs, fence };
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -23,6 +23,7 @@
   createWorldEntryState,
   createWorldRunner,
   createWorldWorker,
+  LATE_MS,
   listTaskStarts,
   writeWorldConfiguration,
 } from './worldNodes.ts';
@@ -300,7 +301,8 @@
         return;
       case 'callRunner': {
         const { callId, call, timeoutMs } = effect;
-        const { reply, delayMs } = answerRunnerCall(agent, call, timeoutMs);
+        const { reply, delayMs, isLate } = answerRunnerCall(agent, call, timeoutMs);
+        if (isLate === true) this.events.schedule(LATE_MS, () => agent.runner.handle(call));
         this.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
         return;
       }
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -59,8 +59,12 @@
 /**
  * What may go wrong with a call to a worker. `dropped`: it is left undone and hangs. `silent`: it is
  * carried out and hangs. `lost`: it is carried out and its connection reset. `refused`: the worker answers that it did nothing.
+ * `late`: it hangs and is carried out {@link LATE_MS} after it was sent, by the incarnation that is up then.
  */
-export type RunnerDisturbance = 'dropped' | 'silent' | 'lost' | 'refused';
+export type RunnerDisturbance = 'dropped' | 'silent' | 'lost' | 'refused' | 'late';
+
+/** The platform carries late orders out 2 to 12 s after they were sent. */
+export const LATE_MS = 5_000;
 
 /** Where a call goes, `/q/` unless told, and how long its caller waits. */
 export interface CallShape {
@@ -130,14 +134,18 @@
   agent: AgentNode,
   call: RunnerCall,
   timeoutMs: number,
-): { readonly reply: RunnerReply; readonly delayMs: number } {
+): { readonly reply: RunnerReply; readonly delayMs: number; readonly isLate?: boolean } {
   const isDropped = call.op !== 'hold' && agent.dropAnswers > 0;
   if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
   if (agent.hasLeft)
     return { reply: { kind: 'unreachable', message: 'ECONNREFUSED' }, delayMs: ANSWER_MS };
   const disturbance = isDropped ? 'dropped' : agent.disturb(call);
-  if (disturbance === 'dropped')
-    return { reply: { kind: 'noAnswer', message: 'no answer in time' }, delayMs: timeoutMs };
+  if (disturbance === 'dropped' || disturbance === 'late')
+    return {
+      reply: { kind: 'noAnswer', message: 'no answer in time' },
+      delayMs: timeoutMs,
+      isLate: disturbance === 'late',
+    };
   if (disturbance === 'refused')
     return { reply: { kind: 'refused', message: 'the worker answered 503' }, delayMs: ANSWER_MS };
   const reply = agent.runner.handle(call);
@@ -191,6 +199,7 @@
 ): MemoryRunner {
   const runner = MemoryRunner.create(clock, clock.now, behave);
   runner.stopMs = BOUNDS.stopMs;
+  runner.maxLeaseMs = BOUNDS.holdMaxMs;
   return runner;
 }
 
--- /dev/null
+++ b/test/systems/scheduler/lateOrders.test.ts
@@ -0,0 +1,85 @@
+import { describe, expect, it } from 'vitest';
+import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import { LATE_MS } from '../../support/worldNodes.ts';
+
+const TASK = `${JOB}.0.0.0`;
+const STEP_MS = 5;
+
+/** Most runs of the task at one time while time moves on. */
+function countMostRuns(world: SchedulerWorld, durationMs: number): number {
+  let most = 0;
+  for (let passed = 0; passed < durationMs; passed += STEP_MS) {
+    world.run(STEP_MS);
+    most = Math.max(most, world.agents.filter(({ runner }) => runner.running.has(TASK)).length);
+  }
+  return most;
+}
+
+describe('orders that a worker carries out late', () => {
+  describe('after it has restarted under its id', () => {
+    it('do not start a task that was given up there', () => {
+      const { world, entry } = createWorld(1, 3);
+      world.behave = () => ({ durationMs: 8_000, how: 'done' });
+      for (const agent of world.agents) {
+        let tries = 0;
+        agent.disturb = (call) => {
+          if (call.op !== 'start' || call.run !== 1) return undefined;
+          return (tries += 1) === 1 ? 'late' : 'dropped';
+        };
+      }
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(3_000);
+      const starts = world.listStarts(TASK);
+      expect(starts).toMatchObject([{ run: 2 }]);
+      for (const agent of world.agents)
+        if (agent.id !== starts[0]!.agent) world.restartRunner(agent);
+      expect(countMostRuns(world, LATE_MS)).toBe(1);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+    });
+
+    it('do not acknowledge ends that nobody has read', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      world.behave = () => ({ durationMs: 10, how: 'done' });
+      world.submit(entry, createJobId(7), [{ count: 1 }]);
+      world.run(1_500);
+      expect(agent!.state.lease.lastSeen).toBe(1);
+      agent!.disturb = (call) => (call.op === 'hold' ? 'late' : undefined);
+      world.run(50);
+      const lateAt = world.clock.now + LATE_MS;
+      agent!.disturb = () => undefined;
+      world.restartRunner(agent!);
+      world.run(lateAt - world.clock.now - 100);
+      // The task ends while the worker's lists are held up.
+      agent!.disturb = (call) =>
+        call.op === 'hold' && agent!.runner.starts.length > 0 && world.clock.now < lateAt + 100
+          ? 'dropped'
+          : undefined;
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('do not give a worker out of reach a longer lease than the owner believes', () => {
+      const { world, entry } = createWorld(1, 2);
+      world.behave = () => ({ durationMs: 60_000, how: 'done' });
+      const [agent, other] = world.agents;
+      world.cutAgent(other!);
+      world.run(10_000);
+      agent!.disturb = (call) => (call.op === 'hold' ? 'late' : undefined);
+      world.run(1_000);
+      agent!.disturb = () => undefined;
+      world.restartRunner(agent!);
+      world.run(500);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(500);
+      expect(agent!.runner.running.size).toBe(1);
+      world.cutAgent(agent!);
+      other!.isReachable = true;
+      expect(countMostRuns(world, 15_000)).toBe(1);
+      expect(world.listStarts(TASK)).toHaveLength(2);
+    });
+  });
+});
