Give the duty up when the owner key is gone though its lease goes on

Cause: the store may take a key away whose lease it still renews. The owner compared its key only when it had something to store. An owner that came back from a short cut with nothing to store took the renewal of its lease for its duty, beside the owner that had claimed the key meanwhile: it answered callers from tables that nothing updates any more, and could go on granting leases to workers that the other one does not reach, longer than the other one waits for them. Found by reading.

Change: an owner that has stored nothing for a second compares its key. The agents of the simulated world close the link of an owner with a lower epoch, as the real ones do.

Figures: `npx vitest run test/systems/scheduler/ownership.test.ts -t "taken away"` before: fails, "expected 'owner' to be 'follower'" 2 s after the return; after: passes.

A grant between the loss of the key and the next comparison, by an owner that is then cut off for good, still lasts up to 1 s longer than the next owner waits.

--- a/src/model/scheduler/ownership.ts
+++ b/src/model/scheduler/ownership.ts
@@ -10,6 +10,10 @@
   /** Start of the latest store call that confirmed the claim; on the monotonic clock. */
   confirmedAt: number;
   renewAt: number;
+  /** When the owner key itself is compared next; every commit puts it off. */
+  checkAt: number;
+  /** Latest comparison of the key; empty after a new claim. */
+  checkCallId: string;
   claimAt: number;
   /** Id of the owner, when it is another entry and its record has been read. */
   ownerId: string;
@@ -42,6 +46,8 @@
     epochKeyVersion: 0,
     confirmedAt: NEVER,
     renewAt: NEVER,
+    checkAt: NEVER,
+    checkCallId: '',
     claimAt: NEVER,
     ownerId: '',
     ownerAddress: '',
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -7,6 +7,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { dropOwnership } from './dropOwnership.ts';
+import { KEY_CHECK_MS } from './ownershipTimes.ts';
 import { listStoreReplies, logEvent, recordDuration, sendStoreCall } from './storeCalls.ts';
 
 /** The store takes 32 entries in a transaction: a comparison and a value for each job, and the owner key. */
@@ -54,6 +55,7 @@
       for (const { jobId } of jobs) state.dirtyJobs.add(jobId);
       if (reply.kind === 'written') {
         state.ownership.confirmedAt = Math.max(state.ownership.confirmedAt, sentAt);
+        state.ownership.checkAt = sentAt + KEY_CHECK_MS;
         for (const { jobId, change } of jobs) this.confirm(state, jobId, change, reply.version);
       } else if (reply.kind === 'mismatch') {
         this.settleMismatch(state, reply.entries, tick.now);
--- a/src/systems/scheduler/dropOwnership.ts
+++ b/src/systems/scheduler/dropOwnership.ts
@@ -9,6 +9,7 @@
   ownership.role = 'follower';
   ownership.statusesAt = ownership.confirmedAt;
   ownership.leaseId = '';
+  ownership.checkCallId = '';
   ownership.claimAt = now;
   ownership.ownerHeardAt = Number.NEGATIVE_INFINITY;
   for (const agent of state.agents.values())
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -6,7 +6,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { dropOwnership } from './dropOwnership.ts';
-import { GRANT_WINDOW_MS, OWNER_LEASE_SLACK_MS } from './ownershipTimes.ts';
+import { GRANT_WINDOW_MS, KEY_CHECK_MS, OWNER_LEASE_SLACK_MS } from './ownershipTimes.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 
 const RENEW_EVERY_MS = 400;
@@ -38,6 +38,7 @@
     this.receiveLease(state, tick.now);
     this.receiveClaim(state, tick);
     this.receiveRenewal(state, tick.now);
+    this.receiveCheck(state, tick.now);
     const { ownership } = state;
     if (ownership.role === 'owner' || ownership.role === 'loading') this.renew(state, tick);
     else this.followOwner(state, tick);
@@ -49,7 +50,7 @@
       dropOwnership(state, 'the store has not confirmed it in time', tick.now);
       return;
     }
-
+    if (tick.now >= ownership.checkAt) this.sendCheck(state, tick.now);
     if (tick.now >= ownership.renewAt) {
       ownership.renewAt = tick.now + RENEW_EVERY_MS;
       sendStoreCall(
@@ -59,7 +60,23 @@
         CALL_TIMEOUT_MS,
       );
     }
-    tick.wakeAt(ownership.renewAt);
+    tick.wakeAt(Math.min(ownership.renewAt, ownership.checkAt));
+  }
+
+  private sendCheck(state: SchedulerState, now: number): void {
+    const { ownership } = state;
+    ownership.checkAt = now + KEY_CHECK_MS;
+    const expected = [{ key: STORE_KEYS.owner, version: ownership.keyVersion }];
+    const call = { op: 'transact' as const, expected, puts: [], deletes: [] };
+    ownership.checkCallId = sendStoreCall(state, 'ownerCheck', call, CALL_TIMEOUT_MS);
+  }
+
+  private receiveCheck(state: SchedulerState, now: number): void {
+    const { ownership } = state;
+    for (const { callId, reply } of listStoreReplies(state, 'ownerCheck')) {
+      if (callId !== ownership.checkCallId || reply.kind !== 'mismatch') continue;
+      dropOwnership(state, 'another owner or none is in the store', now);
+    }
   }
 
   private receiveRenewal(state: SchedulerState, now: number): void {
@@ -231,6 +248,8 @@
     ownership.keyVersion = keyVersion;
     ownership.confirmedAt = confirmedAt;
     ownership.renewAt = confirmedAt;
+    ownership.checkAt = confirmedAt + KEY_CHECK_MS;
+    ownership.checkCallId = '';
     ownership.ownerId = '';
     ownership.ownerAddress = '';
     if (ownership.ownerLink === 'open') {
--- a/src/systems/scheduler/ownershipTimes.ts
+++ b/src/systems/scheduler/ownershipTimes.ts
@@ -10,6 +10,12 @@
 /** Lease of the owner key over the shortest that the store grants, ms; a slow store needs the slack. */
 export const OWNER_LEASE_SLACK_MS = 500;
 
+/**
+ * Pause between comparisons of the owner key, ms. A key may be taken away while its lease is still
+ * renewed; commits compare it too, so only an owner with nothing to store makes extra calls.
+ */
+export const KEY_CHECK_MS = 1_000;
+
 /** Workers' clocks may be this much slow. */
 export const CLOCK_DRIFT = 1.02;
 
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -23,6 +23,7 @@
   createWorldEntryState,
   createWorldRunner,
   createWorldWorker,
+  findLinkedEntry,
   LATE_MS,
   listTaskStarts,
   writeWorldConfiguration,
@@ -96,16 +97,14 @@
     schedule: Partial<JobSpec> = {},
     how: CallShape = {},
   ): string {
-    const spec = createJobSpec(steps, schedule);
-    return this.call(entry, jobId, { kind: 'submit', spec }, how);
+    return this.call(entry, jobId, { kind: 'submit', spec: createJobSpec(steps, schedule) }, how);
   }
 
   /** Stops an entry at once, as a kill does. */
   kill(entry: EntryNode): void {
     entry.isUp = false;
     for (const agent of this.agents) this.closeAgentLink(entry, agent);
-    for (const other of this.entries) {
-      if (other.ownerId !== entry.id) continue;
+    for (const other of this.entries.filter(({ ownerId }) => ownerId === entry.id)) {
       other.ownerId = '';
       this.deliver(LINK_MS, other, { kind: 'ownerLink', isOpen: false });
     }
@@ -306,9 +305,11 @@
         this.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
         return;
       }
+      case 'closeOwner':
+        this.closeAgentLink(findLinkedEntry(this.entries, agent, effect.linkId), agent);
+        return;
       case 'sendOwner': {
-        const [entryId] = [...agent.links].find(([, link]) => link === effect.linkId) ?? [];
-        const entry = this.entries.find(({ id }) => id === entryId);
+        const entry = findLinkedEntry(this.entries, agent, effect.linkId);
         if (entry !== undefined)
           this.deliver(Math.max(LINK_MS, agent.heldUntil - this.clock.now), entry, {
             kind: 'agentMessage',
@@ -336,9 +337,9 @@
   }
 
   /** Closes the link from an entry to an agent; an owner opens it again. */
-  closeAgentLink(entry: EntryNode, agent: AgentNode): void {
-    const linkId = agent.links.get(entry.id);
-    if (linkId === undefined) return;
+  closeAgentLink(entry: EntryNode | undefined, agent: AgentNode): void {
+    const linkId = agent.links.get(entry?.id ?? '');
+    if (entry === undefined || linkId === undefined) return;
     agent.links.delete(entry.id);
     this.deliverToAgent(LINK_MS, agent, { kind: 'ownerLink', linkId, isOpen: false });
     this.deliver(LINK_MS, entry, { kind: 'agentLink', agentId: agent.id, isOpen: false });
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -118,6 +118,15 @@
   return state;
 }
 
+/** The entry at the other end of an agent's link. */
+export function findLinkedEntry(
+  entries: readonly EntryNode[],
+  agent: AgentNode,
+  linkId: string,
+): EntryNode | undefined {
+  return entries.find(({ id }) => agent.links.get(id) === linkId);
+}
+
 /** What arrives at an entry that asked the adviser; a world without one leaves it unanswered. */
 export function answerAdvice(
   adviser: MemoryAdviser | undefined,
--- a/test/systems/scheduler/ownership.test.ts
+++ b/test/systems/scheduler/ownership.test.ts
@@ -31,6 +31,27 @@
     });
   });
 
+  describe('with a key that is taken away while its lease goes on', () => {
+    it('does not remain owner beside another one when nothing has to be stored', () => {
+      const { world } = createWorld(2, 1);
+      const owner = world.owner!;
+      const other = world.entries.find((node) => node !== owner)!;
+      const { keyVersion: expectedVersion } = owner.state.ownership;
+      owner.store = 'silent';
+      world.store.handle({ op: 'delete', key: STORE_KEYS.owner, expectedVersion });
+      other.ownerId = '';
+      other.loop.receive({ kind: 'ownerLink', isOpen: false });
+      world.run(800);
+      expect(other.state.ownership.role).toBe('owner');
+      owner.store = 'up';
+      world.run(2_000);
+      expect(owner.state.ownership.role).toBe('follower');
+      world.submit(other, JOB, [{ count: 1 }]);
+      world.run(2_000);
+      expect(readPhase(world, owner)).toBe('completed');
+    });
+  });
+
   describe('after a restart of everything', () => {
     it('does not wait long on a first call that the store never answers', () => {
       const world = SchedulerWorld.create(2, 1);
