Do not take a deleted job from an older list for a new one

Cause: when the store has lost its history, the owner reads a full list in pages. A job that the first page names and that the store deletes before the last page arrives was unknown by then, had no progress any more, and ran again from its first step. The same holds for a hint of another entry that read the job before its deletion.

Change: the owner remembers the store's version of a deletion for a minute and leaves aside what was stored under the job's key before it. A job that is submitted anew under the same id has a later version.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -109,6 +109,8 @@
   readonly commit: CommitState;
   /** Jobs that the store is asked to delete; empty call id without a request. */
   readonly deletion: { callId: string; jobIds: readonly string[] };
+  /** Jobs that the store has deleted lately, with its version then and the owner's time. */
+  readonly deletedJobs: Map<string, { readonly version: number; readonly at: number }>;
   readonly calls: Table<CallRow>;
   /** Phases of jobs that callers may be told, at every entry. */
   readonly statuses: Table<JobStatus>;
@@ -193,6 +195,7 @@
     ownership: createOwnership(),
     commit: { callId: '', jobs: [], retryAt: NEVER, sequence: 0 },
     deletion: { callId: '', jobIds: [] },
+    deletedJobs: new Map(),
     calls: Table.create<CallRow>('calls'),
     statuses,
     statusesByQueue: statuses.addIndex((status) => status.queue),
--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -14,6 +14,12 @@
 const LIST_TIMEOUT_MS = 2_000;
 const RETRY_MS = 200;
 
+/** What the store held under a key at a version; no value for a deleted key. */
+interface StoredValue {
+  readonly value?: unknown;
+  readonly version: number;
+}
+
 /**
  * Brings accepted jobs, cancellations and agents to the owner: by hints of the entries, by a watch,
  * and by a full list when the store has lost the changes since. Reads store replies and hints; writes `jobs`, `tasks` and `agents`.
@@ -32,11 +38,25 @@
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
     for (const { hint } of state.inbox.list('peerHint')) {
-      if (hint.kind === 'jobStored') this.addStoredJob(state, hint.id, hint.job, tick.now, 'hint');
+      if (hint.kind === 'jobStored')
+        this.addStoredJob(
+          state,
+          hint.id,
+          { value: hint.job, version: hint.version },
+          tick.now,
+          'hint',
+        );
       else if (hint.kind === 'cancelStored') applyCancel(state, hint.id);
     }
     for (const hint of state.hints.splice(0)) {
-      if (hint.kind === 'jobStored') this.addStoredJob(state, hint.id, hint.job, tick.now, 'own');
+      if (hint.kind === 'jobStored')
+        this.addStoredJob(
+          state,
+          hint.id,
+          { value: hint.job, version: hint.version },
+          tick.now,
+          'own',
+        );
       else if (hint.kind === 'cancelStored') applyCancel(state, hint.id);
     }
     this.receiveWatch(state, tick.now);
@@ -51,7 +71,7 @@
       intake.watchAt = now;
       if (reply.kind === 'changes') {
         for (const change of reply.changes)
-          this.applyEntry(state, change.key, change.value, now, 'watch');
+          this.applyEntry(state, change.key, change, now, 'watch');
         intake.storeVersion = reply.version;
       } else if (reply.kind === 'historyLost') {
         intake.listAt = now;
@@ -91,9 +111,9 @@
   private applyList(state: SchedulerState, now: number): void {
     const { entries } = state.load;
     for (const isJob of [true, false])
-      for (const [key, { value }] of entries)
+      for (const [key, entry] of entries)
         if (key.startsWith(STORE_KEYS.jobPrefix) === isJob)
-          this.applyEntry(state, key, value, now, 'list');
+          this.applyEntry(state, key, entry, now, 'list');
     entries.clear();
   }
 
@@ -131,10 +151,11 @@
   private applyEntry(
     state: SchedulerState,
     key: string,
-    value: unknown,
+    stored: StoredValue,
     now: number,
     source: string,
   ): void {
+    const { value } = stored;
     if (value === undefined) return;
     // The prefixes of jobs, cancellations and agents have one length.
     const id = key.slice(STORE_KEYS.jobPrefix.length);
@@ -143,18 +164,20 @@
     } else if (key.startsWith(STORE_KEYS.agentPrefix)) {
       applyStoredAgent(state, id, value, now);
     } else if (key.startsWith(STORE_KEYS.jobPrefix) && !state.jobs.has(id)) {
-      this.addStoredJob(state, id, value, now, source);
+      this.addStoredJob(state, id, stored, now, source);
     }
   }
 
   private addStoredJob(
     state: SchedulerState,
     id: string,
-    value: unknown,
+    { value, version }: StoredValue,
     now: number,
     source: string,
   ): void {
     if (state.jobs.has(id)) return;
+    // What was read before the job was deleted may arrive after it.
+    if (version <= (state.deletedJobs.get(id)?.version ?? 0)) return;
     const job = parseValue(submittedJobSchema, value).toMaybe().extract();
     if (job === undefined) {
       logEvent(state, 'error', 'job_unreadable', { job: id });
--- a/src/systems/scheduler/retentionSystem.ts
+++ b/src/systems/scheduler/retentionSystem.ts
@@ -8,11 +8,13 @@
 /** Three keys a job; a transaction takes 32 entries, one of them the owner key. */
 const MAX_JOBS_PER_SWEEP = 10;
 const CALL_TIMEOUT_MS = 2_000;
+/** Lists and hints that were read before a deletion have arrived by then; pages take up to 2 s each. */
+const REMEMBER_MS = 60_000;
 
 /**
  * Forgets final jobs: their tasks once nothing of them runs, and all of them when their state need
  * not stay readable any longer and the store has deleted them. Reads and writes `jobs`, `tasks`,
- * `advice`, `moves` and `statuses`. Runs near the end.
+ * `advice`, `moves`, `statuses` and `deletedJobs`. Runs near the end.
  */
 export class RetentionSystem extends System<SchedulerState> {
   override readonly name = 'retention';
@@ -27,10 +29,12 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
-    this.receiveDeletion(state);
+    this.receiveDeletion(state, tick.now);
     if (tick.now < state.timetable.retentionAt) return;
     state.timetable.retentionAt = tick.now + SWEEP_EVERY_MS;
     tick.wakeAt(state.timetable.retentionAt);
+    for (const [id, { at }] of state.deletedJobs)
+      if (tick.now - at > REMEMBER_MS) state.deletedJobs.delete(id);
     const expired: string[] = [];
     const wallMs = tick.now + state.wallOffsetMs;
     for (const job of state.jobs.list()) {
@@ -46,13 +50,14 @@
   }
 
   /** A job that the store may still hold stays known; otherwise it would be taken for a new one. */
-  private receiveDeletion(state: SchedulerState): void {
+  private receiveDeletion(state: SchedulerState, now: number): void {
     const { deletion } = state;
     for (const { callId, reply } of listStoreReplies(state, 'forget')) {
       if (callId !== deletion.callId) continue;
       deletion.callId = '';
       if (reply.kind !== 'written') continue;
       for (const id of deletion.jobIds) {
+        state.deletedJobs.set(id, { version: reply.version, at: now });
         state.jobs.remove(id);
         for (const move of state.movesByJob.list(id)) state.moves.remove(move.id);
         state.statuses.remove(id);
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -230,5 +230,23 @@
       world.run(5_000);
       expect(readPhase(world, entry)).toBe('gone');
     });
+
+    it('does not run a job again that a list names which was read before its deletion', () => {
+      const { world, entry } = createWorld(1, 1);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      entry.state.bounds.statusSeconds = 1;
+      // Three pages of a list; the first names the job.
+      for (let index = 0; index < 1_200; index += 1) {
+        const key = STORE_KEYS.job(createJobId(0x1000 + index));
+        world.store.handle({ op: 'write', key, expectedVersion: 0, value: 'unreadable' });
+      }
+      world.store.dropHistory();
+      while (!entry.state.load.callId.startsWith('intakeList')) world.run(1);
+      entry.state.timetable.retentionAt = world.clock.now;
+      world.run(3_000);
+      expect(readPhase(world, entry)).toBe('gone');
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+    });
   });
 });
