Stop a run that its worker lists neither as running nor as ended

Cause: a run whose end was acknowledged unread is in no list any more, and the owner waited for it until its worker changed. Tasks that end were moved after 2.5 s because they stood still; lasting tasks at work, filling tasks and gangs were not, and neither was a task that had been moved three times.

Change: a run that complete lists of its worker lack for 2 s is stopped. Only the answer to the stop and the lists after it release it, so a run that is there after all is not doubled, and a late start of it is rejected.

Conclusion: a task that had ended as done is run again in this case, since nobody has read how it ended; without the change its job never ended. What is known to acknowledge an end unread is a look to an earlier incarnation that is carried out before the first call to the new one.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -74,6 +74,8 @@
   readonly attempts: number;
   /** Since when a serving task has been over its latency target, owner's clock ms; undefined under it. */
   readonly overSince: number | undefined;
+  /** Since when complete lists of the worker lack a run that they named, owner's clock ms. */
+  readonly absentSince: number | undefined;
   /** Whether a stop has been ordered. */
   readonly stopReason: string | undefined;
 }
@@ -201,6 +203,7 @@
     progressAt: now,
     attempts: 0,
     overSince: undefined,
+    absentSince: undefined,
     stopReason: undefined,
   };
 }
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -5,13 +5,20 @@
 import { formatRunId, formatWorkerKey, parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseGoneWorker } from './agentTables.ts';
-import { releaseRun } from './jobChanges.ts';
+import { releaseRun, requestStop } from './jobChanges.ts';
 import { CLOCK_DRIFT, GRANT_WINDOW_MS, LEASE_MARGIN_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 /** Reason of releases and stops after a worker came back as a new incarnation. */
 const RESTARTED_REASON = 'worker restarted';
 
+/**
+ * Time for which complete lists lack a run before it is stopped. A look that was sent before the run
+ * was there answers within 1.6 s.
+ */
+const ABSENT_MS = 2_000;
+const ABSENT_REASON = 'its worker lists neither it nor its end';
+
 type Report = Extract<AgentMessage, { kind: 'report' }>;
 
 /**
@@ -105,6 +112,7 @@
         percent: item.percent,
         load: item.load,
         overSince: computeOverSince(run, item.load, now),
+        absentSince: undefined,
         progressAt: hasGrown || run.phase !== 'running' ? now : run.progressAt,
       });
     }
@@ -115,14 +123,21 @@
         worker.pendingEnds.some((pending) => pending.number === end.number);
       if (!isKnown) state.listedEnds.push({ workerKey: worker.id, end });
     }
-    for (const run of state.runsByWorker.list(worker.id)) {
-      // A list read under the own fence that lacks the run proves that no earlier start will arrive.
-      if (report.isComplete && run.phase === 'unknown' && !listed.has(run.id))
-        releaseRun(state, run, 'never started', { now });
-    }
+    if (report.isComplete)
+      for (const run of state.runsByWorker.list(worker.id))
+        if (!listed.has(run.id)) this.applyAbsence(state, run, now);
     if (strangers !== worker.strangers) state.workers.update(worker.id, { strangers });
   }
 
+  private applyAbsence(state: SchedulerState, run: RunRow, now: number): void {
+    // A list read under the own fence that lacks the run proves that no earlier start will arrive.
+    if (run.phase === 'unknown') releaseRun(state, run, 'never started', { now });
+    if (run.phase !== 'running') return;
+    // Its end was acknowledged unread. Only the answer to a stop proves that it is over.
+    if (run.absentSince === undefined) state.runs.update(run.id, { absentSince: now });
+    else if (now - run.absentSince >= ABSENT_MS) requestStop(state, run, ABSENT_REASON);
+  }
+
   private stopStranger(state: SchedulerState, worker: WorkerRow, task: string, run: number): void {
     logEvent(state, 'warn', 'stranger_stopped', { task, run, worker: worker.identity.id });
     state.outbox.append({
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -41,6 +41,7 @@
     progressAt: 0,
     attempts: 1,
     overSince: undefined,
+    absentSince: undefined,
     stopReason: undefined,
   };
 }
--- a/test/systems/scheduler/workerFailures.test.ts
+++ b/test/systems/scheduler/workerFailures.test.ts
@@ -71,6 +71,20 @@
       expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(2);
     });
 
+    it.each([{ longRunning: true }, { fills: true }, { gang: true }])(
+      'does not wait for ever for a run of %j whose end was forgotten unread',
+      (step) => {
+        const { world, entry } = createWorld(1, 1);
+        // With a latency the task is reported at work.
+        world.behave = () => ({ durationMs: 60_000, how: 'done', computeLatency: () => 1 });
+        world.submit(entry, JOB, [{ count: 1, ...step }]);
+        world.run(500);
+        world.agents[0]!.runner.running.clear();
+        world.run(4_500);
+        expect(world.listStarts(`${JOB}.0.0.0`).length).toBeGreaterThan(1);
+      },
+    );
+
     it('does not wait for the lease of an incarnation that is gone', () => {
       const { world, entry } = createWorld(1, 1);
       world.submit(entry, JOB, [{ count: 1 }]);
