--- /dev/null
+++ b/src/model/exchangeTables.ts
@@ -0,0 +1,27 @@
+import type { TableIndex } from '../base/common/table.ts';
+import { Table } from '../base/common/table.ts';
+import type { ExchangeScan, HeldExchangeRow, OwnerAnswerRow } from './heldExchange.ts';
+
+/** Tables of exchanges that wait for their answers. */
+export interface ExchangeTables {
+  readonly heldExchanges: Table<HeldExchangeRow>;
+  readonly heldExchangesByAgent: TableIndex<HeldExchangeRow>;
+  readonly heldExchangesByWorker: TableIndex<HeldExchangeRow>;
+  readonly exchangeScan: ExchangeScan;
+  readonly ownerAnswers: Table<OwnerAnswerRow>;
+  /** Answers that should go out now, under the key `due`. */
+  readonly dueAnswers: TableIndex<OwnerAnswerRow>;
+}
+
+export function createExchangeTables(): ExchangeTables {
+  const heldExchanges = Table.create<HeldExchangeRow>('heldExchanges');
+  const ownerAnswers = Table.create<OwnerAnswerRow>('ownerAnswers');
+  return {
+    heldExchanges,
+    heldExchangesByAgent: heldExchanges.addIndex((row) => row.agentId),
+    heldExchangesByWorker: heldExchanges.addIndex((row) => row.worker?.workerId),
+    exchangeScan: { revision: 0, digest: 0, nextAnswerMs: Number.POSITIVE_INFINITY },
+    ownerAnswers,
+    dueAnswers: ownerAnswers.addIndex((row) => (row.isDue ? 'due' : undefined)),
+  };
+}
--- /dev/null
+++ b/src/model/requestTables.ts
@@ -0,0 +1,83 @@
+import type { TableIndex } from '../base/common/table.ts';
+import { Table } from '../base/common/table.ts';
+import type { QueueRow, ServiceLoadRow } from './admission.ts';
+import { formatQueueId } from './admission.ts';
+import type { EndpointHealthRow, EndpointRow } from './endpoint.ts';
+import type {
+  KeyCopyRow,
+  KeyCoverRow,
+  KeyHandOverRow,
+  KeyMemory,
+  KeyRow,
+  KeySettlementRow,
+} from './key.ts';
+import type { AttemptRow, RequestRow } from './request.ts';
+
+/** Tokens that pay for the retries of a service. */
+export interface RetryBudgetRow {
+  /** Service name. */
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** Tables of requests, endpoints and idempotency keys. */
+export interface RequestTables {
+  readonly endpoints: Table<EndpointRow>;
+  readonly requests: Table<RequestRow>;
+  readonly requestsByPhase: TableIndex<RequestRow>;
+  /** No request has an earlier deadline than this; the rows are checked again then. */
+  requestCheckMs: number;
+  /** Queued requests that admission has not decided on, under the key `new`. */
+  readonly newRequests: TableIndex<RequestRow>;
+  /** Admitted queued requests by queue id, oldest first. */
+  readonly queuedRequests: TableIndex<RequestRow>;
+  readonly queues: Table<QueueRow>;
+  readonly serviceLoads: Table<ServiceLoadRow>;
+  readonly endpointHealth: Table<EndpointHealthRow>;
+  readonly endpointsByService: TableIndex<EndpointRow>;
+  readonly endpointsByAgent: TableIndex<EndpointRow>;
+  readonly attempts: Table<AttemptRow>;
+  readonly attemptsByPhase: TableIndex<AttemptRow>;
+  readonly retryBudgets: Table<RetryBudgetRow>;
+  /** Records of the idempotency keys that this entry holds. */
+  readonly keys: Table<KeyRow>;
+  readonly keyMemory: KeyMemory;
+  readonly keyCopies: Table<KeyCopyRow>;
+  readonly keySettlements: Table<KeySettlementRow>;
+  readonly keyHandOvers: Table<KeyHandOverRow>;
+  readonly keyCovers: Table<KeyCoverRow>;
+}
+
+export function createRequestTables(): RequestTables {
+  const requests = Table.create<RequestRow>('requests');
+  const attempts = Table.create<AttemptRow>('attempts');
+  const endpoints = Table.create<EndpointRow>('endpoints');
+  return {
+    endpoints,
+    requests,
+    requestsByPhase: requests.addIndex((row) => row.phase),
+    requestCheckMs: Number.POSITIVE_INFINITY,
+    newRequests: requests.addIndex((row) =>
+      row.phase === 'queued' && row.admittedMs === undefined ? 'new' : undefined,
+    ),
+    queuedRequests: requests.addIndex((row) =>
+      row.phase === 'queued' && row.admittedMs !== undefined
+        ? formatQueueId(row.route, row.priority)
+        : undefined,
+    ),
+    queues: Table.create('queues'),
+    serviceLoads: Table.create('serviceLoads'),
+    endpointHealth: Table.create('endpointHealth'),
+    endpointsByService: endpoints.addIndex((row) => row.service),
+    endpointsByAgent: endpoints.addIndex((row) => row.agentId),
+    attempts,
+    attemptsByPhase: attempts.addIndex((row) => row.phase),
+    retryBudgets: Table.create('retryBudgets'),
+    keys: Table.create('keys'),
+    keyMemory: { bytes: 0, views: [], isHandedOver: false },
+    keyCopies: Table.create('keyCopies'),
+    keySettlements: Table.create('keySettlements'),
+    keyHandOvers: Table.create('keyHandOvers'),
+    keyCovers: Table.create('keyCovers'),
+  };
+}
--- a/src/systems/interference/usageSystem.ts
+++ b/src/systems/interference/usageSystem.ts
@@ -1,6 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { EntryState, UsageSampleRow } from '../../model/entryState.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { UsageSampleRow } from '../../model/taskTables.ts';
 import type { ResidentRow } from '../../model/placement.ts';
 import { formatRunId } from '../../model/run.ts';
 import type { TaskRow } from '../../model/task.ts';
--- /dev/null
+++ b/src/systems/ledger/ledgerSnapshots.ts
@@ -0,0 +1,57 @@
+import type { Tick } from '../../base/common/system.ts';
+import type { EntryState } from '../../model/entryState.ts';
+import type { LedgerRow, LedgerWrite, PartState } from '../../model/ledger.ts';
+import { BUCKETS, RING_SIZE } from './ledgerKeys.ts';
+import { hasLargePart } from './ledgerSizes.ts';
+import { computePartPeriod, startLayout, startPart } from './ledgerWrites.ts';
+
+/** Notes a part that the store has confirmed. */
+export function confirmPart(
+  state: EntryState,
+  ledger: LedgerRow,
+  write: LedgerWrite,
+  version: number,
+): void {
+  if (!('uptoSeq' in write.value)) return;
+  const part: PartState = { uptoSeq: write.value.uptoSeq, version };
+  if (write.partCount === ledger.parts.length) {
+    const parts = ledger.parts.map((old, index) => (index === write.part ? part : old));
+    state.ledgers.update(ledger.id, { snapshot: undefined, parts });
+    return;
+  }
+  const nextParts = [...(ledger.nextParts ?? []), part];
+  state.ledgers.update(ledger.id, { snapshot: undefined, nextParts });
+}
+
+/** One part at a time, the oldest first, so that each is rewritten within three quarters of a turn of the ring. */
+export function writeSnapshots(state: EntryState, tick: Tick, shard: string): void {
+  const ledger = state.ledgers.get(shard);
+  if (ledger?.phase !== 'ready' || ledger.snapshot !== undefined) return;
+  const { parts, nextParts } = ledger;
+  const oldest = Math.min(...parts.map((part) => part.uptoSeq));
+  if (nextParts !== undefined) {
+    writeNextParts(state, tick, ledger, nextParts);
+    return;
+  }
+  const isHeldBack = oldest < ledger.nextSeq - RING_SIZE;
+  if (ledger.sinceSnapshot < computePartPeriod(parts.length) && !isHeldBack) return;
+  if (hasLargePart(ledger)) {
+    writeNextParts(state, tick, ledger, []);
+    return;
+  }
+  const part = parts.findIndex((candidate) => candidate.uptoSeq === oldest);
+  startPart(state, tick, ledger, part, parts.length, parts[part]?.version ?? 0);
+}
+
+/** Writes all parts of the doubled layout under keys of their own, and puts it in force at last. */
+function writeNextParts(
+  state: EntryState,
+  tick: Tick,
+  ledger: LedgerRow,
+  nextParts: readonly PartState[],
+): void {
+  const partCount = Math.min(BUCKETS, ledger.parts.length * 2) as 8 | 16 | 32 | 64 | 128;
+  state.ledgers.update(ledger.id, { nextParts });
+  if (nextParts.length < partCount) startPart(state, tick, ledger, nextParts.length, partCount, 0);
+  else startLayout(state, tick, ledger, partCount);
+}
--- a/src/systems/ledger/ledgerSystem.ts
+++ b/src/systems/ledger/ledgerSystem.ts
@@ -2,30 +2,22 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { EntryState } from '../../model/entryState.ts';
-import type { LedgerRow, LedgerWrite, PartState } from '../../model/ledger.ts';
+import type { LedgerRow, LedgerWrite } from '../../model/ledger.ts';
 import { ledgerLayoutSchema, segmentSchema, snapshotPartSchema } from '../../model/ledger.ts';
 import type { StoreReply } from '../../model/store.ts';
 import { stopClaim } from '../duties/dutySteps.ts';
 import { LEASE_MARGIN_MS, TASK_LEASE_MS } from '../leases/leaseTimes.ts';
 import { addAssignedRuns } from '../leases/runRows.ts';
 import { applyShardChanges, queueTaskRemoval } from './ledgerChanges.ts';
-import { BUCKETS, RING_SIZE } from './ledgerKeys.ts';
+import { RING_SIZE } from './ledgerKeys.ts';
 import {
   handleRecoveryReply,
   restartRecovery,
   sendRecoveryRead,
   startRecovery,
 } from './ledgerRecovery.ts';
-import { hasLargePart } from './ledgerSizes.ts';
-import {
-  computePartPeriod,
-  LEDGER_CALL_TIMEOUT_MS,
-  sendWrite,
-  startAppend,
-  startLayout,
-  startPart,
-  takeBatch,
-} from './ledgerWrites.ts';
+import { confirmPart, writeSnapshots } from './ledgerSnapshots.ts';
+import { LEDGER_CALL_TIMEOUT_MS, sendWrite, startAppend, takeBatch } from './ledgerWrites.ts';
 
 const BATCH_PERIOD_MS = 100;
 const URGENT_PERIOD_MS = 20;
@@ -157,7 +149,7 @@
     if (duty !== undefined && duty.confirmedMs < write.sentMs)
       state.duties.update(ledger.id, { confirmedMs: write.sentMs });
     if (write.kind === 'append') this.confirmAppend(state, tick, ledger, write, version);
-    else if (write.kind === 'part') this.confirmPart(state, ledger, write, version);
+    else if (write.kind === 'part') confirmPart(state, ledger, write, version);
     else {
       const next = state.ledgers.update(ledger.id, {
         snapshot: undefined,
@@ -208,23 +200,6 @@
     tick.wakeAt(tick.now);
   }
 
-  private confirmPart(
-    state: EntryState,
-    ledger: LedgerRow,
-    write: LedgerWrite,
-    version: number,
-  ): void {
-    if (!('uptoSeq' in write.value)) return;
-    const part: PartState = { uptoSeq: write.value.uptoSeq, version };
-    if (write.partCount === ledger.parts.length) {
-      const parts = ledger.parts.map((old, index) => (index === write.part ? part : old));
-      state.ledgers.update(ledger.id, { snapshot: undefined, parts });
-      return;
-    }
-    const nextParts = [...(ledger.nextParts ?? []), part];
-    state.ledgers.update(ledger.id, { snapshot: undefined, nextParts });
-  }
-
   private advanceWrites(state: EntryState, tick: Tick, shard: string, isHolding: boolean): void {
     for (const kind of ['append', 'snapshot'] as const) {
       const ledger = state.ledgers.get(shard);
@@ -232,7 +207,7 @@
       if (ledger !== undefined && write !== undefined) this.repeat(state, tick, ledger, write);
     }
     if (!isHolding) return;
-    this.writeSnapshots(state, tick, shard);
+    writeSnapshots(state, tick, shard);
     this.writeAppend(state, tick, shard);
   }
 
@@ -274,40 +249,6 @@
     );
   }
 
-  /** One part at a time, the oldest first, so that each is rewritten within three quarters of a turn of the ring. */
-  private writeSnapshots(state: EntryState, tick: Tick, shard: string): void {
-    const ledger = state.ledgers.get(shard);
-    if (ledger?.phase !== 'ready' || ledger.snapshot !== undefined) return;
-    const { parts, nextParts } = ledger;
-    const oldest = Math.min(...parts.map((part) => part.uptoSeq));
-    if (nextParts !== undefined) {
-      this.writeNextParts(state, tick, ledger, nextParts);
-      return;
-    }
-    const isHeldBack = oldest < ledger.nextSeq - RING_SIZE;
-    if (ledger.sinceSnapshot < computePartPeriod(parts.length) && !isHeldBack) return;
-    if (hasLargePart(ledger)) {
-      this.writeNextParts(state, tick, ledger, []);
-      return;
-    }
-    const part = parts.findIndex((candidate) => candidate.uptoSeq === oldest);
-    startPart(state, tick, ledger, part, parts.length, parts[part]?.version ?? 0);
-  }
-
-  /** Writes all parts of the doubled layout under keys of their own, and puts it in force at last. */
-  private writeNextParts(
-    state: EntryState,
-    tick: Tick,
-    ledger: LedgerRow,
-    nextParts: readonly PartState[],
-  ): void {
-    const partCount = Math.min(BUCKETS, ledger.parts.length * 2) as 8 | 16 | 32 | 64 | 128;
-    state.ledgers.update(ledger.id, { nextParts });
-    if (nextParts.length < partCount)
-      startPart(state, tick, ledger, nextParts.length, partCount, 0);
-    else startLayout(state, tick, ledger, partCount);
-  }
-
   private removeOld(state: EntryState, tick: Tick): void {
     const last = state.calls.get(RETENTION_CALL);
     if (last !== undefined && tick.now - last.sentMs < RETENTION_CHECK_MS) return;
