Show a restarted worker the fence while its agent has no owner

Cause: an agent without a link to an owner makes no calls. A worker that is cut off, crashes and comes back under its id saw no fence until the cut was over, and a start that was sent before the cut could be carried out there late, while its run had been released by its lease and the task was running elsewhere.

Change: an agent that knows an epoch looks once at each new incarnation of its worker, with or without an owner. The look grants nothing.

Figures: `npx vitest run test/systems/scheduler/lateOrders.test.ts -t "cut off from the owner"` before: fails, "expected 2 to be 1"; after: passes.

An agent that restarts together with its worker knows no epoch until an owner links to it; that case stays open.

--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -89,6 +89,8 @@
   readonly hold: {
     callId: string;
     epoch: number;
+    /** Start of the incarnation that has answered a look, and so rejects calls to earlier ones. */
+    answeredBornMs: number;
     nextAt: number;
     /** Highest end that the worker has listed. */
     lastListed: number;
@@ -134,6 +136,7 @@
     hold: {
       callId: '',
       epoch: 0,
+      answeredBornMs: 0,
       nextAt: NEVER,
       lastListed: 0,
       clockMs: 0,
--- a/src/systems/runnerAgent/holdSystem.ts
+++ b/src/systems/runnerAgent/holdSystem.ts
@@ -24,7 +24,8 @@
 
 /**
  * Keeps one look at the worker waiting, renews the lease with it and reports what it lists. Reads
- * replies of the worker; writes `hold` and asks for a new registration when the worker is gone. Runs after the owner's link.
+ * replies of the worker; writes `hold` and asks for a new registration when the worker is gone. Without
+ * an owner only a new incarnation gets a look. Runs after the owner's link.
  */
 export class HoldSystem extends System<RunnerAgentState> {
   override readonly name = 'hold';
@@ -42,7 +43,10 @@
       if (callId === state.hold.callId) this.receiveReply(state, reply, tick.now);
     this.dropWaitingLook(state, tick);
     const { hold, owner } = state;
-    if (owner.linkId === '' || state.worker === undefined || hold.callId !== '') return;
+    if (state.worker === undefined || hold.callId !== '') return;
+    // A new incarnation is shown the fence at once; without an owner nothing else calls it.
+    const isFenceKnown = owner.epoch === 0 || hold.answeredBornMs === state.worker.bornMs;
+    if (owner.linkId === '' && isFenceKnown) return;
     if (tick.now < hold.nextAt) {
       tick.wakeAt(hold.nextAt);
       return;
@@ -133,6 +137,7 @@
       this.dropReplaced(state, worker, reply.bornMs, now);
       return;
     }
+    hold.answeredBornMs = worker.bornMs;
     // A list that is cut short does not show which runs are not there.
     if (reply.isComplete) hold.finished = hold.sent;
     hold.listed = new Set(
--- a/test/systems/scheduler/lateOrders.test.ts
+++ b/test/systems/scheduler/lateOrders.test.ts
@@ -38,6 +38,24 @@
       expect(world.listStarts(TASK)).toHaveLength(1);
     });
 
+    it('do not start a task there while the worker is cut off from the owner', () => {
+      const { world, entry } = createWorld(1, 2);
+      world.behave = () => ({ durationMs: 60_000, how: 'done' });
+      const [agent, other] = world.agents;
+      world.cutAgent(other!);
+      world.run(5_000);
+      agent!.disturb = (call) => (call.op === 'start' ? 'late' : undefined);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(100);
+      world.cutAgent(agent!);
+      agent!.disturb = () => undefined;
+      world.run(100);
+      world.restartRunner(agent!);
+      other!.isReachable = true;
+      expect(countMostRuns(world, 10_000)).toBe(1);
+      expect(world.listStarts(TASK)).toMatchObject([{ run: 2, agent: other!.id }]);
+    });
+
     it('do not acknowledge ends that nobody has read', () => {
       const { world, entry } = createWorld(1, 1);
       const [agent] = world.agents;
