Repeat the pace of a filling task that is not in force

Callers saw: large jobs that waited for one or two last tasks, which stood still for ten seconds and more on sound workers with room.

Cause: an order of pace was sent once and taken for its effect. A new owner took every run that it found for one at full pace, though the former owner had slowed it; an order that got no answer in two tries was forgotten. The task then stood still for good: nothing looks at filling tasks that make no progress, and no new pace was ordered, as the owner held it for 100 %.

Change: the owner orders the pace of every run that it finds once anew, and an order whose effect the reports do not show (a task uses processors, or it does not) again after a second. `run_paced` names the reason in `repeated`. The stand-in of the worker slows the work of a paced task and reports its processors.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -67,6 +67,11 @@
   readonly pacePercent: number;
   /** When the pace last changed or the run was placed, owner's clock ms. */
   readonly pacedAt: number;
+  /**
+   * When the pace was last ordered or the run was placed, owner's clock ms; undefined while an earlier
+   * owner's order may be in force.
+   */
+  readonly paceOrderedAt: number | undefined;
   readonly placedAt: number;
   /** When the percentage last grew, owner's clock ms. */
   readonly progressAt: number;
@@ -199,6 +204,7 @@
     load: 0,
     pacePercent: 100,
     pacedAt: now,
+    paceOrderedAt: phase === 'placed' ? now : undefined,
     placedAt: now,
     progressAt: now,
     attempts: 0,
--- a/src/standins/memoryRunner.ts
+++ b/src/standins/memoryRunner.ts
@@ -2,6 +2,9 @@
 import type { EndedRun, RunEnd, RunningRun } from '../model/scheduler/links.ts';
 import type { RunnerCall, RunnerReply } from '../model/scheduler/runnerCall.ts';
 
+/** Processor use that a task without a latency reports at full pace, thousandths of a core. */
+const MILLIS_IN_USE = 1_000;
+
 interface MemoryRun {
   readonly task: string;
   readonly run: number;
@@ -116,7 +119,9 @@
       run: run.run,
       checkpoint: this.formatCheckpoint(run, run.savesEveryMs),
       percent: run.computeLatency === undefined ? this.computePercent(run) : 100,
-      load: Math.round(run.computeLatency?.(this.countOthers(run.task)) ?? 0),
+      load: Math.round(
+        run.computeLatency?.(this.countOthers(run.task)) ?? MILLIS_IN_USE * (run.pacePercent / 100),
+      ),
     }));
   }
 
@@ -176,15 +181,16 @@
     return { kind: 'done', clockMs: this.clockMs };
   }
 
-  /** Puts off the ends of the tasks that got only a part of the processors they ask for. */
+  /** Puts off the ends of the tasks that are slowed or got only a part of the processors they ask for. */
   private recordSharing(): void {
     const elapsedMs = Math.max(0, this.clock.now - this.advancedAt);
     this.advancedAt = this.clock.now;
     let asked = 0;
-    for (const run of this.running.values()) asked += run.processors;
-    if (asked <= 1) return;
-    for (const run of this.running.values())
-      if (run.processors > 0) run.endsAt += elapsedMs * (1 - 1 / asked);
+    for (const run of this.running.values()) asked += (run.processors * run.pacePercent) / 100;
+    for (const run of this.running.values()) {
+      const part = run.processors > 0 ? 1 / Math.max(1, asked) : 1;
+      run.endsAt += elapsedMs * (1 - (part * run.pacePercent) / 100);
+    }
   }
 
   private computePercent({ startedAt, endsAt, workMs, restoredMs }: MemoryRun): number {
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -34,6 +34,8 @@
 const MAX_MOVES = 2;
 /** A load figure covers half a second, and a pace holds 0.1 s after its order. */
 const SETTLING_MS = 600;
+/** Pause before an order that shows no effect is sent again; reports come every second. */
+const REPEAT_MS = 1_000;
 
 /** One look at all workers. Their rooms are collected once, when the first task could move. */
 interface Look {
@@ -80,8 +82,11 @@
       state,
       settled.flatMap(({ serving, filling }) => serving.map((run) => ({ serving: run, filling }))),
     );
-    for (const { serving, filling, isSettled } of looks)
-      if (filling.length > 0) this.paceWorker(state, serving, filling, isSettled, look);
+    for (const { serving, filling, isSettled } of looks) {
+      if (filling.length === 0) continue;
+      this.paceWorker(state, serving, filling, isSettled, look);
+      for (const { id } of filling) this.repeatPace(state, id, tick.now);
+    }
   }
 
   private collectLook(state: SchedulerState, worker: WorkerRow): WorkerLook {
@@ -219,6 +224,42 @@
       percent,
       slack: Math.round(slack * 100) / 100,
     });
+    this.sendPace(state, run, worker, percent, now);
+  }
+
+  /**
+   * Sends the pace again that is not in force: orders get lost, and a new owner does not know what the
+   * former one ordered. The report does not name the pace, so whether the task uses processors decides.
+   */
+  private repeatPace(state: SchedulerState, runId: string, now: number): void {
+    const run = state.runs.get(runId);
+    const worker = state.workers.get(run?.workerKey ?? '');
+    if (run === undefined || worker === undefined || run.stopReason !== undefined) return;
+    const { pacePercent: percent, paceOrderedAt } = run;
+    const isInherited = paceOrderedAt === undefined;
+    if (!isInherited) {
+      if (worker.lastReportAt < paceOrderedAt + SETTLING_MS) return;
+      if (now - paceOrderedAt < REPEAT_MS || run.load > 0 === percent > 0) return;
+    }
+    logEvent(state, 'info', 'run_paced', {
+      task: run.taskId,
+      run: run.run,
+      percent,
+      load: run.load,
+      repeated: isInherited ? 'inherited' : percent > 0 ? 'it stands still' : 'it goes on',
+    });
+    if (isInherited) state.runs.update(run.id, { pacedAt: now });
+    this.sendPace(state, run, worker, percent, now);
+  }
+
+  private sendPace(
+    state: SchedulerState,
+    run: RunRow,
+    worker: WorkerRow,
+    percent: number,
+    now: number,
+  ): void {
+    state.runs.update(run.id, { paceOrderedAt: now });
     state.outbox.append({
       kind: 'orderAgent',
       agentId: worker.agentId,
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -37,6 +37,7 @@
     load,
     pacePercent: 100,
     pacedAt: 0,
+    paceOrderedAt: 0,
     placedAt: 0,
     progressAt: 0,
     attempts: 1,
