Set the pace of filling runs again after a change of the owner

Cause: workers do not list the pace of a run, and a new owner took every run for one at its full pace. It never sent the pace that it believed to be in force. A run at a pace of 0 was left there until its worker restarted.

Change: a run that an earlier owner started has an unknown pace. PaceResetSystem sets it when the worker first lists the run: to half beside serving tasks, to the full pace elsewhere. Pacing goes on from there. The order itself moved from PacingSystem to sendPace; nothing else changes there.

Large jobs still wait longest for slack beside serving tasks, with one owner as well.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -65,6 +65,8 @@
   readonly percent: number;
   readonly load: number;
   readonly pacePercent: number;
+  /** Whether this owner has set the pace; workers do not list it. */
+  readonly isPaceKnown: boolean;
   /** When the pace last changed or the run was placed, owner's clock ms. */
   readonly pacedAt: number;
   readonly placedAt: number;
@@ -83,6 +85,11 @@
   return phase === 'placed' || phase === 'starting' || stopReason !== undefined;
 }
 
+/** Whether the run works at a pace that an earlier owner may have changed. */
+export function isPaceUnknown({ step, phase, isPaceKnown }: RunRow): boolean {
+  return step.fills && phase === 'running' && !isPaceKnown;
+}
+
 /** A number of ends that may be acknowledged once the job's change is stored. */
 export interface PendingEnd {
   readonly number: number;
@@ -196,6 +203,7 @@
     percent: 0,
     load: 0,
     pacePercent: 100,
+    isPaceKnown: phase === 'placed',
     pacedAt: now,
     placedAt: now,
     progressAt: now,
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -13,7 +13,7 @@
 import type { Timetable } from './timetable.ts';
 import { createTimetable } from './timetable.ts';
 import type { AgentRow, JobRow, ListedEnd, MoveRow, RunRow, TaskRow, WorkerRow } from './rows.ts';
-import { formatStepKey, hasOpenOrder } from './rows.ts';
+import { formatStepKey, hasOpenOrder, isPaceUnknown } from './rows.ts';
 
 /** A caller's call that has not been answered. */
 export interface CallRow {
@@ -141,6 +141,8 @@
   readonly runsByJob: TableIndex<RunRow>;
   /** Runs with an order that may have to be sent; all under {@link OPEN_ORDER}. */
   readonly runsWithOrder: TableIndex<RunRow>;
+  /** Runs whose pace the owner has to set; all under {@link PACE_UNKNOWN}. */
+  readonly runsWithoutPace: TableIndex<RunRow>;
   readonly moves: Table<MoveRow>;
   readonly movesByJob: TableIndex<MoveRow>;
   readonly workers: Table<WorkerRow>;
@@ -160,6 +162,9 @@
 /** Key of {@link SchedulerState.runsWithOrder}. */
 export const OPEN_ORDER = 'open';
 
+/** Key of {@link SchedulerState.runsWithoutPace}. */
+export const PACE_UNKNOWN = 'unknown';
+
 const NEVER = Number.NEGATIVE_INFINITY;
 
 export interface SchedulerIdentity {
@@ -217,6 +222,7 @@
     runsByWorker: runs.addIndex((run) => run.workerKey),
     runsByJob: runs.addIndex((run) => run.jobId),
     runsWithOrder: runs.addIndex((run) => (hasOpenOrder(run) ? OPEN_ORDER : undefined)),
+    runsWithoutPace: runs.addIndex((run) => (isPaceUnknown(run) ? PACE_UNKNOWN : undefined)),
     moves,
     movesByJob: moves.addIndex((move) => move.jobId),
     workers: Table.create<WorkerRow>('workers'),
--- /dev/null
+++ b/src/systems/scheduler/paceOrders.ts
@@ -0,0 +1,31 @@
+import type { RunRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { logEvent } from './storeCalls.ts';
+
+export const FULL_PERCENT = 100;
+
+/** Orders the pace of a run on a worker that has reported, and notes it. */
+export function sendPace(
+  state: SchedulerState,
+  run: RunRow,
+  percent: number,
+  now: number,
+  reason: Readonly<Record<string, number | string>>,
+): void {
+  const worker = state.workers.get(run.workerKey);
+  if (worker === undefined) return;
+  state.runs.update(run.id, { pacePercent: percent, pacedAt: now, isPaceKnown: true });
+  state.counters.add('pace_orders');
+  logEvent(state, 'info', 'run_paced', { task: run.taskId, run: run.run, percent, ...reason });
+  state.outbox.append({
+    kind: 'orderAgent',
+    agentId: worker.agentId,
+    order: {
+      kind: 'pace',
+      bornMs: worker.identity.bornMs,
+      task: run.taskId,
+      run: run.run,
+      percent,
+    },
+  });
+}
--- /dev/null
+++ b/src/systems/scheduler/paceResetSystem.ts
@@ -0,0 +1,42 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { RunRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { PACE_UNKNOWN } from '../../model/scheduler/schedulerState.ts';
+import { FULL_PERCENT, sendPace } from './paceOrders.ts';
+
+/**
+ * Pace of a run beside serving tasks until their slack is known under it. It may have stood still or
+ * worked at its full pace, and half is equally far from both.
+ */
+const RESET_PERCENT = 50;
+
+/**
+ * Sets the pace of filling runs that an earlier owner started. Workers do not list the pace, so a
+ * run that was slowed would stay slow: the owner takes it for one at its full pace. Reads `runs`;
+ * writes their pace. Runs after the reports and before pacing.
+ */
+export class PaceResetSystem extends System<SchedulerState> {
+  override readonly name = 'paceReset';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): PaceResetSystem {
+    return new PaceResetSystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    if (state.ownership.role !== 'owner') return;
+    for (const run of state.runsWithoutPace.list(PACE_UNKNOWN)) {
+      const percent = this.hasServing(state, run) ? RESET_PERCENT : FULL_PERCENT;
+      sendPace(state, run, percent, tick.now, { reason: 'the owner before may have slowed it' });
+    }
+  }
+
+  private hasServing(state: SchedulerState, { workerKey }: RunRow): boolean {
+    for (const { step } of state.runsByWorker.values(workerKey)) if (step.targetMs > 0) return true;
+    return false;
+  }
+}
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -4,8 +4,8 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { canTakeAway } from './availability.ts';
 import { requestStop } from './jobChanges.ts';
+import { FULL_PERCENT, sendPace } from './paceOrders.ts';
 import { computeSlack, getPairCost, learnSlacks } from './slackModel.ts';
-import { logEvent } from './storeCalls.ts';
 import type { WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, estimateSlackWith } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
@@ -25,7 +25,6 @@
 /** Most that a pace rises in a look, and the least cost that a task is taken to have. */
 const RAISE_STEP_PERCENT = 100;
 const LEAST_COST = 0.1;
-const FULL_PERCENT = 100;
 /** Expected slack of serving tasks with which a worker may take a task that did harm elsewhere. */
 const MOVE_ABOVE_SLACK = 1.6;
 /** A task that is slowed below this pace gets on better elsewhere. */
@@ -209,26 +208,7 @@
     slack: number,
     now: number,
   ): void {
-    const worker = state.workers.get(run.workerKey);
-    if (worker === undefined || percent === run.pacePercent) return;
-    state.runs.update(run.id, { pacePercent: percent, pacedAt: now });
-    state.counters.add('pace_orders');
-    logEvent(state, 'info', 'run_paced', {
-      task: run.taskId,
-      run: run.run,
-      percent,
-      slack: Math.round(slack * 100) / 100,
-    });
-    state.outbox.append({
-      kind: 'orderAgent',
-      agentId: worker.agentId,
-      order: {
-        kind: 'pace',
-        bornMs: worker.identity.bornMs,
-        task: run.taskId,
-        run: run.run,
-        percent,
-      },
-    });
+    if (percent !== run.pacePercent)
+      sendPace(state, run, percent, now, { slack: Math.round(slack * 100) / 100 });
   }
 }
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -13,6 +13,7 @@
 import { OperatorKeysSystem } from './operatorKeysSystem.ts';
 import { OrderSystem } from './orderSystem.ts';
 import { OwnershipSystem } from './ownershipSystem.ts';
+import { PaceResetSystem } from './paceResetSystem.ts';
 import { PacingSystem } from './pacingSystem.ts';
 import { PreemptionSystem } from './preemptionSystem.ts';
 import { ProgressSystem } from './progressSystem.ts';
@@ -45,6 +46,7 @@
     ProgressSystem.create(),
     StallSystem.create(),
     CopySystem.create(),
+    PaceResetSystem.create(),
     PacingSystem.create(),
     AdviceSystem.create(),
     TaskPlacementSystem.create(
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -36,6 +36,7 @@
     percent: 100,
     load,
     pacePercent: 100,
+    isPaceKnown: true,
     pacedAt: 0,
     placedAt: 0,
     progressAt: 0,
