--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -12,8 +12,10 @@
 import type { JobStatus, EntryHint } from './links.ts';
 import type { Timetable } from './timetable.ts';
 import { createTimetable } from './timetable.ts';
-import type { AgentRow, JobRow, ListedEnd, MoveRow, RunRow, TaskRow, WorkerRow } from './rows.ts';
-import { formatStepKey, hasOpenOrder } from './rows.ts';
+import type { AgentRow, JobRow, ListedEnd, MoveRow, TaskRow, WorkerRow } from './rows.ts';
+import { formatStepKey } from './rows.ts';
+import type { RunTables } from './runTables.ts';
+import { createRunTables } from './runTables.ts';
 
 /** A caller's call that has not been answered. */
 export interface CallRow {
@@ -84,7 +86,7 @@
 }
 
 /** All state of an entry of the scheduler. */
-export interface SchedulerState {
+export interface SchedulerState extends RunTables {
   readonly inbox: Mailbox<SchedulerArrival>;
   readonly outbox: Mailbox<SchedulerEffect>;
   readonly counters: Counters;
@@ -137,12 +139,6 @@
   readonly newlyReady: Set<string>;
   /** When the steps that are not done were ready to start, owner's clock ms, by job and step. */
   readonly stepTimes: Map<string, Map<number, number>>;
-  readonly runs: Table<RunRow>;
-  readonly runsByTask: TableIndex<RunRow>;
-  readonly runsByWorker: TableIndex<RunRow>;
-  readonly runsByJob: TableIndex<RunRow>;
-  /** Runs with an order that may have to be sent; all under {@link OPEN_ORDER}. */
-  readonly runsWithOrder: TableIndex<RunRow>;
   readonly moves: Table<MoveRow>;
   readonly movesByJob: TableIndex<MoveRow>;
   readonly workers: Table<WorkerRow>;
@@ -159,9 +155,6 @@
   readonly touchedJobs: Set<string>;
 }
 
-/** Key of {@link SchedulerState.runsWithOrder}. */
-export const OPEN_ORDER = 'open';
-
 const NEVER = Number.NEGATIVE_INFINITY;
 
 export interface SchedulerIdentity {
@@ -177,7 +170,6 @@
 export function createSchedulerState(identity: SchedulerIdentity): SchedulerState {
   const statuses = Table.create<JobStatus>('statuses');
   const tasks = Table.create<TaskRow>('tasks');
-  const runs = Table.create<RunRow>('runs');
   const moves = Table.create<MoveRow>('moves');
   const advice = Table.create<AdviceRow>('advice');
   return {
@@ -215,11 +207,7 @@
       (previous, next) => next?.phase === 'ready' && previous?.phase !== 'ready',
     ),
     stepTimes: new Map(),
-    runs,
-    runsByTask: runs.addIndex((run) => run.taskId),
-    runsByWorker: runs.addIndex((run) => run.workerKey),
-    runsByJob: runs.addIndex((run) => run.jobId),
-    runsWithOrder: runs.addIndex((run) => (hasOpenOrder(run) ? OPEN_ORDER : undefined)),
+    ...createRunTables(),
     moves,
     movesByJob: moves.addIndex((move) => move.jobId),
     workers: Table.create<WorkerRow>('workers'),
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -4,8 +4,8 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { canTakeAway } from './availability.ts';
 import { requestStop } from './jobChanges.ts';
+import { FULL_PERCENT, sendPace } from './paceOrders.ts';
 import { computeSlack, getPairCost, learnSlacks } from './slackModel.ts';
-import { logEvent } from './storeCalls.ts';
 import type { WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, estimateSlackWith } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
@@ -25,7 +25,6 @@
 /** Most that a pace rises in a look, and the least cost that a task is taken to have. */
 const RAISE_STEP_PERCENT = 100;
 const LEAST_COST = 0.1;
-const FULL_PERCENT = 100;
 /** Expected slack of serving tasks with which a worker may take a task that did harm elsewhere. */
 const MOVE_ABOVE_SLACK = 1.6;
 /** A task that is slowed below this pace gets on better elsewhere. */
@@ -214,62 +213,22 @@
     slack: number,
     now: number,
   ): void {
-    const worker = state.workers.get(run.workerKey);
-    if (worker === undefined || percent === run.pacePercent) return;
-    state.runs.update(run.id, { pacePercent: percent, pacedAt: now });
-    state.counters.add('pace_orders');
-    logEvent(state, 'info', 'run_paced', {
-      task: run.taskId,
-      run: run.run,
-      percent,
-      slack: Math.round(slack * 100) / 100,
-    });
-    this.sendPace(state, run, worker, percent, now);
+    if (percent !== run.pacePercent)
+      sendPace(state, run, percent, now, { slack: Math.round(slack * 100) / 100 });
   }
 
   /**
-   * Sends the pace again that is not in force: orders get lost, and a new owner does not know what the
-   * former one ordered. The report does not name the pace, so whether the task uses processors decides.
+   * Orders a pace again that shows no effect, since orders get lost. Reports do not name the pace, so
+   * whether the task uses processors decides.
    */
   private repeatPace(state: SchedulerState, runId: string, now: number): void {
     const run = state.runs.get(runId);
     const worker = state.workers.get(run?.workerKey ?? '');
     if (run === undefined || worker === undefined || run.stopReason !== undefined) return;
-    const { pacePercent: percent, paceOrderedAt } = run;
-    const isInherited = paceOrderedAt === undefined;
-    if (!isInherited) {
-      if (worker.lastReportAt < paceOrderedAt + SETTLING_MS) return;
-      if (now - paceOrderedAt < REPEAT_MS || run.load > 0 === percent > 0) return;
-    }
-    logEvent(state, 'info', 'run_paced', {
-      task: run.taskId,
-      run: run.run,
-      percent,
-      load: run.load,
-      repeated: isInherited ? 'inherited' : percent > 0 ? 'it stands still' : 'it goes on',
-    });
-    if (isInherited) state.runs.update(run.id, { pacedAt: now });
-    this.sendPace(state, run, worker, percent, now);
-  }
-
-  private sendPace(
-    state: SchedulerState,
-    run: RunRow,
-    worker: WorkerRow,
-    percent: number,
-    now: number,
-  ): void {
-    state.runs.update(run.id, { paceOrderedAt: now });
-    state.outbox.append({
-      kind: 'orderAgent',
-      agentId: worker.agentId,
-      order: {
-        kind: 'pace',
-        bornMs: worker.identity.bornMs,
-        task: run.taskId,
-        run: run.run,
-        percent,
-      },
-    });
+    const { pacePercent, paceOrderedAt, load } = run;
+    if (worker.lastReportAt < paceOrderedAt + SETTLING_MS) return;
+    if (now - paceOrderedAt < REPEAT_MS || load > 0 === pacePercent > 0) return;
+    const repeated = pacePercent > 0 ? 'it stands still' : 'it goes on';
+    sendPace(state, run, pacePercent, now, { load, repeated });
   }
 }
