Do not run a job that was cancelled before its submission is stored

Cause: a write to the store without an answer may take effect up to 6 s later. A caller whose submission went unanswered and who then cancelled the job was told that it is gone, since the store did not hold it; the submission was stored afterwards, and the job ran.

Change: the cancellation of a job that the store does not hold is kept under a store lease of 10 s, and a submission is stored only while there is no cancellation of its id. A submission that comes meanwhile is refused with 503 and Retry-After, as the new kind job_cancelled, unless an earlier try of it is in doubt; then it is tried again until its deadline. Such a cancellation costs three calls to the store instead of one. The store calls of callers have a file of their own. The simulated store can carry a write out late.

A caller that cancels an unknown id and submits a new job under it within 10 s is refused for that time.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -33,6 +33,8 @@
   readonly retryAt: number;
   /** Store version of the job that a cancellation found; 0 until it was looked up. */
   readonly jobVersion: number;
+  /** Store lease under which the cancellation of a job that is not stored is kept; empty until it is granted. */
+  readonly barLeaseId: string | undefined;
   readonly host: string;
   readonly path: string;
   /** Whether the owner has been asked to carry the call out. */
--- a/src/systems/scheduler/callReplies.ts
+++ b/src/systems/scheduler/callReplies.ts
@@ -11,6 +11,7 @@
 import type { StoreEntry, StoreReply } from '../../model/store.ts';
 import { answerCall, refuseCall } from './callAnswers.ts';
 import { forwardCall } from './callForwarding.ts';
+import { BAR_MS } from './callSteps.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
 import { STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
@@ -35,6 +36,8 @@
     acceptSubmission(state, call, reply, now);
   } else if (purpose === 'cancel') {
     acceptCancellation(state, call, reply);
+  } else if (purpose === 'barLease' || purpose === 'bar') {
+    applyBar(state, call, reply);
   } else {
     applyRead(state, call, reply.kind === 'mismatch' ? reply.entries : []);
   }
@@ -78,6 +81,16 @@
 ): void {
   if (call.call.kind !== 'submit') return;
   const { jobId } = call;
+  if (reply.kind === 'mismatch' && reply.entries[0]?.version === 0) {
+    // An earlier try without an answer may be stored when the cancellation is no longer kept.
+    if (call.isInDoubt) {
+      state.calls.update(call.id, { isPending: false, retryAt: now + RETRY_MS * call.tries });
+      return;
+    }
+    const message = 'the job was cancelled a moment ago';
+    refuseCall(state, call.id, jobId, 'job_cancelled', message, BAR_MS);
+    return;
+  }
   answerCall(state, call.id, { kind: 'accepted' });
   if (!state.statuses.has(jobId))
     state.statuses.set({ id: jobId, queue: call.queue, phase: 'pending' });
@@ -122,8 +135,8 @@
     entries.find((entry) => entry.key === key && entry.version !== 0);
   const job = find(STORE_KEYS.job(jobId));
   if (job === undefined) {
-    logEvent(state, 'info', 'job_unknown', { job: jobId, call: call.call.kind });
-    answerCall(state, call.id, { kind: 'gone' });
+    if (call.call.kind === 'cancel') advanceCall(state, call, { barLeaseId: '' });
+    else answerUnknown(state, call);
     return;
   }
   const isCancelled = find(STORE_KEYS.cancel(jobId)) !== undefined;
@@ -137,14 +150,33 @@
   } else if (isCancelled || isFinalPhase(phase)) {
     answerCall(state, call.id, { kind: 'cancelled' });
   } else {
-    state.calls.update(call.id, {
-      jobVersion: job.version,
-      isPending: false,
-      retryAt: Number.NEGATIVE_INFINITY,
-    });
+    advanceCall(state, call, { jobVersion: job.version });
   }
 }
 
+/** A cancellation of a job that is not stored: a submission without an answer may still store it. */
+function applyBar(state: SchedulerState, call: CallRow, reply: StoreReply): void {
+  const [job] = reply.kind === 'mismatch' ? reply.entries : [];
+  if (reply.kind === 'lease') advanceCall(state, call, { barLeaseId: reply.leaseId });
+  else if (reply.kind === 'leaseLost') advanceCall(state, call, { barLeaseId: '' });
+  else if (job === undefined || job.version === 0) answerUnknown(state, call);
+  else advanceCall(state, call, { jobVersion: job.version });
+}
+
+function answerUnknown(state: SchedulerState, call: CallRow): void {
+  logEvent(state, 'info', 'job_unknown', { job: call.jobId, call: call.call.kind });
+  answerCall(state, call.id, { kind: 'gone' });
+}
+
+/** Goes on with the next store call of a caller's call at once. */
+function advanceCall(
+  state: SchedulerState,
+  call: CallRow,
+  known: Partial<Pick<CallRow, 'jobVersion' | 'barLeaseId'>>,
+): void {
+  state.calls.update(call.id, { ...known, isPending: false, retryAt: Number.NEGATIVE_INFINITY });
+}
+
 /** Tells the owner what was stored; it finds the same in the store when the message is lost. */
 function sendHint(state: SchedulerState, hint: EntryHint): void {
   if (state.ownership.role === 'owner') state.hints.push(hint);
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -1,15 +1,13 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { SchedulerArrival } from '../../model/scheduler/entryMessages.ts';
-import type { SubmittedJob } from '../../model/scheduler/jobRecord.ts';
-import { isFinalPhase, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import { findQueue } from '../../model/scheduler/queueConfiguration.ts';
 import type { CallRow, SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import type { StoreCall } from '../../model/store.ts';
 import { answerCall, answerUndecided, PEER_MARK, refuseCall } from './callAnswers.ts';
 import { applyForwardedAnswer, forwardCall, resumeForwardedCalls } from './callForwarding.ts';
 import { receiveCallReply } from './callReplies.ts';
-import { sendStoreCall } from './storeCalls.ts';
+import { sendCallStep } from './callSteps.ts';
 import { isStoreAway, STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
 type QueueCallArrival = Extract<SchedulerArrival, { kind: 'queueCall' }>;
@@ -53,7 +51,7 @@
       if (message.kind === 'answer')
         applyForwardedAnswer(state, message.callId, message.answer, tick.now);
     for (const { callId, reply } of state.inbox.list('storeReply')) {
-      const match = /^(submit|cancel|read)@(.+)#\d+$/.exec(callId);
+      const match = /^(submit|cancel|read|barLease|bar)@(.+)#\d+$/.exec(callId);
       const call = state.calls.get(match?.[2] ?? '');
       if (call !== undefined) receiveCallReply(state, call, match?.[1] ?? '', reply, tick.now);
     }
@@ -121,6 +119,7 @@
       isPending: false,
       retryAt: now,
       jobVersion: 0,
+      barLeaseId: undefined,
       host: arrival.host,
       path: arrival.path,
       isForwarded: false,
@@ -191,50 +190,12 @@
   }
 
   private tryCall(state: SchedulerState, call: CallRow, now: number): void {
-    const { call: asked, jobId } = call;
     state.calls.update(call.id, {
       tries: call.tries + 1,
       isPending: true,
       retryAt: Number.POSITIVE_INFINITY,
     });
     const timeoutMs = Math.max(50, Math.min(TRY_TIMEOUT_MS, call.deadlineAt - now));
-    if (asked.kind === 'submit') {
-      const job: SubmittedJob = {
-        queue: call.queue,
-        service: call.service,
-        spec: asked.spec,
-        acceptedAtMs: Math.round(call.startedAt + state.wallOffsetMs),
-      };
-      sendStoreCall(state, `submit@${call.id}`, buildInsert(STORE_KEYS.job(jobId), job), timeoutMs);
-    } else if (asked.kind === 'cancel' && call.jobVersion > 0) {
-      sendStoreCall(
-        state,
-        `cancel@${call.id}`,
-        buildInsert(STORE_KEYS.cancel(jobId), { by: state.self.id }),
-        timeoutMs,
-      );
-    } else {
-      sendStoreCall(state, `read@${call.id}`, buildRead(jobId), timeoutMs);
-    }
+    sendCallStep(state, call, timeoutMs);
   }
 }
-
-function buildInsert(key: string, value: unknown): StoreCall {
-  return {
-    op: 'transact',
-    expected: [{ key, version: 0 }],
-    puts: [{ key, value }],
-    deletes: [],
-  };
-}
-
-/** A comparison that fails returns the submission, the cancellation and the progress in one answer. */
-function buildRead(jobId: string): StoreCall {
-  const keys = [STORE_KEYS.job(jobId), STORE_KEYS.cancel(jobId), STORE_KEYS.progress(jobId)];
-  return {
-    op: 'transact',
-    expected: keys.map((key) => ({ key, version: 0 })),
-    puts: [],
-    deletes: [],
-  };
-}
--- a/test/support/worldStore.ts
+++ b/test/support/worldStore.ts
@@ -7,8 +7,14 @@
 const WATCH_POLL_MS = 20;
 const PLATFORM_ENTRIES_PER_TRANSACTION = 32;
 
-/** How the store treats one node. With `answerLost`, transactions are done and not answered. */
-export type StoreMode = 'up' | 'refuses' | 'silent' | 'answerLost';
+/** A write without an answer may take effect up to 6 s later. */
+const LATE_MS = 5_000;
+
+/**
+ * How the store treats one node. With `answerLost`, transactions are done and not answered; with
+ * `late`, they are done {@link LATE_MS} later and not answered.
+ */
+export type StoreMode = 'up' | 'refuses' | 'silent' | 'answerLost' | 'late';
 
 type Answer = (reply: StoreReply, sentAt: number) => void;
 
@@ -32,8 +38,10 @@
       });
       return;
     }
-    const isLost = mode === 'silent' || (mode === 'answerLost' && call.op === 'transact');
-    if (mode !== 'silent')
+    const isLate = mode === 'late' && call.op === 'transact';
+    const isLost = mode === 'silent' || isLate || (mode === 'answerLost' && call.op === 'transact');
+    if (isLate) this.events.schedule(LATE_MS, () => this.handle(call));
+    else if (mode !== 'silent')
       this.events.schedule(STORE_MS / 2, () => {
         const reply = this.handle(call);
         if (!isLost) this.answer(call, reply, sentAt, answer);
--- a/test/systems/scheduler/jobPath.test.ts
+++ b/test/systems/scheduler/jobPath.test.ts
@@ -86,6 +86,35 @@
       expect(readPhase(world, entry)).toBe('cancelled');
     });
 
+    it('does not run a job that was cancelled before its submission is stored late', () => {
+      const { world } = createWorld(2, 1);
+      const other = world.entries.find((node) => node !== world.owner)!;
+      other.store = 'late';
+      const submission = world.submit(other, JOB, [{ count: 1 }], {}, { deadlineMs: 600 });
+      world.run(700);
+      expect(other.answers.get(submission)?.kind).toBe('refused');
+      other.store = 'up';
+      const cancellation = world.call(world.owner!, JOB, { kind: 'cancel' });
+      world.run(100);
+      expect(world.owner!.answers.get(cancellation)?.kind).toBe('gone');
+      world.run(8_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toEqual([]);
+      expect(readPhase(world, other)).toBe('gone');
+    });
+
+    it('does not refuse a job for long whose id was cancelled before', () => {
+      const { world, entry } = createWorld(1, 1);
+      world.call(entry, JOB, { kind: 'cancel' });
+      world.run(100);
+      const early = world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(100);
+      expect(entry.answers.get(early)).toMatchObject({ kind: 'refused', error: 'job_cancelled' });
+      world.run(11_000);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(4_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
     it('does not show a job that nobody submitted', () => {
       const { world, entry } = createWorld();
       expect(readPhase(world, entry, createJobId(99))).toBe('gone');
