--- a/src/base/node/httpListening.ts
+++ b/src/base/node/httpListening.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { Server } from 'node:net';
 import type { AddressInfo } from 'node:net';
 
 /** Starts listening. Port 0 takes any free port; rejects when the address cannot be used. */
--- a/test/support/platformProgram.ts
+++ b/test/support/platformProgram.ts
@@ -6,11 +6,11 @@
 import { BOUNDS } from './worldNodes.ts';
 
 const FOLDER = 'node_modules/.cache/bramleyladder';
-const bundles = `${FOLDER}/programs`;
+export const BUNDLES = `${FOLDER}/programs`;
 
 /** Builds the two bundles of the users' platform into a folder of the test's own. */
 export function buildPrograms(): void {
-  execFileSync(process.execPath, ['tools/buildPlatform.mjs', bundles]);
+  execFileSync(process.execPath, ['tools/buildPlatform.mjs', BUNDLES]);
 }
 
 /** Ports that nothing listens on at the moment. */
@@ -75,7 +75,7 @@
   private constructor(name: 'entry' | 'agent', settings: unknown, isRead: boolean) {
     this.settingsFile = join(mkdtempSync(`${FOLDER}/settings-`), 'settings.json');
     this.writeSettings(settings);
-    this.process = spawn(process.execPath, [`${bundles}/${name}.mjs`], {
+    this.process = spawn(process.execPath, [`${BUNDLES}/${name}.mjs`], {
       env: { ...process.env, BRAMLEYLADDER_BOOT: this.settingsFile },
       stdio: ['ignore', 'pipe', 'inherit'],
     });
--- a/test/support/platformStandIn.ts
+++ b/test/support/platformStandIn.ts
@@ -2,9 +2,9 @@
 import { createServer } from 'node:http';
 import { NodeClock } from '../../src/base/node/nodeClock.ts';
 import { getHttpPort, openHttpServer } from '../../src/base/node/httpListening.ts';
-import type { RunnerCall } from '../../src/model/scheduler/runnerCall.ts';
 import type { RunBehaviour } from '../../src/standins/memoryRunner.ts';
 import { MemoryRunner } from '../../src/standins/memoryRunner.ts';
+import { decodeRunnerCall, readBody, sendJson, sendRunnerReply } from './wireServer.ts';
 
 const POLL_MS = 10;
 const TTL_MIN_MS = 1_000;
@@ -85,14 +85,14 @@
 
   private serve(request: IncomingMessage, response: ServerResponse, body: unknown): void {
     if (this.refuseWith !== undefined) {
-      send(response, this.refuseWith, {});
+      sendJson(response, this.refuseWith, {});
       return;
     }
     const url = new URL(request.url ?? '/', 'http://store');
     const path = url.pathname.replace('/bramleyladder/', '');
     if (path === 'kv-key') {
       const item = this.items.get(url.searchParams.get('key') ?? '');
-      send(response, item === undefined ? 404 : 200, item ?? {});
+      sendJson(response, item === undefined ? 404 : 200, item ?? {});
     } else if (path === 'kv-range') {
       this.serveRange(url, response);
     } else if (path === 'kv-watch') {
@@ -101,12 +101,12 @@
       this.serveTxn(body as TxnBody, response);
     } else if (path === 'kv-lease') {
       this.lastLease += 1;
-      send(response, 200, { lease: this.lastLease, ttl_ms: TTL_MIN_MS });
+      sendJson(response, 200, { lease: this.lastLease, ttl_ms: TTL_MIN_MS });
     } else if (path.startsWith('kv-keep/')) {
       const lease = Number(path.slice('kv-keep/'.length));
-      send(response, lease > 0 && lease <= this.lastLease ? 200 : 404, {});
+      sendJson(response, lease > 0 && lease <= this.lastLease ? 200 : 404, {});
     } else {
-      send(response, 200, {});
+      sendJson(response, 200, {});
     }
   }
 
@@ -116,19 +116,19 @@
     const items = [...this.items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
-    send(response, 200, { items, has_more: false, current_rev: this.rev });
+    sendJson(response, 200, { items, has_more: false, current_rev: this.rev });
   }
 
   private serveWatch(url: URL, response: ServerResponse, since: number): void {
     const prefix = url.searchParams.get('prefix') ?? '';
     const after = Number(url.searchParams.get('after'));
     if (after < this.historyFrom) {
-      send(response, 410, {});
+      sendJson(response, 410, {});
       return;
     }
     const events = this.events.filter(({ key, rev }) => rev > after && key.startsWith(prefix));
     const isOver = Date.now() - since >= Number(url.searchParams.get('wait_ms'));
-    if (events.length > 0 || isOver) send(response, 200, { events, current_rev: this.rev });
+    if (events.length > 0 || isOver) sendJson(response, 200, { events, current_rev: this.rev });
     else
       setTimeout(() => {
         this.serveWatch(url, response, since);
@@ -137,18 +137,18 @@
 
   private serveTxn({ expected, puts, deletes }: TxnBody, response: ServerResponse): void {
     if (expected.length + puts.length + deletes.length > 32) {
-      send(response, 400, {});
+      sendJson(response, 400, {});
     } else if (puts.some(({ lease }) => lease > this.lastLease)) {
-      send(response, 404, {});
+      sendJson(response, 404, {});
     } else if (expected.some(({ key, rev }) => (this.items.get(key)?.rev ?? 0) !== rev)) {
       const items = expected.flatMap(({ key }) => this.items.get(key) ?? []);
-      send(response, 412, { items });
+      sendJson(response, 412, { items });
     } else {
       // All entries of a transaction share one revision.
       if (puts.length + deletes.length > 0) this.rev += 1;
       for (const { key, value, lease } of puts) this.put(key, value, lease);
       for (const key of deletes) this.remove(key);
-      send(response, 200, { rev: this.rev });
+      sendJson(response, 200, { rev: this.rev });
     }
   }
 }
@@ -202,7 +202,7 @@
       this.nextAnswer = undefined;
       return;
     }
-    const reply = this.runner.handle(toCall(path, body));
+    const reply = this.runner.handle(decodeRunnerCall(path, body));
     const isWaiting =
       reply.kind === 'lists' &&
       reply.ended.length === 0 &&
@@ -211,51 +211,6 @@
       setTimeout(() => {
         this.serve(path, body, response, since);
       }, POLL_MS);
-    else if (reply.kind === 'lists')
-      send(response, 200, {
-        clock_ms: reply.clockMs,
-        born: reply.bornMs,
-        running: reply.running.map((run) => [
-          run.task,
-          run.run,
-          run.checkpoint,
-          run.percent,
-          run.load,
-        ]),
-        ended: reply.ended.map((end) => [end.number, end.task, end.run, end.how, end.checkpoint]),
-      });
-    else if (reply.kind === 'rejected') send(response, 409, { reason: reply.reason, clock_ms: 1 });
-    else send(response, 200, { clock_ms: 1 });
+    else sendRunnerReply(response, reply);
   }
 }
-
-function toCall(path: string, body: Record<string, unknown>): RunnerCall {
-  const fence = Number(body.fence);
-  const run = Number(body.run);
-  const task = String(body.task);
-  if (path.endsWith('hold'))
-    return {
-      op: 'hold',
-      fence,
-      lastSeen: Number(body.last_seen),
-      waitMs: 0,
-      ...(body.deadline_ms === undefined ? {} : { leaseUntilMs: Number(body.deadline_ms) }),
-    };
-  if (path.endsWith('run-stop')) return { op: 'stop', task, run, fence };
-  if (path.endsWith('pace')) return { op: 'pace', task, run, fence, percent: Number(body.percent) };
-  const leaseUntilMs = Number(body.deadline_ms);
-  const ticket = typeof body.ticket === 'string' ? body.ticket : '';
-  const checkpoint = typeof body.checkpoint === 'string' ? body.checkpoint : '';
-  return { op: 'start', task, run, fence, payload: '', leaseUntilMs, checkpoint, ticket };
-}
-
-async function readBody(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  const text = Buffer.concat(chunks).toString('utf8');
-  return text === '' ? {} : (JSON.parse(text) as unknown);
-}
-
-function send(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
-}
