--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -67,6 +67,11 @@
   readonly pacePercent: number;
   /** When the pace last changed or the run was placed, owner's clock ms. */
   readonly pacedAt: number;
+  /**
+   * When the pace was last ordered or the run was placed, owner's clock ms; undefined while an earlier
+   * owner's order may be in force.
+   */
+  readonly paceOrderedAt: number | undefined;
   readonly placedAt: number;
   /** When the percentage last grew, owner's clock ms. */
   readonly progressAt: number;
@@ -74,6 +79,8 @@
   readonly attempts: number;
   /** Since when a serving task has been over its latency target, owner's clock ms; undefined under it. */
   readonly overSince: number | undefined;
+  /** Since when complete lists of the worker lack a run that they named, owner's clock ms. */
+  readonly absentSince: number | undefined;
   /** Whether a stop has been ordered. */
   readonly stopReason: string | undefined;
 }
@@ -197,10 +204,12 @@
     load: 0,
     pacePercent: 100,
     pacedAt: now,
+    paceOrderedAt: phase === 'placed' ? now : undefined,
     placedAt: now,
     progressAt: now,
     attempts: 0,
     overSince: undefined,
+    absentSince: undefined,
     stopReason: undefined,
   };
 }
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -37,10 +37,12 @@
     load,
     pacePercent: 100,
     pacedAt: 0,
+    paceOrderedAt: 0,
     placedAt: 0,
     progressAt: 0,
     attempts: 1,
     overSince: undefined,
+    absentSince: undefined,
     stopReason: undefined,
   };
 }
