Start the platform's programs without libraries that they do not use

After a loss of power callers wait until entries and agents have started again, and a start is slow on 0.19 to 0.4 cores.

Cause: the abstract StoreClient shared a file with the client that needs undici and msgpackr, so both bundles carried them (570 of 925 KB of an agent) and ran their initialization, which also loads the copy of undici inside Node.js. The histograms came from the index of their package with compression and WebAssembly, and the metrics library was loaded whether anybody asked for the page or not.

Evidence: programStart.test.ts looks for these libraries in the bundles and records a duration while the metrics library cannot be loaded.

--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -1,7 +1,7 @@
 import { NodeClock, NodeTimer } from '../src/base/node/nodeClock.ts';
 import { SeededRandom } from '../src/base/common/seededRandom.ts';
 import { routeSchema } from '../src/model/configuration.ts';
-import { HttpStoreClient } from '../src/protocol/node/storeClient.ts';
+import { HttpStoreClient } from '../src/protocol/node/httpStoreClient.ts';
 import { StoreServer } from '../src/standins/storeServer.ts';
 import { CONFIGURATION_KEY } from '../src/systems/configuration/configurationReadSystem.ts';
 import type { LoadFigures } from './loadGenerator.ts';
--- a/src/cli/localMode.ts
+++ b/src/cli/localMode.ts
@@ -5,7 +5,7 @@
 import { AgentDaemon } from '../daemons/agentDaemon.ts';
 import { EntryDaemon } from '../daemons/entryDaemon.ts';
 import type { AgentSettings } from '../daemons/settings.ts';
-import { HttpStoreClient } from '../protocol/node/storeClient.ts';
+import { HttpStoreClient } from '../protocol/node/httpStoreClient.ts';
 import { EndpointServer } from '../standins/endpointServer.ts';
 import { MemoryWorker } from '../standins/memoryWorker.ts';
 import { StoreServer } from '../standins/storeServer.ts';
--- a/src/daemons/entryDaemon.ts
+++ b/src/daemons/entryDaemon.ts
@@ -27,7 +27,7 @@
 import { JsonServer, parseJsonRequest, sendJsonAnswer } from '../protocol/node/jsonServer.ts';
 import { parseOperatorCall } from '../protocol/node/operatorFront.ts';
 import type { StoreClient } from '../protocol/node/storeClient.ts';
-import { HttpStoreClient } from '../protocol/node/storeClient.ts';
+import { HttpStoreClient } from '../protocol/node/httpStoreClient.ts';
 import { createEntrySystems } from '../systems/entrySystems.ts';
 import { addEntryServices, JOB_CALL_REFUSAL } from './entryServices.ts';
 import { receiveMonitoring } from './monitoring.ts';
--- a/test/daemons/jobPath.test.ts
+++ b/test/daemons/jobPath.test.ts
@@ -4,7 +4,7 @@
 import { NodeClock, NodeTimer } from '../../src/base/node/nodeClock.ts';
 import { AgentDaemon } from '../../src/daemons/agentDaemon.ts';
 import { EntryDaemon } from '../../src/daemons/entryDaemon.ts';
-import { HttpStoreClient } from '../../src/protocol/node/storeClient.ts';
+import { HttpStoreClient } from '../../src/protocol/node/httpStoreClient.ts';
 import { MemoryWorker } from '../../src/standins/memoryWorker.ts';
 import { StoreServer } from '../../src/standins/storeServer.ts';
 import { WorkerServer } from '../../src/standins/workerServer.ts';
--- /dev/null
+++ b/test/platform/programStart.test.ts
@@ -0,0 +1,31 @@
+import { readFileSync } from 'node:fs';
+import { beforeAll, describe, expect, it, vi } from 'vitest';
+import { buildPrograms, findBundle } from '../support/platformProgram.ts';
+
+/** Texts that appear in a bundle with the library alone. */
+const MARKS = { undici: 'UND_ERR_', msgpackr: 'msgpackr', grpc: 'grpc-js', pako: 'pako' };
+
+vi.mock('prom-client', () => {
+  throw new Error('loaded');
+});
+
+describe('start of a program on the platform', () => {
+  beforeAll(() => {
+    buildPrograms();
+  });
+
+  for (const role of ['entry', 'agent'])
+    it(`does not load libraries that the ${role} never uses`, () => {
+      const bundle = readFileSync(findBundle(role), 'utf8');
+      const loaded = Object.entries(MARKS).filter(([, mark]) => bundle.includes(mark));
+      expect(loaded).toEqual([]);
+    });
+
+  it('does not load the library of the metrics page before the page is asked for', async () => {
+    const { Metrics } = await import('../../src/base/node/metrics.ts');
+    const metrics = Metrics.create();
+    metrics.recordDuration('turn', {}, 1);
+    expect(metrics.getQuantile('turn', 0.5)).toBeCloseTo(1, 1);
+    await expect(metrics.render([], [])).rejects.toThrow();
+  });
+});
--- a/test/support/platformProgram.ts
+++ b/test/support/platformProgram.ts
@@ -13,6 +13,11 @@
   execFileSync(process.execPath, ['tools/buildPlatform.mjs', bundles]);
 }
 
+/** Path of the bundle of a role. */
+export function findBundle(role: string): string {
+  return `${bundles}/${role}.mjs`;
+}
+
 /** Ports that nothing listens on at the moment. */
 export async function findPorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
