--- a/test/support/platformProgram.ts
+++ b/test/support/platformProgram.ts
@@ -15,7 +15,7 @@
 
 /** Path of the bundle of a role. */
 export function findBundle(role: string): string {
-  return `${bundles}/${role}.mjs`;
+  return `${BUNDLES}/${role}.mjs`;
 }
 
 /** Ports that nothing listens on at the moment. */
