End a link on which the owner is silent

Their tasks were placed on a worker whose link had lost the owner's side only: reports still came, so the owner kept the link, and no start or grant arrived any more.

Change: the owner sends a heartbeat every 0.7 s when it has no grant to send, and an agent ends a link on which nothing came for 4 s. The owner opens a new one and sends its orders again, before the lease of 5 s that runs hold is over. The link is cut at once, since a peer that is not heard may not hear of a close.

Conclusion: one-way silence no longer holds tasks.

--- a/src/daemons/runnerAgentDaemon.ts
+++ b/src/daemons/runnerAgentDaemon.ts
@@ -115,7 +115,8 @@
         this.links.get(effect.linkId)?.send(effect.message);
         return;
       case 'closeOwner':
-        this.links.get(effect.linkId)?.dispose();
+        if (effect.isSilent === true) this.links.get(effect.linkId)?.drop();
+        else this.links.get(effect.linkId)?.dispose();
         this.links.delete(effect.linkId);
         return;
       case 'callStore':
--- a/src/model/scheduler/links.ts
+++ b/src/model/scheduler/links.ts
@@ -94,6 +94,8 @@
     leaseUntilMs: z.number(),
     lastSeen: z.int(),
   }),
+  /** Sent when no grant can be sent, so that the agent notices a link that carries nothing to it. */
+  z.object({ kind: z.literal('heartbeat') }),
   z.object({
     kind: z.literal('start'),
     bornMs: z.number(),
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -32,7 +32,8 @@
       readonly timeoutMs: number;
     }
   | { readonly kind: 'sendOwner'; readonly linkId: string; readonly message: AgentMessage }
-  | { readonly kind: 'closeOwner'; readonly linkId: string }
+  /** `isSilent` for a link whose peer may not hear of a close. */
+  | { readonly kind: 'closeOwner'; readonly linkId: string; readonly isSilent?: boolean }
   | {
       readonly kind: 'callStore';
       readonly callId: string;
@@ -46,7 +47,7 @@
 export interface OrderRow {
   /** `start:TASK#RUN`, `stop:TASK#RUN` or `pace:TASK#RUN`. */
   readonly id: string;
-  readonly order: Exclude<OwnerOrder, { kind: 'hello' | 'grant' }>;
+  readonly order: Exclude<OwnerOrder, { kind: 'hello' | 'grant' | 'heartbeat' }>;
   /**
    * `checking`: whether the worker lists a start without an answer. `stopping`: a start that may have
    * been carried out is stopped, so that a late copy cannot run. `listing`: the outcome waits for lists
@@ -84,7 +85,13 @@
   /** `leaving` once the worker said that it ends, `gone` when it has not answered since. */
   workerExit: 'none' | 'leaving' | 'gone';
   /** Highest epoch seen, and the link of its owner; empty without one. */
-  readonly owner: { epoch: number; linkId: string; reportAt: number };
+  readonly owner: {
+    epoch: number;
+    linkId: string;
+    reportAt: number;
+    /** When the link last carried a message of the owner. */
+    heardAt: number;
+  };
   readonly lease: { bornMs: number; untilMs: number; lastSeen: number };
   readonly hold: {
     callId: string;
@@ -131,7 +138,7 @@
     worker: undefined,
     workerSequence: 0,
     workerExit: 'none',
-    owner: { epoch: 0, linkId: '', reportAt: NEVER },
+    owner: { epoch: 0, linkId: '', reportAt: NEVER, heardAt: NEVER },
     lease: { bornMs: 0, untilMs: 0, lastSeen: 0 },
     hold: {
       callId: '',
--- a/src/protocol/node/jsonLinks.ts
+++ b/src/protocol/node/jsonLinks.ts
@@ -83,6 +83,12 @@
     else this.socket.terminate();
   }
 
+  /** Ends the link at once, for a peer that may not hear of a close. */
+  drop(): void {
+    this.isClosed = true;
+    this.socket.terminate();
+  }
+
   private close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -4,8 +4,13 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, sendOwner } from './agentCalls.ts';
 
-type WorkerOrder = Exclude<OwnerOrder, { kind: 'hello' | 'grant' }>;
+type WorkerOrder = Exclude<OwnerOrder, { kind: 'hello' | 'grant' | 'heartbeat' }>;
 
+/**
+ * The owner sends something every 0.7 s; a link without a message for longer is ended. Beyond the owner
+ * key's lease of 1.5 s, so that a suspended owner is replaced first, and within the lease of runs of 5 s.
+ */
+const OWNER_SILENT_MS = 4_000;
 /** Without lists to send, the owner still hears this often that the agent is there. */
 const REPORT_EVERY_MS = 900;
 
@@ -34,6 +39,11 @@
       state.orders.clear();
     }
     if (state.owner.linkId === '') return;
+    if (tick.now > state.owner.heardAt + OWNER_SILENT_MS) {
+      this.dropSilentLink(state);
+      return;
+    }
+    tick.wakeAt(state.owner.heardAt + OWNER_SILENT_MS + 1);
     if (tick.now >= state.owner.reportAt) {
       state.owner.reportAt = tick.now + REPORT_EVERY_MS;
       sendOwner(state, {
@@ -50,6 +60,14 @@
     tick.wakeAt(state.owner.reportAt);
   }
 
+  /** The owner opens a new link, which may carry its orders. */
+  private dropSilentLink(state: RunnerAgentState): void {
+    logAgentEvent(state, 'warn', 'owner_lost', { epoch: state.owner.epoch, link: 'silent' });
+    state.outbox.append({ kind: 'closeOwner', linkId: state.owner.linkId, isSilent: true });
+    state.owner.linkId = '';
+    state.orders.clear();
+  }
+
   private receiveOrder(
     state: RunnerAgentState,
     linkId: string,
@@ -61,6 +79,8 @@
       return;
     }
     if (linkId !== state.owner.linkId) return;
+    state.owner.heardAt = now;
+    if (order.kind === 'heartbeat') return;
     if (order.kind === 'grant') {
       if (order.bornMs !== state.worker?.bornMs) return;
       state.lease.bornMs = order.bornMs;
@@ -89,6 +109,7 @@
     owner.epoch = hello.epoch;
     owner.linkId = linkId;
     owner.reportAt = now;
+    owner.heardAt = now;
     state.orders.clear();
     state.worker ??= hello.worker;
     state.hold.callId = '';
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -93,15 +93,26 @@
       return;
     }
     const worker = state.workers.get(agent.workerKey ?? '');
-    if (worker === undefined) return;
-    const lastSeen = findAcknowledged(state, worker);
     const isDue = tick.now >= agent.grantedAt + GRANT_EVERY_MS;
-    if (lastSeen > worker.lastSeen || isDue) this.sendGrant(state, agent, worker, lastSeen, tick);
+    if (worker !== undefined && this.canGrant(state, worker, tick.now)) {
+      const lastSeen = findAcknowledged(state, worker);
+      if (isDue || lastSeen > worker.lastSeen) this.sendGrant(state, agent, worker, lastSeen, tick);
+    } else if (isDue) {
+      state.agents.update(agent.id, { grantedAt: tick.now });
+      const order = { kind: 'heartbeat' as const };
+      state.outbox.append({ kind: 'orderAgent', agentId: agent.id, order });
+    }
     tick.wakeAt(
       Math.max(tick.now + 1, (state.agents.get(agent.id)?.grantedAt ?? tick.now) + GRANT_EVERY_MS),
     );
   }
 
+  private canGrant(state: SchedulerState, worker: WorkerRow, now: number): boolean {
+    const isConfirmed = now - state.ownership.confirmedAt < GRANT_WINDOW_MS;
+    const isFresh = now - worker.lastReportAt < REPORT_FRESH_MS;
+    return isConfirmed && isFresh && worker.isFenced;
+  }
+
   private sendGrant(
     state: SchedulerState,
     agent: AgentRow,
@@ -110,9 +121,6 @@
     tick: Tick,
   ): void {
     state.agents.update(agent.id, { grantedAt: tick.now });
-    const isConfirmed = tick.now - state.ownership.confirmedAt < GRANT_WINDOW_MS;
-    const isFresh = tick.now - worker.lastReportAt < REPORT_FRESH_MS;
-    if (!isConfirmed || !isFresh || !worker.isFenced) return;
     const leaseMs = getRunLeaseMs(state);
     state.workers.update(worker.id, {
       lastSeen,
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -267,7 +267,7 @@
         return;
       case 'orderAgent': {
         const linkId = agent?.links.get(entry.id);
-        if (agent !== undefined && linkId !== undefined)
+        if (agent !== undefined && linkId !== undefined && linkId !== agent.deafLink)
           this.deliverToAgent(LINK_MS, agent, { kind: 'ownerOrder', linkId, order: effect.order });
         return;
       }
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -42,6 +42,8 @@
   readonly links: Map<string, string>;
   /** Links from entries are cut while it is false. */
   isReachable: boolean;
+  /** A link that loses what the owner sends. */
+  deafLink?: string;
   /** How many of the next orders the worker leaves undone and unanswered. */
   dropAnswers: number;
   /** Until when the agent's messages to owners are held up on their way. */
--- /dev/null
+++ b/test/systems/scheduler/silentLinks.test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from 'vitest';
+import { createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+
+describe('links that go silent', () => {
+  describe('from the owner to an agent only', () => {
+    it('does not leave a task waiting for a start that never arrives', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      agent!.deafLink = agent!.links.get(entry.id) ?? '';
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(12_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('does not let work lapse before a new link carries its lease', () => {
+      const { world, entry } = createWorld(1, 1);
+      const [agent] = world.agents;
+      world.behave = () => ({ durationMs: 9_000, how: 'done' });
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(1_000);
+      agent!.deafLink = agent!.links.get(entry.id) ?? '';
+      world.run(12_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+  });
+
+  describe('without a worker', () => {
+    it('does not open links again that work', () => {
+      const { world } = createWorld(1, 1);
+      world.addAgent('agent-idle');
+      world.leaveRunner(world.agents[1]!);
+      world.run(20_000);
+      expect(world.logs.filter(({ event }) => event === 'owner_lost')).toEqual([]);
+    });
+  });
+});
