Give up a commit once the store has answered a later call

After an outage in which the store is silent, and whenever an answer is lost, callers waited up to a second for every start although the store answered again.

Cause: an owner writes one commit at a time and waits 1 s for its answer, while it hears from the same store on other connections.

Change: 0.3 s after it was sent, a commit counts as lost as soon as a call that was sent later has been answered. It is repeated like one that timed out; when the first one has been carried out, the mismatch settles it as before. The owner writes commit_unanswered.

--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -77,6 +77,10 @@
 /** Commits of job changes to the store. */
 export interface CommitState {
   callId: string;
+  /** When the call was sent, owner's clock ms. */
+  sentAt: number;
+  /** When the call counts as lost, because the store has answered a later one; infinite before that. */
+  overtakenAt: number;
   jobs: { readonly jobId: string; readonly change: number; readonly storeVersion: number }[];
   retryAt: number;
   /** Store transaction to repeat after an answer was lost. */
@@ -196,7 +200,7 @@
     storeHealth: { failingSince: Number.POSITIVE_INFINITY },
     operator: createOperatorState(),
     ownership: createOwnership(),
-    commit: { callId: '', jobs: [], retryAt: NEVER, sequence: 0 },
+    commit: createCommit(),
     deletion: { callId: '', jobIds: [] },
     calls: Table.create<CallRow>('calls'),
     statuses,
@@ -242,6 +246,17 @@
   return { id, bootId, zone, cores, address: '', phase: 'starting', stopAt: NEVER };
 }
 
+function createCommit(): CommitState {
+  return {
+    callId: '',
+    sentAt: NEVER,
+    overtakenAt: Number.POSITIVE_INFINITY,
+    jobs: [],
+    retryAt: NEVER,
+    sequence: 0,
+  };
+}
+
 function createIntake(): SchedulerState['intake'] {
   return { storeVersion: 0, watchAt: NEVER, isWatching: false, listAt: Number.POSITIVE_INFINITY };
 }
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -14,6 +14,11 @@
 /** Longer than a slow store's answers, which take up to 0.4 s. */
 const COMMIT_TIMEOUT_MS = 1_000;
 const RETRY_MS = 60;
+/**
+ * Wait for an answer after which a commit counts as lost when the store has answered a call that was
+ * sent later. Answers take 10 ms, those of a slow store 130 ms on hanbit-sched-grown.
+ */
+const OVERTAKEN_MS = 300;
 
 /**
  * Writes the progress of changed jobs under the owner's key, one transaction at a time. Reads
@@ -34,6 +39,7 @@
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
     this.receiveCommits(state, tick);
+    this.dropOvertaken(state, tick);
     const { commit } = state;
     if (commit.callId !== '' || state.dirtyJobs.size === 0) return;
     if (tick.now < commit.retryAt) {
@@ -64,6 +70,29 @@
     }
   }
 
+  /**
+   * Gives up a commit whose answer is lost; it is as safe as after the time-out. A repetition that
+   * finds it carried out settles the mismatch.
+   */
+  private dropOvertaken(state: SchedulerState, tick: Tick): void {
+    const { commit } = state;
+    if (commit.callId === '') return;
+    for (const { callId, reply, sentAt } of state.inbox.list('storeReply')) {
+      const isAnswer = reply.kind !== 'refused' && reply.kind !== 'unavailable';
+      if (isAnswer && callId !== commit.callId && sentAt > commit.sentAt)
+        commit.overtakenAt = Math.min(commit.overtakenAt, commit.sentAt + OVERTAKEN_MS);
+    }
+    if (tick.now < commit.overtakenAt) {
+      tick.wakeAt(commit.overtakenAt);
+      return;
+    }
+    logEvent(state, 'warn', 'commit_unanswered', { call: commit.callId, jobs: commit.jobs.length });
+    state.counters.add('commit_failures', { kind: 'overtaken' });
+    for (const { jobId } of commit.jobs) state.dirtyJobs.add(jobId);
+    commit.callId = '';
+    commit.jobs = [];
+  }
+
   private confirm(
     state: SchedulerState,
     jobId: string,
@@ -119,6 +148,8 @@
       change: job.change,
       storeVersion: job.storeVersion,
     }));
+    commit.sentAt = now;
+    commit.overtakenAt = Number.POSITIVE_INFINITY;
     commit.callId = sendStoreCall(
       state,
       'commit',
