--- a/src/cli/localScheduler.ts
+++ b/src/cli/localScheduler.ts
@@ -11,6 +11,8 @@
 import { serveExplanation } from '../protocol/node/explanationFront.ts';
 import { QueueFront } from '../protocol/node/queueFront.ts';
 import { StatusServer } from '../protocol/node/statusServer.ts';
+import { MemoryInstanceClient } from '../standins/memoryInstanceClient.ts';
+import { MemoryInstances } from '../standins/memoryInstances.ts';
 import { MemoryAdviceClient } from '../standins/memoryAdviceClient.ts';
 import { MemoryAdviser } from '../standins/memoryAdviser.ts';
 import type { RunBehaviour } from '../standins/memoryRunner.ts';
@@ -39,6 +41,8 @@
   farFactor: 1.5,
   earlyMs: 250,
   statusSeconds: 120,
+  maintenanceMs: 2_000,
+  holderLeaseMs: 3_000,
 };
 const READY_TIMEOUT_MS = 10_000;
 const READY_POLL_MS = 20;
@@ -138,11 +142,15 @@
         bounds: { ...BOUNDS },
       },
       { host: HOST, port: 0 },
-      MemoryStoreClient.create(store, TIMES),
-      MemoryAdviceClient.create(
-        MemoryAdviser.create(ADVICE_VALID_MS, () => true),
-        TIMES.clock,
-      ),
+      {
+        store: MemoryStoreClient.create(store, TIMES),
+        adviser: MemoryAdviceClient.create(
+          MemoryAdviser.create(ADVICE_VALID_MS, () => true),
+          TIMES.clock,
+        ),
+        // Local workers stand on no instances.
+        instances: MemoryInstanceClient.create(MemoryInstances.create(TIMES.clock, 0, () => '')),
+      },
       log,
     );
     const runners: MemoryRunner[] = [];
--- /dev/null
+++ b/src/daemons/metricsAddress.ts
@@ -0,0 +1,18 @@
+import type { Disposable } from '../base/common/disposable.ts';
+import type { LogWriter } from '../base/node/logWriter.ts';
+import type { StatusSource } from '../protocol/node/statusServer.ts';
+import { StatusServer } from '../protocol/node/statusServer.ts';
+import { parseAddress } from './schedulerSettings.ts';
+
+/** Serves metrics at an address of their own. A process that cannot have it goes on without. */
+export async function openMetrics(
+  address: string,
+  source: StatusSource,
+  log: LogWriter,
+): Promise<Disposable | undefined> {
+  if (address === '') return undefined;
+  return StatusServer.create(parseAddress(address), source, () => false).catch((error: unknown) => {
+    log.write('warn', 'metrics_unavailable', { address, message: String(error) });
+    return undefined;
+  });
+}
--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -13,13 +13,13 @@
 import type { SchedulerIdentity, SchedulerState } from '../model/scheduler/schedulerState.ts';
 import { createSchedulerState } from '../model/scheduler/schedulerState.ts';
 import { JsonLink, JsonLinkServer } from '../protocol/node/jsonLinks.ts';
-import type { AdviceClient } from '../protocol/node/adviceClient.ts';
-import type { StoreClient } from '../protocol/node/storeClient.ts';
 import { buildJobExplanation } from '../systems/scheduler/jobExplanation.ts';
 import { OWNER_HANDSHAKE_MS } from '../systems/scheduler/ownershipTimes.ts';
 import { createSchedulerSystems } from '../systems/scheduler/schedulerSystems.ts';
 import { ExchangeTimes } from './exchangeTimes.ts';
 import { LoopDaemon } from './loopDaemon.ts';
+import type { OutsideServices } from './serviceCalls.ts';
+import { ServiceCalls } from './serviceCalls.ts';
 
 /** Where a daemon of the scheduler listens for the others. */
 export interface LinkAddress {
@@ -33,28 +33,27 @@
   private readonly agents = new Map<string, JsonLink<AgentMessage>>();
   private readonly peers = new Map<string, JsonLink<EntryHint>>();
   private readonly exchanges = ExchangeTimes.create(this.clock, this.metrics);
+  private readonly services: ServiceCalls;
   private owner: JsonLink<OwnerMessage> | undefined;
   private server: JsonLinkServer | undefined;
   private nextId = 1;
 
-  private constructor(
-    state: SchedulerState,
-    private readonly store: StoreClient,
-    private readonly adviser: AdviceClient,
-    log: LogWriter,
-  ) {
+  private constructor(state: SchedulerState, services: OutsideServices, log: LogWriter) {
     super(state, createSchedulerSystems(), log);
+    this.services = ServiceCalls.create(services, this.clock, this.metrics, (arrival) => {
+      if (arrival.kind === 'storeReply') this.readWallClock();
+      this.loop.receive(arrival);
+    });
   }
 
   static async create(
     identity: SchedulerIdentity,
     links: LinkAddress,
-    store: StoreClient,
-    adviser: AdviceClient,
+    services: OutsideServices,
     log: LogWriter,
   ): Promise<SchedulerDaemon> {
     const state = createSchedulerState(identity);
-    const daemon = new SchedulerDaemon(state, store, adviser, log);
+    const daemon = new SchedulerDaemon(state, services, log);
     daemon.readWallClock();
     daemon.server = await JsonLinkServer.create(links.host, links.port, (socket, peerId) => {
       daemon.acceptPeer(socket, peerId);
@@ -111,8 +110,7 @@
     this.server?.dispose();
     for (const link of [...this.agents.values(), ...this.peers.values()]) link.dispose();
     this.owner?.dispose();
-    this.store.dispose();
-    this.adviser.dispose();
+    this.services.dispose();
   }
 
   private takeId(): number {
@@ -150,10 +148,13 @@
         this.metrics.recordDuration(effect.name, effect.labels, effect.durationMs);
         return;
       case 'callStore':
-        this.callStore(effect);
+        this.services.callStore(effect);
         return;
       case 'requestAdvice':
-        this.requestAdvice(effect);
+        this.services.requestAdvice(effect);
+        return;
+      case 'callInstances':
+        this.services.callInstances(effect);
         return;
       case 'answerCall':
         this.answers.get(effect.callId)?.(effect.answer);
@@ -195,36 +196,6 @@
     }
   }
 
-  private callStore({
-    call,
-    callId,
-    timeoutMs,
-  }: Extract<SchedulerEffect, { kind: 'callStore' }>): void {
-    const sentAt = this.clock.now;
-    void this.store.send(call, timeoutMs).then((reply) => {
-      this.readWallClock();
-      // A watch waits for changes; its time says nothing about the store.
-      if (call.op !== 'watchPrefix')
-        this.metrics.recordDuration(
-          'store_call_duration_ms',
-          { op: call.op, result: reply.kind },
-          this.clock.now - sentAt,
-        );
-      this.loop.receive({ kind: 'storeReply', callId, reply, sentAt });
-    });
-  }
-
-  private requestAdvice({
-    callId,
-    question,
-    timeoutMs,
-  }: Extract<SchedulerEffect, { kind: 'requestAdvice' }>): void {
-    const sentAt = this.clock.now;
-    void this.adviser.request(question, timeoutMs).then((reply) => {
-      this.loop.receive({ kind: 'adviceReply', callId, reply, sentAt });
-    });
-  }
-
   private openAgent(agentId: string, address: string): void {
     this.agents.get(agentId)?.dispose();
     const link = JsonLink.open<AgentMessage>(address, this.state.self.id, agentMessageSchema, {
--- a/src/daemons/schedulerGauges.ts
+++ b/src/daemons/schedulerGauges.ts
@@ -1,4 +1,5 @@
 import type { GaugeSample } from '../base/node/metrics.ts';
+import { hasPlace } from '../model/scheduler/fleet.ts';
 import type { RunnerAgentState } from '../model/scheduler/runnerAgentState.ts';
 import type { WorkerIdentity } from '../model/scheduler/links.ts';
 import type { SchedulerState } from '../model/scheduler/schedulerState.ts';
@@ -21,6 +22,12 @@
     buildGauge('ready_tasks', 'tasks that wait for room', countReadyTasks(state)),
     buildGauge('open_runs', 'runs that hold room', state.runs.size),
     buildGauge('open_calls', 'callers that wait for an answer', state.calls.size),
+    buildGauge('open_waves', 'waves of maintenance that are not completed', countOpenWaves(state)),
+    buildGauge(
+      'instances_in_waves',
+      'instances that are emptied for maintenance or down for it',
+      state.fleet.maintenance.list().filter(hasPlace).length,
+    ),
     ...listQueueGauges(state),
     ...listRoomGauges(state, now),
   ];
@@ -85,6 +92,10 @@
   return count;
 }
 
+function countOpenWaves({ fleet }: SchedulerState): number {
+  return fleet.waves.list().filter(({ phase }) => phase !== 'completed').length;
+}
+
 /** Tasks that wait for room and pending jobs of each queue of the configuration. */
 function listQueueGauges(state: SchedulerState): GaugeSample[] {
   if (state.ownership.role !== 'owner') return [];
--- a/src/daemons/schedulerSettings.ts
+++ b/src/daemons/schedulerSettings.ts
@@ -10,6 +10,8 @@
   host: z.string().check(z.minLength(1)),
   linkPort: z.int().check(z.minimum(0), z.maximum(65_535)),
   storeAddress: addressSchema,
+  /** HTTP address for metrics alone, at a port that does not change; empty for none. */
+  metricsAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
 };
 
 /** Settings of an entry of the scheduler. */
@@ -23,6 +25,8 @@
   readyAddress: addressSchema,
   /** The adviser on placement; empty when no queue needs it. */
   adviserAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
+  /** The service that lists instances and takes orders for them; empty where there is none. */
+  instancesAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
   /** Part of a processor that the entry has, and the processor's speed against a plain core. */
   processor: z._default(z.object({ share: z.number(), speed: z.number() }), { share: 1, speed: 1 }),
   bounds: platformBoundsSchema,
--- /dev/null
+++ b/src/daemons/serviceCalls.ts
@@ -0,0 +1,73 @@
+import type { Clock } from '../base/common/clock.ts';
+import type { Disposable } from '../base/common/disposable.ts';
+import type { Metrics } from '../base/node/metrics.ts';
+import type { SchedulerArrival, SchedulerEffect } from '../model/scheduler/entryMessages.ts';
+import type { AdviceClient } from '../protocol/node/adviceClient.ts';
+import type { InstanceClient } from '../protocol/node/instanceClient.ts';
+import type { StoreClient } from '../protocol/node/storeClient.ts';
+
+/** The platform's services that an entry calls. */
+export interface OutsideServices {
+  readonly store: StoreClient;
+  readonly adviser: AdviceClient;
+  readonly instances: InstanceClient;
+}
+
+type ServiceEffect<Kind extends SchedulerEffect['kind']> = Extract<SchedulerEffect, { kind: Kind }>;
+
+/** Makes an entry's calls to the platform's services and hands the replies to its loop. */
+export class ServiceCalls implements Disposable {
+  private constructor(
+    private readonly services: OutsideServices,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly receive: (arrival: SchedulerArrival) => void,
+  ) {}
+
+  static create(
+    services: OutsideServices,
+    clock: Clock,
+    metrics: Metrics,
+    receive: (arrival: SchedulerArrival) => void,
+  ): ServiceCalls {
+    return new ServiceCalls(services, clock, metrics, receive);
+  }
+
+  callStore({ call, callId, timeoutMs }: ServiceEffect<'callStore'>): void {
+    const sentAt = this.clock.now;
+    void this.services.store.send(call, timeoutMs).then((reply) => {
+      // A watch waits for changes; its time says nothing about the store.
+      if (call.op !== 'watchPrefix')
+        this.metrics.recordDuration(
+          'store_call_duration_ms',
+          { op: call.op, result: reply.kind },
+          this.clock.now - sentAt,
+        );
+      this.receive({ kind: 'storeReply', callId, reply, sentAt });
+    });
+  }
+
+  requestAdvice({ callId, question, timeoutMs }: ServiceEffect<'requestAdvice'>): void {
+    const sentAt = this.clock.now;
+    void this.services.adviser.request(question, timeoutMs).then((reply) => {
+      this.receive({ kind: 'adviceReply', callId, reply, sentAt });
+    });
+  }
+
+  callInstances({ callId, call, timeoutMs }: ServiceEffect<'callInstances'>): void {
+    const sentAt = this.clock.now;
+    void this.services.instances.send(call, timeoutMs).then((reply) => {
+      this.metrics.recordDuration(
+        'instance_call_duration_ms',
+        { op: call.op, result: reply.kind },
+        this.clock.now - sentAt,
+      );
+      this.receive({ kind: 'instanceReply', callId, reply });
+    });
+  }
+
+  dispose(): void {
+    const { store, adviser, instances } = this.services;
+    for (const client of [store, adviser, instances]) client.dispose();
+  }
+}
--- a/src/model/scheduler/bounds.ts
+++ b/src/model/scheduler/bounds.ts
@@ -20,5 +20,9 @@
   earlyMs: z.number(),
   /** How long the state of a final job stays readable, s. */
   statusSeconds: z.number(),
+  /** Time that an instance is down for maintenance, ms. */
+  maintenanceMs: z._default(z.number(), 2_000),
+  /** Time that a new owner waits before it orders instances, ms; orders of the one before are over then. */
+  holderLeaseMs: z._default(z.number(), 3_000),
 });
 export type PlatformBounds = z.infer<typeof platformBoundsSchema>;
--- a/src/model/scheduler/entryMessages.ts
+++ b/src/model/scheduler/entryMessages.ts
@@ -1,5 +1,6 @@
 import type { DurationEffect, LogEffect } from '../effects.ts';
 import type { StoreCall, StoreReply } from '../store.ts';
+import type { InstanceCall, InstanceReply } from './instanceCall.ts';
 import type { AgentMessage, EntryHint, OwnerMessage, OwnerOrder } from './links.ts';
 import type { AdviceQuestion, AdviceReply } from './placementAdvice.ts';
 import type { QueueAnswer, QueueCall } from './queueCall.ts';
@@ -33,6 +34,11 @@
       readonly reply: AdviceReply;
       readonly sentAt: number;
     }
+  | {
+      readonly kind: 'instanceReply';
+      readonly callId: string;
+      readonly reply: InstanceReply;
+    }
   | { readonly kind: 'stopRequested' };
 
 /** Effects of an entry of the scheduler. */
@@ -58,6 +64,12 @@
       readonly question: AdviceQuestion;
       readonly timeoutMs: number;
     }
+  | {
+      readonly kind: 'callInstances';
+      readonly callId: string;
+      readonly call: InstanceCall;
+      readonly timeoutMs: number;
+    }
   | LogEffect
   | DurationEffect
   | { readonly kind: 'exit' };
--- a/src/model/scheduler/queueConfiguration.ts
+++ b/src/model/scheduler/queueConfiguration.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import { maintenanceWaveSchema } from './maintenanceWave.ts';
 
 /** Figures of the adviser that decides which workers may run the steps of a queue. */
 export const advicePolicySchema = z.object({
@@ -41,6 +42,7 @@
 export const operatorKeySchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('configuration'), configuration: queueConfigurationSchema }),
   z.object({ kind: z.literal('zoneOut'), zone: z.string() }),
+  z.object({ kind: z.literal('wave'), wave: maintenanceWaveSchema }),
 ]);
 export type OperatorKey = z.infer<typeof operatorKeySchema>;
 
@@ -49,6 +51,8 @@
   prefix: 'operator/',
   configuration: 'operator/configuration',
   zoneOut: (zone: string): string => `operator/zones-out/${zone}`,
+  wavePrefix: 'operator/waves/',
+  wave: (id: string): string => `operator/waves/${id}`,
 } as const;
 
 /** The queue with the longest prefix that the path begins with, or undefined. */
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -4,6 +4,9 @@
 import { Table } from '../../base/common/table.ts';
 import type { PlatformBounds } from './bounds.ts';
 import type { SchedulerArrival, SchedulerEffect } from './entryMessages.ts';
+import type { FleetState } from './fleet.ts';
+import { createFleet } from './fleet.ts';
+import type { MaintenanceWave } from './maintenanceWave.ts';
 import type { Ownership } from './ownership.ts';
 import { createOwnership } from './ownership.ts';
 import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
@@ -66,6 +69,8 @@
   /** Versions of the operator's keys, for the comparison that proves them current. */
   readonly versions: Map<string, number>;
   readonly zonesOut: Set<string>;
+  /** Requests for maintenance by their id. */
+  readonly waves: Map<string, MaintenanceWave>;
   storeVersion: number;
   isListed: boolean;
   /** Start of the latest store call that proved the keys current. */
@@ -150,6 +155,7 @@
   readonly advice: Table<AdviceRow>;
   readonly adviceByJob: TableIndex<AdviceRow>;
   readonly adviceCall: AdviceCallState;
+  readonly fleet: FleetState;
   readonly listedEnds: ListedEnd[];
   /** Jobs with changes that the store does not hold. */
   readonly dirtyJobs: Set<string>;
@@ -226,6 +232,7 @@
     advice,
     adviceByJob: advice.addIndex((row) => row.jobId),
     adviceCall: createAdviceCall(),
+    fleet: createFleet(),
     listedEnds: [],
     dirtyJobs: new Set(),
     touchedJobs: new Set(),
@@ -263,6 +270,7 @@
     hasAdvice: false,
     versions: new Map(),
     zonesOut: new Set(),
+    waves: new Map(),
     storeVersion: 0,
     isListed: false,
     provedAt: NEVER,
--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -1,6 +1,7 @@
 // Entry point of an agent on the users' platform.
 import { BoundedLog } from '../base/node/boundedLog.ts';
 import { runUntilStopped } from '../cli/runDaemon.ts';
+import { openMetrics } from '../daemons/metricsAddress.ts';
 import { RunnerAgentDaemon } from '../daemons/runnerAgentDaemon.ts';
 import { listProcessGauges, listRunnerAgentGauges } from '../daemons/schedulerGauges.ts';
 import { parseAddress, runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
@@ -19,26 +20,25 @@
   WireRunnerClient.create(),
   log,
 );
-await StatusServer.create(
-  parseAddress(settings.beatAddress),
-  {
-    counters: daemon.state.counters,
-    metrics: daemon.metrics,
-    listGauges: () => [...listRunnerAgentGauges(daemon.state), ...listProcessGauges(log)],
-  },
-  (request, response) =>
-    receiveBeat(request, response, {
-      onBeat: (beat) => {
-        daemon.receiveBeat(beat);
-      },
-      onLeave: (workerId) => {
-        daemon.receiveLeave(workerId);
-      },
-      onInvalid: (worker, reason) => {
-        log.write('warn', 'beat_invalid', { worker, reason });
-      },
-    }),
+const status = {
+  counters: daemon.state.counters,
+  metrics: daemon.metrics,
+  listGauges: () => [...listRunnerAgentGauges(daemon.state), ...listProcessGauges(log)],
+};
+await StatusServer.create(parseAddress(settings.beatAddress), status, (request, response) =>
+  receiveBeat(request, response, {
+    onBeat: (beat) => {
+      daemon.receiveBeat(beat);
+    },
+    onLeave: (workerId) => {
+      daemon.receiveLeave(workerId);
+    },
+    onInvalid: (worker, reason) => {
+      log.write('warn', 'beat_invalid', { worker, reason });
+    },
+  }),
 );
+await openMetrics(settings.metricsAddress, status, log);
 watchSettings(runnerAgentSettingsSchema, log, () => undefined);
 await runUntilStopped({
   stopped: daemon.stopped,
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { BoundedLog } from '../base/node/boundedLog.ts';
 import { runUntilStopped } from '../cli/runDaemon.ts';
+import { openMetrics } from '../daemons/metricsAddress.ts';
 import { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
 import { listProcessGauges, listSchedulerGauges } from '../daemons/schedulerGauges.ts';
 import { parseAddress, schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
@@ -11,6 +12,7 @@
 import { WireAdviceClient } from './wireAdviceClient.ts';
 import { createEntryStatusHandler } from './wireEntryStatus.ts';
 import { WireFront } from './wireFront.ts';
+import { WireInstanceClient } from './wireInstanceClient.ts';
 
 const log = BoundedLog.createFor(process.stdout);
 const settings = loadSettings(schedulerSettingsSchema, log);
@@ -24,19 +26,24 @@
     bounds: settings.bounds,
   },
   { host: settings.host, port: settings.linkPort },
-  PlatformStoreClient.create(settings.storeAddress),
-  WireAdviceClient.create(settings.adviserAddress),
+  {
+    store: PlatformStoreClient.create(settings.storeAddress),
+    adviser: WireAdviceClient.create(settings.adviserAddress),
+    instances: WireInstanceClient.create(settings.instancesAddress),
+  },
   log,
 );
+const status = {
+  counters: daemon.state.counters,
+  metrics: daemon.metrics,
+  listGauges: () => [...listSchedulerGauges(daemon.state, daemon.now), ...listProcessGauges(log)],
+};
 await StatusServer.create(
   parseAddress(settings.readyAddress),
-  {
-    counters: daemon.state.counters,
-    metrics: daemon.metrics,
-    listGauges: () => [...listSchedulerGauges(daemon.state, daemon.now), ...listProcessGauges(log)],
-  },
+  status,
   createEntryStatusHandler(daemon),
 );
+await openMetrics(settings.metricsAddress, status, log);
 const front = await WireFront.create(settings.callerAddress, daemon);
 watchSettings(schedulerSettingsSchema, log, ({ bounds }) => {
   Object.assign(daemon.state.bounds, bounds);
--- a/src/platform/platformStoreClient.ts
+++ b/src/platform/platformStoreClient.ts
@@ -1,15 +1,18 @@
 import * as z from 'zod/mini';
 import { parseValue } from '../base/common/parse.ts';
+import { STORE_KEYS } from '../model/scheduler/jobRecord.ts';
 import { OPERATOR_KEYS } from '../model/scheduler/queueConfiguration.ts';
 import type { StoreCall, StoreEntry, StoreReply } from '../model/store.ts';
 import { StoreClient } from '../protocol/node/storeClient.ts';
-import { decodeConfiguration } from './wireConfiguration.ts';
+import { decodeConfiguration, decodeWave } from './wireConfiguration.ts';
 import type { WireOutcome } from './wireHttp.ts';
 import { WireHttp } from './wireHttp.ts';
 
 const ROOT = '/bramleyladder';
 const CONFIGURATION_KEY = 'op/config';
 const ZONE_OUT_PREFIX = 'op/evacuate/';
+const WAVE_PREFIX = 'op/wave/';
+const WAVE_STATUS_PREFIX = 'status/wave/';
 const OPERATOR_PREFIX = 'op/';
 
 const itemSchema = z.object({
@@ -215,11 +218,19 @@
   return parseValue(schema, body).toMaybe().extract();
 }
 
+/** Prefixes of the product and of the wire for waves and what the operator is told of them. */
+const WAVE_PREFIXES = [
+  [OPERATOR_KEYS.wavePrefix, WAVE_PREFIX],
+  [STORE_KEYS.waveStatusPrefix, WAVE_STATUS_PREFIX],
+] as const;
+
 /** Operator's keys have names of the product inside; the system's own keys are the same. */
 function encodeKey(key: string): string {
   if (key === OPERATOR_KEYS.configuration) return CONFIGURATION_KEY;
   const zoneOutPrefix = OPERATOR_KEYS.zoneOut('');
   if (key.startsWith(zoneOutPrefix)) return ZONE_OUT_PREFIX + key.slice(zoneOutPrefix.length);
+  for (const [prefix, wirePrefix] of WAVE_PREFIXES)
+    if (key.startsWith(prefix)) return wirePrefix + key.slice(prefix.length);
   return key === OPERATOR_KEYS.prefix ? OPERATOR_PREFIX : key;
 }
 
@@ -227,6 +238,8 @@
   if (key === CONFIGURATION_KEY) return OPERATOR_KEYS.configuration;
   if (key.startsWith(ZONE_OUT_PREFIX))
     return OPERATOR_KEYS.zoneOut(key.slice(ZONE_OUT_PREFIX.length));
+  for (const [prefix, wirePrefix] of WAVE_PREFIXES)
+    if (key.startsWith(wirePrefix)) return prefix + key.slice(wirePrefix.length);
   return key;
 }
 
@@ -248,7 +261,8 @@
   const text = Buffer.from(item.value ?? '', 'base64').toString('utf8');
   try {
     const value = JSON.parse(text) as unknown;
-    return item.key === CONFIGURATION_KEY ? decodeConfiguration(value) : value;
+    if (item.key === CONFIGURATION_KEY) return decodeConfiguration(value);
+    return item.key.startsWith(WAVE_PREFIX) ? decodeWave(value) : value;
   } catch {
     return text;
   }
--- a/src/platform/wireConfiguration.ts
+++ b/src/platform/wireConfiguration.ts
@@ -62,3 +62,28 @@
     },
   };
 }
+
+const waveSchema = z.object({
+  /** Number of the wave; orders name it. */
+  wave: z.int(),
+  machines: z.array(z.string()),
+  within_s: z.number(),
+  /** Most machines that may be down for it at one time. */
+  cap: z.int(),
+});
+
+/** Decodes the operator's request for a wave of upkeep; undefined when it is none. */
+export function decodeWave(value: unknown): OperatorKey | undefined {
+  const parsed = z.safeParse(waveSchema, value);
+  if (!parsed.success) return undefined;
+  const { wave, machines, within_s: withinSeconds, cap } = parsed.data;
+  return {
+    kind: 'wave',
+    wave: {
+      number: wave,
+      instances: machines,
+      withinMs: withinSeconds * 1_000,
+      maxDown: cap,
+    },
+  };
+}
--- /dev/null
+++ b/src/systems/scheduler/instanceDrain.ts
@@ -0,0 +1,58 @@
+import type { RunRow } from '../../model/scheduler/rows.ts';
+import { parseWorkerKey } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { canTakeAway } from './availability.ts';
+import { requestStop } from './jobChanges.ts';
+import { canHold } from './taskPlacementPolicy.ts';
+import { collectRooms } from './workerRooms.ts';
+
+const REASON = 'its instance goes into maintenance';
+
+/** Open runs on the worker of an instance, also those whose worker has not reported to this owner. */
+export function listInstanceRuns(state: SchedulerState, instanceId: string): RunRow[] {
+  const workerId = state.fleet.instances.get(instanceId)?.workerId ?? '';
+  if (workerId === '') return [];
+  const runs: RunRow[] = [];
+  for (const workerKey of state.runsByWorker.keys())
+    if (parseWorkerKey(workerKey).workerId === workerId)
+      runs.push(...state.runsByWorker.values(workerKey));
+  return runs;
+}
+
+export function countInstanceRuns(state: SchedulerState, instanceId: string): number {
+  return listInstanceRuns(state, instanceId).length;
+}
+
+/**
+ * Stops what runs on an instance: tasks that end once it is due, and tasks that last as far as their
+ * steps can miss them. A task that lasts waits for room elsewhere until the time presses.
+ */
+export function drainInstance(
+  state: SchedulerState,
+  instanceId: string,
+  how: { readonly isStopDue: boolean; readonly isPressed: boolean; readonly now: number },
+): void {
+  for (const run of listInstanceRuns(state, instanceId)) {
+    if (run.stopReason !== undefined) continue;
+    const canStop = run.step.longRunning
+      ? canMoveLasting(state, run, how.isPressed, how.now)
+      : how.isStopDue;
+    if (canStop) requestStop(state, run, REASON);
+  }
+}
+
+function canMoveLasting(
+  state: SchedulerState,
+  run: RunRow,
+  isPressed: boolean,
+  now: number,
+): boolean {
+  const task = state.tasks.get(run.taskId);
+  if (task === undefined) return true;
+  if (!canTakeAway(state, task)) return false;
+  if (isPressed) return true;
+  const service = state.jobs.get(run.jobId)?.job.service;
+  return collectRooms(state, now).some(
+    (room) => room.worker.identity.service === service && canHold(room, task),
+  );
+}
--- /dev/null
+++ b/src/systems/scheduler/maintenanceOrders.ts
@@ -0,0 +1,114 @@
+import type { MaintenanceRow } from '../../model/scheduler/fleet.ts';
+import type { InstanceReply, OrderRejection } from '../../model/scheduler/instanceCall.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { getOrderAuthority, listInstanceReplies, sendInstanceCall } from './fleetCalls.ts';
+import { logEvent } from './storeCalls.ts';
+import { recordWaveChange } from './waveChanges.ts';
+
+const PURPOSE = 'maintain';
+const ORDER_TIMEOUT_MS = 2_000;
+/** Pause after an order that the service did not take or did not answer. */
+const RETRY_MS = 300;
+/** Pause after a rejection, before the instance is emptied again; doubles with each in a row. */
+const REJECTED_FIRST_MS = 4_000;
+const REJECTED_MOST_MS = 60_000;
+/** The platform may carry an order without an answer out up to 12 s after it was sent. */
+const LATE_ORDER_MS = 15_000;
+
+export function sendMaintenanceOrder(
+  state: SchedulerState,
+  row: MaintenanceRow,
+  wave: number,
+): void {
+  const { instanceId } = row;
+  const authority = getOrderAuthority(state);
+  const callId = sendInstanceCall(
+    state,
+    PURPOSE,
+    { op: 'maintain', instanceId, wave, authority },
+    ORDER_TIMEOUT_MS,
+  );
+  state.fleet.maintenance.update(row.id, { callId });
+}
+
+export function receiveOrderReplies(state: SchedulerState, now: number): void {
+  for (const { callId, reply } of listInstanceReplies(state, PURPOSE)) {
+    const row = findByCall(state, callId);
+    if (row === undefined) continue;
+    state.fleet.maintenance.update(row.id, { callId: '' });
+    const outcome = reply.kind === 'rejected' ? reply.reason : reply.kind;
+    state.counters.add('instance_orders', { op: 'maintain', outcome });
+    applyReply(state, row, reply, now);
+  }
+}
+
+function applyReply(
+  state: SchedulerState,
+  row: MaintenanceRow,
+  reply: InstanceReply,
+  now: number,
+): void {
+  const { maintenance } = state.fleet;
+  switch (reply.kind) {
+    case 'done':
+      maintenance.update(row.id, { phase: 'begun', begunAt: now });
+      recordWaveChange(state, row.waveId);
+      logEvent(state, 'info', 'maintenance_begun', {
+        wave: row.waveId,
+        instance: row.instanceId,
+        fence: state.ownership.epoch,
+        rejections: row.rejections,
+      });
+      return;
+    case 'rejected':
+      applyRejection(state, row, reply.reason, now);
+      return;
+    case 'unavailable':
+      maintenance.update(row.id, { unansweredAt: now, retryAt: now + RETRY_MS });
+      logEvent(state, 'warn', 'maintenance_unanswered', {
+        wave: row.waveId,
+        instance: row.instanceId,
+        message: reply.message,
+      });
+      return;
+    case 'page':
+    case 'refused':
+      maintenance.update(row.id, { retryAt: now + RETRY_MS });
+  }
+}
+
+/** A rejection frees the instance for tasks, unless an earlier order may still be carried out. */
+function applyRejection(
+  state: SchedulerState,
+  row: MaintenanceRow,
+  reason: OrderRejection,
+  now: number,
+): void {
+  const { fleet } = state;
+  const isListed = fleet.instances.has(row.instanceId);
+  const isGone = reason === 'notInWave' || (reason === 'unknown' && !isListed);
+  const pauseMs = Math.min(REJECTED_MOST_MS, REJECTED_FIRST_MS * 2 ** row.rejections);
+  logEvent(state, 'warn', 'maintenance_rejected', {
+    wave: row.waveId,
+    instance: row.instanceId,
+    reason,
+    listed: fleet.instances.get(row.instanceId)?.state ?? 'not listed',
+    fence: state.ownership.epoch,
+    pauseMs: isGone ? 0 : pauseMs,
+  });
+  if (!isGone && now - row.unansweredAt < LATE_ORDER_MS) {
+    fleet.maintenance.update(row.id, { retryAt: now + RETRY_MS });
+    return;
+  }
+  fleet.maintenance.update(row.id, {
+    phase: isGone ? 'gone' : 'waiting',
+    retryAt: now + pauseMs,
+    rejections: row.rejections + 1,
+  });
+  recordWaveChange(state, row.waveId);
+}
+
+function findByCall({ fleet }: SchedulerState, callId: string): MaintenanceRow | undefined {
+  for (const row of fleet.maintenance.values()) if (row.callId === callId) return row;
+  return undefined;
+}
--- /dev/null
+++ b/src/systems/scheduler/maintenanceSystem.ts
@@ -0,0 +1,199 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { MaintenanceRow, WaveRow } from '../../model/scheduler/fleet.ts';
+import { hasPlace, isSettled } from '../../model/scheduler/fleet.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { computeOrdersFrom } from './fleetCalls.ts';
+import { countInstanceRuns, drainInstance, listInstanceRuns } from './instanceDrain.ts';
+import { receiveOrderReplies, sendMaintenanceOrder } from './maintenanceOrders.ts';
+import type { MaintenanceCandidate, MaintenancePolicy } from './maintenancePolicy.ts';
+import { canTakeAway } from './availability.ts';
+import { logEvent, recordDuration } from './storeCalls.ts';
+import { recordWaveChange } from './waveChanges.ts';
+
+/** Stops and ends take tens of milliseconds; an instance is down for seconds. */
+const LOOK_EVERY_MS = 100;
+const CLOSING_REASON = 'its instance is about to go into maintenance';
+
+/**
+ * Takes the instances of the operator's waves through maintenance: never more at one time than a
+ * wave allows, each emptied first. Reads the fleet's tables and runs; writes `fleet.maintenance`
+ * and `fleet.closedWorkers`, requests stops and sends orders. Runs after the wave system, before
+ * placement.
+ */
+export class MaintenanceSystem extends System<SchedulerState> {
+  override readonly name = 'maintenance';
+
+  private constructor(private readonly policy: MaintenancePolicy) {
+    super();
+  }
+
+  static create(policy: MaintenancePolicy): MaintenanceSystem {
+    return new MaintenanceSystem(policy);
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    const { fleet } = state;
+    if (fleet.waves.size === 0 && fleet.closedWorkers.size === 0) return;
+    receiveOrderReplies(state, tick.now);
+    for (const wave of fleet.waves.list()) {
+      this.updateReturned(state, wave, tick.now);
+      if (wave.phase === 'running') this.advanceWave(state, wave, tick);
+    }
+    this.updateClosedWorkers(state);
+  }
+
+  private advanceWave(state: SchedulerState, wave: WaveRow, tick: Tick): void {
+    const rows = state.fleet.maintenanceByWave.list(wave.id);
+    if (rows.every(isSettled)) {
+      this.settleWave(state, wave, rows, tick.now);
+      return;
+    }
+    const placesLeft = wave.wave.maxDown - rows.filter(hasPlace).length;
+    this.startDrains(state, wave, rows, placesLeft, tick.now);
+    for (const row of state.fleet.maintenanceByWave.list(wave.id)) {
+      if (row.phase === 'draining') this.drain(state, wave, row, tick.now);
+      const isStored = wave.storedChange >= row.reservedChange;
+      if (row.phase === 'reserved' && isStored)
+        state.fleet.maintenance.update(row.id, { phase: 'ordered' });
+      if (state.fleet.maintenance.get(row.id)?.phase === 'ordered')
+        this.sendOrder(state, wave, row.id, tick);
+    }
+    tick.wakeAt(tick.now + LOOK_EVERY_MS);
+  }
+
+  private settleWave(
+    state: SchedulerState,
+    { id, startedAt, wave }: WaveRow,
+    rows: readonly MaintenanceRow[],
+    now: number,
+  ): void {
+    state.fleet.waves.update(id, { phase: 'completed' });
+    recordWaveChange(state, id);
+    const tookMs = Math.round(now - startedAt);
+    recordDuration(state, 'wave_duration_ms', tookMs);
+    state.counters.add('waves_completed', { late: String(tookMs > wave.withinMs) });
+    logEvent(state, 'info', 'wave_completed', {
+      wave: id,
+      instances: rows.length,
+      gone: rows.filter(({ phase }) => phase === 'gone').length,
+      tookMs,
+      withinMs: wave.withinMs,
+    });
+  }
+
+  /** An instance is back when a list that was asked for after its maintenance says so. */
+  private updateReturned(state: SchedulerState, wave: WaveRow, now: number): void {
+    const { fleet, bounds } = state;
+    for (const row of fleet.maintenanceByWave.list(wave.id)) {
+      if (row.phase !== 'begun') continue;
+      if (fleet.list.completeAt <= row.begunAt + bounds.maintenanceMs) continue;
+      if (fleet.instances.get(row.instanceId)?.state === 'maintenance') continue;
+      fleet.maintenance.update(row.id, { phase: 'back' });
+      logEvent(state, 'info', 'maintenance_over', {
+        wave: row.waveId,
+        instance: row.instanceId,
+        state: fleet.instances.get(row.instanceId)?.state ?? 'not listed',
+        downMs: Math.round(now - row.begunAt),
+      });
+    }
+  }
+
+  private startDrains(
+    state: SchedulerState,
+    wave: WaveRow,
+    rows: readonly MaintenanceRow[],
+    places: number,
+    now: number,
+  ): void {
+    const rowsByInstance = new Map(rows.map((row) => [row.instanceId, row]));
+    let candidates = places > 0 ? this.listCandidates(state, rows, now) : [];
+    for (let left = places; left > 0; left -= 1) {
+      const chosen = this.policy.choose(candidates);
+      const row = rowsByInstance.get(chosen?.instanceId ?? '');
+      if (chosen === undefined || row === undefined) return;
+      candidates = candidates.filter((other) => other !== chosen);
+      const stopAt = this.policy.computeStopAt({
+        now,
+        deadlineAt: wave.startedAt + wave.wave.withinMs,
+        waiting: rows.filter((other) => !isSettled(other)).length,
+        maxDown: wave.wave.maxDown,
+        maintenanceMs: state.bounds.maintenanceMs,
+      });
+      state.fleet.maintenance.update(row.id, { phase: 'draining', stopAt });
+      logEvent(state, 'info', 'maintenance_draining', {
+        wave: wave.id,
+        instance: row.instanceId,
+        lasting: chosen.lasting,
+        ending: chosen.ending,
+        waitMs: Math.round(stopAt - now),
+        placesLeft: left - 1,
+      });
+    }
+  }
+
+  /** Instances that may be emptied now: listed as up, or not listed any more and so nothing to empty. */
+  private listCandidates(
+    state: SchedulerState,
+    rows: readonly MaintenanceRow[],
+    now: number,
+  ): MaintenanceCandidate[] {
+    const { fleet } = state;
+    if (fleet.list.completeAt === Number.NEGATIVE_INFINITY) return [];
+    const busy = new Set<string>();
+    for (const row of fleet.maintenance.values()) if (hasPlace(row)) busy.add(row.instanceId);
+    return rows.flatMap(({ phase, instanceId, retryAt }) => {
+      if (phase !== 'waiting' || now < retryAt || busy.has(instanceId)) return [];
+      if ((fleet.instances.get(instanceId)?.state ?? 'up') !== 'up') return [];
+      return [describeCandidate(state, instanceId)];
+    });
+  }
+
+  private drain(state: SchedulerState, wave: WaveRow, row: MaintenanceRow, now: number): void {
+    const halfAt = wave.startedAt + wave.wave.withinMs / 2;
+    drainInstance(state, row.instanceId, {
+      isStopDue: now >= row.stopAt,
+      isPressed: now >= halfAt,
+      now,
+    });
+    if (countInstanceRuns(state, row.instanceId) > 0) return;
+    const reservedChange = recordWaveChange(state, wave.id);
+    state.fleet.maintenance.update(row.id, { phase: 'reserved', reservedChange });
+  }
+
+  /** Sends the order, again until it is answered, to an instance that nothing runs on. */
+  private sendOrder(state: SchedulerState, wave: WaveRow, rowId: string, tick: Tick): void {
+    const row = state.fleet.maintenance.get(rowId);
+    if (row?.callId !== '' || tick.now < row.retryAt) return;
+    // After a takeover the owner may have placed tasks before it knew of the wave.
+    drainInstance(state, row.instanceId, { isStopDue: true, isPressed: true, now: tick.now });
+    if (countInstanceRuns(state, row.instanceId) > 0) return;
+    const ordersFrom = computeOrdersFrom(state, tick.now);
+    if (tick.now < ordersFrom) tick.wakeAt(ordersFrom);
+    else sendMaintenanceOrder(state, row, wave.wave.number);
+  }
+
+  private updateClosedWorkers({ fleet }: SchedulerState): void {
+    fleet.closedWorkers.clear();
+    for (const row of fleet.maintenance.values()) {
+      if (!hasPlace(row)) continue;
+      const workerId = fleet.instances.get(row.instanceId)?.workerId ?? '';
+      if (workerId !== '') fleet.closedWorkers.set(workerId, CLOSING_REASON);
+    }
+  }
+}
+
+function describeCandidate(state: SchedulerState, instanceId: string): MaintenanceCandidate {
+  let lasting = 0;
+  let needed = 0;
+  let ending = 0;
+  for (const run of listInstanceRuns(state, instanceId)) {
+    const task = state.tasks.get(run.taskId);
+    if (task === undefined || !run.step.longRunning) ending += 1;
+    else {
+      lasting += 1;
+      if (!canTakeAway(state, task)) needed += 1;
+    }
+  }
+  return { instanceId, lasting, needed, ending };
+}
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -22,7 +22,7 @@
 const WATCH_TIMEOUT_MS = 11_000;
 
 /**
- * Keeps the operator's keys (configuration, zones out of service) current: lists them once, then
+ * Keeps the operator's keys (configuration, zones out of service, waves) current: lists them once, then
  * watches them and compares their versions. Reads store replies; writes `operator`. Runs first.
  */
 export class OperatorKeysSystem extends System<SchedulerState> {
@@ -163,10 +163,25 @@
       if (version !== 0) operator.zonesOut.add(zone);
       return;
     }
+    if (key.startsWith(OPERATOR_KEYS.wavePrefix)) {
+      this.applyWave(state, key.slice(OPERATOR_KEYS.wavePrefix.length), version, value);
+      return;
+    }
     if (key === OPERATOR_KEYS.configuration && version !== 0)
       this.applyConfiguration(state, version, value);
   }
 
+  private applyWave(state: SchedulerState, id: string, version: number, value: unknown): void {
+    const { waves } = state.operator;
+    if (version === 0) {
+      waves.delete(id);
+      return;
+    }
+    const parsed = parseValue(operatorKeySchema, value).toMaybe().extract();
+    if (parsed?.kind === 'wave') waves.set(id, parsed.wave);
+    else logEvent(state, 'warn', 'wave_unreadable', { wave: id, version });
+  }
+
   private applyConfiguration(state: SchedulerState, version: number, value: unknown): void {
     const { operator } = state;
     const parsed = parseValue(operatorKeySchema, value).toMaybe().extract();
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -8,7 +8,10 @@
 import { CopySystem } from './copySystem.ts';
 import { EndSystem } from './endSystem.ts';
 import { HandOverSystem } from './handOverSystem.ts';
+import { InstanceListSystem } from './instanceListSystem.ts';
 import { IntakeSystem } from './intakeSystem.ts';
+import { PatientMaintenance } from './maintenancePolicy.ts';
+import { MaintenanceSystem } from './maintenanceSystem.ts';
 import { NewsSystem } from './newsSystem.ts';
 import { OperatorKeysSystem } from './operatorKeysSystem.ts';
 import { OrderSystem } from './orderSystem.ts';
@@ -28,6 +31,7 @@
   SeparatingTaskPlacement,
 } from './taskPlacementPolicy.ts';
 import { TaskPlacementSystem } from './taskPlacementSystem.ts';
+import { WaveSystem } from './waveSystem.ts';
 
 /** The systems of an entry of the scheduler, in the order in which a turn runs them. */
 export function createSchedulerSystems(): System<SchedulerState>[] {
@@ -46,6 +50,9 @@
     StallSystem.create(),
     CopySystem.create(),
     PacingSystem.create(),
+    InstanceListSystem.create(),
+    WaveSystem.create(),
+    MaintenanceSystem.create(PatientMaintenance.create()),
     AdviceSystem.create(),
     TaskPlacementSystem.create(
       HoldingTaskPlacement.create(queueing),
--- a/src/systems/scheduler/workerRooms.ts
+++ b/src/systems/scheduler/workerRooms.ts
@@ -28,6 +28,8 @@
   if (!worker.isFenced) return 'its runs are not known yet';
   const closing = findClosingReason(state, worker);
   if (closing !== undefined) return closing;
+  const reserved = state.fleet.closedWorkers.get(worker.identity.id);
+  if (reserved !== undefined) return reserved;
   if (worker.strangers > 0) return 'it runs what the owner does not know';
   if (now < worker.troubledUntil) return 'it has rejected or failed work';
   if (now - worker.lastReportAt > REPORT_FRESH_MS) return 'its reports are old';
--- a/test/docs/operationsPage.test.ts
+++ b/test/docs/operationsPage.test.ts
@@ -18,6 +18,8 @@
   'src/base/node/boundedLog.ts',
   'src/daemons/loopDaemon.ts',
   'src/daemons/schedulerDaemon.ts',
+  'src/daemons/serviceCalls.ts',
+  'src/daemons/metricsAddress.ts',
   'src/daemons/runnerAgentDaemon.ts',
   'src/daemons/exchangeTimes.ts',
 ];
--- a/test/platform/programs.test.ts
+++ b/test/platform/programs.test.ts
@@ -96,6 +96,25 @@
     });
   });
 
+  describe('with an address for metrics alone', () => {
+    it.each(['entry', 'agent'] as const)('the %s does not leave it unserved', async (name) => {
+      const [metricsPort = 0] = await findPorts(1);
+      start(name, { metricsAddress: `127.0.0.1:${metricsPort}` });
+      await waitFor(() => isListening(metricsPort));
+      expect(await readGauge(metricsPort, 'cpu_seconds')).toBeGreaterThan(0);
+      expect((await call(metricsPort, '/bramleyladder/ready')).status).toBe(404);
+    });
+
+    it('an entry does not end when it is taken', async () => {
+      configure();
+      const metricsAddress = store.address;
+      const program = start('entry', { metricsAddress });
+      await waitFor(async () => (await isListening(ports[1]!)) && isReadyWith(200));
+      expect(program.countLines('metrics_unavailable')).toBe(1);
+      expect(program.exitCode).toBeUndefined();
+    });
+  });
+
   describe('with faults in their settings', () => {
     it.each(['entry', 'agent'] as const)(
       'the %s does not start, and names every fault in one line',
--- a/test/platform/wireNames.test.ts
+++ b/test/platform/wireNames.test.ts
@@ -4,7 +4,7 @@
 
 /** Names of the platform's wire that the product has other names for. */
 const WIRE_NAMES =
-  /kv-(?:key|range|watch|txn|lease|keep)|run-(?:start|stop)|op\/(?:config|evacuate|wave)|last_seen|est_runtime_ms|mem_mb|saves_progress|max_per_server|drain_left_ms|kill_grace_ms|cold_left_ms|BRAMLEYLADDER_BOOT|heartbeat_ms/;
+  /kv-(?:key|range|watch|txn|lease|keep)|run-(?:start|stop)|op\/(?:config|evacuate|wave)|status\/wave|machine-(?:move|upkeep)|duty-holder|fence-token|within_s|page_token|last_seen|est_runtime_ms|mem_mb|saves_progress|max_per_server|drain_left_ms|kill_grace_ms|cold_left_ms|BRAMLEYLADDER_BOOT|heartbeat_ms/i;
 
 function listSources(folder: string): string[] {
   return readdirSync(folder, { withFileTypes: true }).flatMap((item) => {
--- a/test/support/platformWorld.ts
+++ b/test/support/platformWorld.ts
@@ -7,6 +7,7 @@
 import { receiveBeat } from '../../src/platform/wireBeats.ts';
 import { WireAdviceClient } from '../../src/platform/wireAdviceClient.ts';
 import { createEntryStatusHandler } from '../../src/platform/wireEntryStatus.ts';
+import { WireInstanceClient } from '../../src/platform/wireInstanceClient.ts';
 import { WireFront } from '../../src/platform/wireFront.ts';
 import { WireRunnerClient } from '../../src/platform/wireRunnerClient.ts';
 import { StatusServer } from '../../src/protocol/node/statusServer.ts';
@@ -94,7 +95,7 @@
   private constructor(readonly parts: Parts) {}
 
   /** A world whose owner knows the worker `i-1` and has room there. */
-  static async create(): Promise<PlatformWorld> {
+  static async create(instancesAddress = ''): Promise<PlatformWorld> {
     const store = await PlatformStoreStandIn.create();
     store.write('op/config', { version: 3, routes: [ROUTE], services: [], limits: {} });
     const times = { taskMs: 150 };
@@ -105,8 +106,11 @@
     const entry = await SchedulerDaemon.create(
       { id: 'e-1', bootId: 'b-1', zone: 'a', zones: ['a', 'b'], cores: 1, bounds: { ...BOUNDS } },
       { host: '127.0.0.1', port: 0 },
-      PlatformStoreClient.create(store.address),
-      WireAdviceClient.create(''),
+      {
+        store: PlatformStoreClient.create(store.address),
+        adviser: WireAdviceClient.create(''),
+        instances: WireInstanceClient.create(instancesAddress),
+      },
       LOG,
     );
     const agent = await RunnerAgentDaemon.create(
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -15,12 +15,15 @@
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { WorldEvents } from './worldEvents.ts';
+import { WorldInstances } from './worldInstances.ts';
 import type { AgentNode, CallShape, EntryNode, TaskStart, WorkerShape } from './worldNodes.ts';
 import {
   answerAdvice,
   answerRunnerCall,
   createJobSpec,
   createWorldEntryState,
+  createAgentParts,
+  createEntryParts,
   createWorldRunner,
   createWorldWorker,
   listTaskStarts,
@@ -47,6 +50,8 @@
   ownerLinkMs = LINK_MS;
   /** Answers questions about placement; without one they go unanswered. */
   adviser: MemoryAdviser | undefined;
+  /** The service that knows the instances; without one its calls go unanswered. */
+  instances: WorldInstances | undefined;
   /** Overrides {@link behave} for single workers. */
   behaveOn: ((agent: AgentNode, task: string, run: number) => RunBehaviour) | undefined;
   behave: (task: string, run: number) => RunBehaviour = () => ({ durationMs: 1_000, how: 'done' });
@@ -131,11 +136,7 @@
           this.handleEntryEffect(entry, effect);
         },
       }),
-      answers: new Map(),
-      store: 'up',
-      isUp: true,
-      ownerId: '',
-      ownerAttempt: 0,
+      ...createEntryParts(),
     };
     this.entries.push(entry);
     this.events.schedule(0, () => {
@@ -160,13 +161,7 @@
         },
       }),
       runner: createWorldRunner(this.clock, (task, run) => this.behave(task, run)),
-      links: new Map(),
-      isReachable: true,
-      dropAnswers: 0,
-      disturb: () => undefined,
-      heldUntil: 0,
-      hasLeft: false,
-      beats: 0,
+      ...createAgentParts(),
       shape,
     };
     agent.runner = this.createRunner(agent);
@@ -195,6 +190,12 @@
     this.deliverToAgent(0, agent, { kind: 'workerLeft', workerId: `worker-${agent.id}` });
   }
 
+  /** Puts every worker on an instance of its own that the operator's waves can name. */
+  addInstances(): WorldInstances {
+    const restart = this.restartRunner.bind(this);
+    return (this.instances = WorldInstances.create(this.clock, this.events, this.agents, restart));
+  }
+
   cutAgent(agent: AgentNode): void {
     agent.isReachable = false;
     for (const entry of this.entries) this.closeAgentLink(entry, agent);
@@ -256,6 +257,11 @@
           answerAdvice(this.adviser, effect, this.clock.now),
         );
         return;
+      case 'callInstances':
+        this.instances?.call(effect.call, effect.timeoutMs, (reply) => {
+          this.deliver(0, entry, { kind: 'instanceReply', callId: effect.callId, reply });
+        });
+        return;
       case 'answerCall':
         entry.answers.set(effect.callId, effect.answer);
         return;
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -87,6 +87,8 @@
   farFactor: 1.5,
   earlyMs: 250,
   statusSeconds: 120,
+  maintenanceMs: 2_000,
+  holderLeaseMs: 3_000,
 };
 
 /** A job of steps; what a step does not say is one task of one core. */
@@ -100,6 +102,24 @@
   });
 }
 
+/** What an entry has besides its state and its loop. */
+export function createEntryParts(): Omit<EntryNode, 'id' | 'state' | 'loop'> {
+  return { answers: new Map(), store: 'up', isUp: true, ownerId: '', ownerAttempt: 0 };
+}
+
+/** What an agent has besides its state, its loop and its worker. */
+export function createAgentParts(): Omit<AgentNode, 'id' | 'state' | 'loop' | 'runner' | 'shape'> {
+  return {
+    links: new Map(),
+    isReachable: true,
+    dropAnswers: 0,
+    disturb: () => undefined,
+    heldUntil: 0,
+    hasLeft: false,
+    beats: 0,
+  };
+}
+
 /** State of an entry of the world that starts now. */
 export function createWorldEntryState(id: string, now: number): SchedulerState {
   const state = createSchedulerState({
--- /dev/null
+++ b/test/systems/scheduler/maintenance.test.ts
@@ -0,0 +1,346 @@
+import { describe, expect, it } from 'vitest';
+import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
+import { waveProgressSchema } from '../../../src/model/scheduler/maintenanceWave.ts';
+import { explainClosedWorker } from '../../../src/systems/scheduler/workerRooms.ts';
+import { createJobId, JOB, readPhase } from '../../support/jobWorld.ts';
+import {
+  createMaintenanceWorld,
+  readWaveState,
+  runChecked,
+  withdrawWave,
+  writeWave,
+  writeWaveValue,
+} from '../../support/maintenanceWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import { toInstanceId } from '../../support/worldInstances.ts';
+
+const LASTING = { cpuMillis: 2_000, longRunning: true, savesProgress: true };
+
+function countAtWork(world: SchedulerWorld): number {
+  return world.agents
+    .flatMap(({ runner }) => runner.listRunning())
+    .filter(({ percent }) => percent >= 100).length;
+}
+
+/** A lasting step of tasks on a world with room to spare. */
+function createLastingWorld(
+  count: number,
+  maxUnavailable: number,
+): ReturnType<typeof createMaintenanceWorld> {
+  const made = createMaintenanceWorld();
+  made.world.behave = () => ({ durationMs: 1e9, how: 'done', computeLatency: () => 10 });
+  made.world.submit(made.entry, JOB, [{ ...LASTING, count, maxUnavailable }]);
+  made.world.run(3_000);
+  return made;
+}
+
+describe('maintenance of instances', () => {
+  describe('of a wave', () => {
+    it('does not leave an instance out, and none is taken twice', () => {
+      const { world, instances } = createMaintenanceWorld();
+      const wave = writeWave(world);
+      world.run(20_000);
+      expect(instances.listMaintained().sort()).toEqual(wave.instances);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it.each([1, 2, 3])('does not take more than %i down at one time', (maxDown) => {
+      const { world, instances } = createMaintenanceWorld(1, 7);
+      writeWave(world, { maxDown });
+      world.run(40_000);
+      expect(instances.listMaintained()).toHaveLength(7);
+      expect(instances.mostDown).toBe(maxDown);
+    });
+
+    it('is not said to be completed before its last instance has begun', () => {
+      const { world, instances } = createMaintenanceWorld();
+      writeWave(world);
+      runChecked(world, 20_000, () => {
+        if (readWaveState(world) === 'completed')
+          expect(instances.listMaintained()).toHaveLength(4);
+      });
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it('is said to be running while it runs', () => {
+      const { world } = createMaintenanceWorld();
+      writeWave(world);
+      world.run(1_000);
+      expect(readWaveState(world)).toBe('running');
+    });
+
+    it('does not touch instances of no wave', () => {
+      const { world, instances } = createMaintenanceWorld();
+      writeWave(world, { instances: ['i-agent-2'] });
+      world.run(10_000);
+      expect(instances.listMaintained()).toEqual(['i-agent-2']);
+    });
+
+    it('does not take an instance down for two waves at one time', () => {
+      const { world, instances } = createMaintenanceWorld(1, 2);
+      writeWave(world, { number: 1, maxDown: 2 });
+      writeWave(world, { number: 2, maxDown: 2 });
+      world.run(20_000);
+      expect(instances.listMaintained()).toHaveLength(4);
+      expect(readWaveState(world, '1')).toBe('completed');
+      expect(readWaveState(world, '2')).toBe('completed');
+    });
+
+    it('does not go on when the operator takes it back', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      writeWave(world);
+      world.run(1_500);
+      withdrawWave(world);
+      world.run(10_000);
+      expect(instances.listMaintained().length).toBeLessThan(3);
+      expect(entry.state.fleet.closedWorkers.size).toBe(0);
+    });
+
+    it('does not leave instances out that are added to it later', () => {
+      const { world, instances } = createMaintenanceWorld();
+      writeWave(world, { instances: ['i-agent-0'] });
+      world.run(8_000);
+      expect(readWaveState(world)).toBe('completed');
+      writeWave(world);
+      world.run(20_000);
+      expect(instances.listMaintained()).toHaveLength(4);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it.each([{ kind: 'wave' }, 'text', { kind: 'wave', wave: { number: 1, instances: 'all' } }])(
+      'does not follow a request of another form: %j',
+      (value) => {
+        const { world, entry, instances } = createMaintenanceWorld();
+        writeWaveValue(world, '7', value);
+        world.run(3_000);
+        expect(instances.listMaintained()).toEqual([]);
+        expect(world.logs.map(({ event }) => event)).toContain('wave_unreadable');
+        world.submit(entry, JOB, [{ count: 1 }]);
+        world.run(3_000);
+        expect(readPhase(world, entry)).toBe('completed');
+      },
+    );
+  });
+
+  describe('with tasks on the instances', () => {
+    it('does not cut a task off', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      world.behave = () => ({ durationMs: 700, how: 'done' });
+      writeWave(world, { withinMs: 60_000 });
+      let jobs = 0;
+      runChecked(world, 25_000, () => {
+        jobs += 1;
+        if (jobs % 4 === 0)
+          world.submit(entry, createJobId(jobs), [{ count: 3, cpuMillis: 2_000 }]);
+      });
+      expect(instances.listMaintained()).toHaveLength(4);
+      expect(instances.cutOff).toEqual([]);
+      expect(entry.state.counters.get('stops_sent')).toBe(0);
+    });
+
+    it('does not stop tasks that end within the time of the wave', () => {
+      const { world, entry } = createMaintenanceWorld();
+      world.behave = () => ({ durationMs: 2_500, how: 'done' });
+      world.submit(entry, JOB, [{ count: 8, cpuMillis: 3_000 }]);
+      world.run(500);
+      writeWave(world, { withinMs: 60_000 });
+      world.run(20_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      expect(entry.state.counters.get('stops_sent')).toBe(0);
+    });
+
+    it('does not wait for tasks beyond the time of the wave', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      world.behave = () => ({ durationMs: 40_000, how: 'done', savesEveryMs: 500 });
+      world.submit(entry, JOB, [{ count: 4, cpuMillis: 2_000, savesProgress: true }]);
+      world.run(500);
+      const startedAt = world.clock.now;
+      writeWave(world, { withinMs: 20_000 });
+      world.run(20_000);
+      expect(instances.listMaintained()).toHaveLength(4);
+      const last = instances.service.carriedOut.at(-1)!;
+      expect(last.at - startedAt).toBeLessThan(20_000);
+      expect(instances.cutOff).toEqual([]);
+    });
+
+    it.each([1, 2])(
+      'does not have more than %i serving tasks of a step away at one time',
+      (maxUnavailable) => {
+        const { world, instances } = createLastingWorld(8, maxUnavailable);
+        expect(countAtWork(world)).toBe(8);
+        writeWave(world, { withinMs: 60_000 });
+        runChecked(world, 60_000, () => {
+          expect(countAtWork(world)).toBeGreaterThanOrEqual(8 - maxUnavailable);
+        });
+        expect(instances.listMaintained()).toHaveLength(4);
+        expect(instances.cutOff).toEqual([]);
+        expect(countAtWork(world)).toBe(8);
+      },
+    );
+
+    it('does not stop a serving task before it has a place elsewhere, while there is time', () => {
+      const { world, instances } = createLastingWorld(16, 2);
+      expect(countAtWork(world)).toBe(16);
+      writeWave(world, { withinMs: 40_000, instances: ['i-agent-0'] });
+      world.run(15_000);
+      expect(countAtWork(world)).toBe(16);
+      expect(instances.listMaintained()).toEqual([]);
+    });
+
+    it('does not empty an instance whose serving tasks are needed first', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      world.behave = () => ({ durationMs: 1e9, how: 'done', computeLatency: () => 10 });
+      world.submit(entry, JOB, [{ ...LASTING, cpuMillis: 7_000, count: 1, maxUnavailable: 1 }]);
+      world.run(2_000);
+      const needed = world.agents.find(({ runner }) => runner.running.size > 0)!;
+      writeWave(world, { withinMs: 60_000 });
+      world.run(2_000);
+      expect(instances.listMaintained()).not.toContain(toInstanceId(needed));
+      expect(instances.listMaintained().length).toBeGreaterThan(0);
+    });
+  });
+
+  describe('with faults', () => {
+    it('does not take more down than allowed when answers are lost', () => {
+      const { world, instances } = createMaintenanceWorld();
+      instances.service.downMs = 5_000;
+      writeWave(world);
+      world.run(300);
+      for (let round = 0; round < 10; round += 1) {
+        instances.mode = 'answerLost';
+        world.run(2_500);
+        instances.mode = 'up';
+        world.run(2_500);
+      }
+      expect(instances.listMaintained()).toHaveLength(4);
+      expect(instances.mostDown).toBe(1);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it.each(['silent', 'refuses'] as const)(
+      'does not give the wave up while the service %s',
+      (mode) => {
+        const { world, instances } = createMaintenanceWorld();
+        instances.mode = mode;
+        writeWave(world);
+        world.run(8_000);
+        expect(readWaveState(world)).toBe('running');
+        instances.mode = 'up';
+        world.run(25_000);
+        expect(readWaveState(world)).toBe('completed');
+        expect(instances.mostDown).toBe(1);
+      },
+    );
+
+    it('does not keep an instance closed that the platform will not order', () => {
+      const { world, entry, instances } = createMaintenanceWorld(1, 1);
+      instances.service.busy.add('i-agent-0');
+      writeWave(world);
+      world.run(1_500);
+      const [worker] = entry.state.workers.list();
+      expect(explainClosedWorker(entry.state, worker!, world.clock.now)).toBeUndefined();
+      expect(readWaveState(world)).toBe('running');
+      instances.service.busy.clear();
+      world.run(10_000);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it('does not wait for instances that are gone or of no such wave', () => {
+      const { world, instances } = createMaintenanceWorld();
+      instances.service.remove('i-agent-1');
+      instances.service.waveInstances = new Set(['i-agent-0', 'i-agent-3']);
+      writeWave(world);
+      world.run(20_000);
+      expect(instances.listMaintained().sort()).toEqual(['i-agent-0', 'i-agent-3']);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it('does not order an instance before the store tells later owners of it', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      const stored: unknown[] = [];
+      instances.onOrder = (id) => {
+        const read = world.store.handle({ op: 'read', key: STORE_KEYS.waveProgress('1') });
+        const progress = read.kind === 'entry' ? waveProgressSchema.parse(read.entry.value) : null;
+        stored.push(progress?.instances[id]);
+      };
+      writeWave(world);
+      while (!entry.state.fleet.maintenance.list().some(({ phase }) => phase === 'reserved'))
+        world.run(5);
+      entry.store = 'silent';
+      world.run(500);
+      entry.store = 'up';
+      world.run(20_000);
+      expect(stored).toEqual(Array(4).fill('ordered'));
+    });
+
+    it('does not lose the wave when an answer of the store is lost', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      writeWave(world);
+      world.run(200);
+      entry.store = 'answerLost';
+      world.run(1_200);
+      entry.store = 'up';
+      world.run(25_000);
+      expect(instances.listMaintained()).toHaveLength(4);
+      expect(readWaveState(world)).toBe('completed');
+    });
+  });
+
+  describe('after a takeover', () => {
+    it.each([300, 900, 2_500, 4_100, 6_000])(
+      'does not begin anew or go beyond the limit when the owner is killed after %i ms',
+      (afterMs) => {
+        const { world, instances } = createMaintenanceWorld(3);
+        writeWave(world);
+        world.run(afterMs);
+        world.kill(world.owner!);
+        world.run(40_000);
+        expect(instances.listMaintained()).toHaveLength(4);
+        expect(instances.mostDown).toBe(1);
+        expect(instances.service.fenceFaults).toEqual([]);
+        expect(readWaveState(world)).toBe('completed');
+      },
+    );
+
+    it('does not order within the time in which the owner before may still have ordered', () => {
+      const { world, instances } = createMaintenanceWorld(2);
+      instances.mode = 'refuses';
+      writeWave(world, { maxDown: 4 });
+      world.run(500);
+      const first = world.owner!;
+      first.loop.receive({ kind: 'stopRequested' });
+      first.loop.runTurn();
+      instances.mode = 'up';
+      world.run(2_900);
+      expect(world.owner).not.toBe(first);
+      expect(instances.service.carriedOut).toEqual([]);
+      world.run(30_000);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it('does not order as an owner that the store no longer confirms', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      instances.mode = 'refuses';
+      writeWave(world);
+      world.run(1_000);
+      entry.store = 'silent';
+      world.run(1_200);
+      instances.mode = 'up';
+      world.run(6_000);
+      expect(entry.state.ownership.role).toBe('owner');
+      expect(instances.service.carriedOut).toEqual([]);
+    });
+
+    it('does not repeat a wave that is completed', () => {
+      const { world, instances } = createMaintenanceWorld(2);
+      writeWave(world);
+      world.run(20_000);
+      world.kill(world.owner!);
+      const calls = instances.service.carriedOut.length;
+      world.run(10_000);
+      expect(instances.service.carriedOut).toHaveLength(calls);
+      expect(readWaveState(world)).toBe('completed');
+      expect(world.owner?.state.fleet.closedWorkers.size).toBe(0);
+    });
+  });
+});
