Move spare instances to pools in need and back

Cause: a service of the platform may be spare: its instances are off until they are moved to another pool.

Change: PoolSystem looks at what waits in each pool and PoolPolicy chooses: DemandPools takes one spare instance of the pool's kind at a time while a task has waited for 2 s, and returns the least used one after a lull of 15 s. Its tasks end by themselves first. TransferSystem stores each move under the owner's key before it orders it, with the owner's epoch as fence, repeats unanswered orders and goes on after a takeover. Without a spare pool nothing is listed or stored.

It is not traced yet.

--- a/src/model/scheduler/fleet.ts
+++ b/src/model/scheduler/fleet.ts
@@ -52,6 +52,32 @@
   readonly begunAt: number;
 }
 
+/** An instance of a spare pool that was moved to a pool in need, or is on its way there or back. */
+export interface TransferRow {
+  /** Id of the instance. */
+  readonly id: string;
+  /** The spare pool that it belongs to, and the pool that it works for. */
+  readonly home: string;
+  readonly pool: string;
+  readonly heading: 'out' | 'home';
+  /**
+   * `reserved`: the store is told that it will be ordered. `ordered`: the order may have been sent.
+   * `settled`: the platform has confirmed it. `dropped`: it was rejected, or is home again; the store
+   * is told to forget it.
+   */
+  readonly phase: 'reserved' | 'ordered' | 'settled' | 'dropped';
+  /** Whether the store holds the row as it is. */
+  readonly isStored: boolean;
+  readonly storeVersion: number;
+  /** The store call and the order on their way; empty without one. */
+  readonly storeCallId: string;
+  readonly callId: string;
+  readonly retryAt: number;
+  /** When an order last had no answer, owner's clock ms; it may still be carried out. */
+  readonly unansweredAt: number;
+  readonly settledAt: number;
+}
+
 /** The instances, as far as an owner needs to know them, and what it has ordered of them. */
 export interface FleetState {
   /** Epoch of the ownership that the tables belong to; 0 when they are empty. */
@@ -72,10 +98,19 @@
   readonly waves: Table<WaveRow>;
   readonly maintenance: Table<MaintenanceRow>;
   readonly maintenanceByWave: TableIndex<MaintenanceRow>;
+  readonly transfers: Table<TransferRow>;
+  /** The read of the stored transfers; nothing is moved before it is done. */
+  readonly transferLoad: { callId: string; isDone: boolean; retryAt: number };
+  /** Until when instances that were rejected are left alone, owner's clock ms. */
+  readonly rejectedUntil: Map<string, number>;
+  /** Since when no task of a pool has waited for room, owner's clock ms. */
+  readonly quietSince: Map<string, number>;
+  /** Whether a pool in need, or one with too many instances, asks for the list. */
+  isListWanted: boolean;
+  /** When the pools are looked at next, owner's clock ms. */
+  poolsAt: number;
   /** Workers that take nothing new because their instance is about to go down, with the reason. */
   readonly closedWorkers: Map<string, string>;
-  /** When maintenance is looked at next, owner's clock ms. */
-  lookAt: number;
 }
 
 const NEVER = Number.NEGATIVE_INFINITY;
@@ -98,8 +133,13 @@
     waves: Table.create<WaveRow>('waves'),
     maintenance,
     maintenanceByWave: maintenance.addIndex((row) => row.waveId),
+    transfers: Table.create<TransferRow>('transfers'),
+    transferLoad: { callId: '', isDone: false, retryAt: NEVER },
+    rejectedUntil: new Map(),
+    quietSince: new Map(),
+    isListWanted: false,
+    poolsAt: NEVER,
     closedWorkers: new Map(),
-    lookAt: NEVER,
   };
 }
 
@@ -107,11 +147,14 @@
 export function clearFleet(fleet: FleetState, epoch: number, ordersFrom: number): void {
   fleet.epoch = epoch;
   fleet.ordersFrom = ordersFrom;
-  for (const table of [fleet.instances, fleet.waves, fleet.maintenance]) table.clear();
-  fleet.closedWorkers.clear();
-  fleet.list.pages.clear();
+  const { instances, waves, maintenance, transfers } = fleet;
+  for (const table of [instances, waves, maintenance, transfers]) table.clear();
+  for (const map of [fleet.closedWorkers, fleet.rejectedUntil, fleet.quietSince, fleet.list.pages])
+    map.clear();
+  Object.assign(fleet.transferLoad, createFleet().transferLoad);
   Object.assign(fleet.list, createFleet().list, { pages: fleet.list.pages });
-  fleet.lookAt = NEVER;
+  fleet.isListWanted = false;
+  fleet.poolsAt = NEVER;
 }
 
 export function formatMaintenanceId(waveId: string, instanceId: string): string {
@@ -127,3 +170,8 @@
 export function isSettled({ phase }: MaintenanceRow): boolean {
   return phase === 'begun' || phase === 'back' || phase === 'gone';
 }
+
+/** Whether an order of the transfer may still be sent or carried out. */
+export function isOnTheWay({ phase }: TransferRow): boolean {
+  return phase === 'reserved' || phase === 'ordered';
+}
--- a/src/model/scheduler/instanceCall.ts
+++ b/src/model/scheduler/instanceCall.ts
@@ -7,7 +7,8 @@
   pool: z.string(),
   state: z.enum(['up', 'moving', 'maintenance', 'down']),
   zone: z.string(),
-  labels: z.array(z.string()),
+  /** Instances of one kind may stand in for each other. */
+  kind: z.string(),
   cpuMillis: z.number(),
   memoryMb: z.number(),
   gpus: z.number(),
--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -77,6 +77,8 @@
   progressPrefix: 'state/',
   progress: (id: string): string => `state/${id}`,
   agent: (id: string): string => `in/a/${id}`,
+  transferPrefix: 'transfer/',
+  transfer: (instance: string): string => `transfer/${instance}`,
   waveProgress: (wave: string): string => `wave/${wave}`,
   /** What the operator reads of a wave. */
   waveStatusPrefix: 'wave-status/',
--- a/src/model/scheduler/queueConfiguration.ts
+++ b/src/model/scheduler/queueConfiguration.ts
@@ -30,10 +30,19 @@
 });
 export type Queue = z.infer<typeof queueSchema>;
 
+/** A pool of instances that runs the workers of one service. */
+export const poolSchema = z.object({
+  name: z.string(),
+  /** Whether its instances are off until they are moved to another pool. */
+  isSpare: z.boolean(),
+});
+export type Pool = z.infer<typeof poolSchema>;
+
 /** The operator's configuration as the scheduler uses it. */
 export const queueConfigurationSchema = z.object({
   version: z.number(),
   queues: z.array(queueSchema),
+  pools: z._default(z.array(poolSchema), []),
   maxBodyBytes: z.number(),
 });
 export type QueueConfiguration = z.infer<typeof queueConfigurationSchema>;
--- a/src/platform/wireConfiguration.ts
+++ b/src/platform/wireConfiguration.ts
@@ -22,9 +22,13 @@
   ),
 });
 
+/** A service is a pool of machines. */
+const serviceSchema = z.object({ name: z.string(), spare: z._default(z.boolean(), false) });
+
 const configurationSchema = z.object({
   version: z.number(),
   routes: z.array(routeSchema),
+  services: z._default(z.array(serviceSchema), []),
   limits: z._default(z.object({ max_body_bytes: z._default(z.number(), 262_144) }), {
     max_body_bytes: 262_144,
   }),
@@ -34,12 +38,13 @@
 export function decodeConfiguration(value: unknown): OperatorKey | undefined {
   const parsed = z.safeParse(configurationSchema, value);
   if (!parsed.success) return undefined;
-  const { version, routes, limits } = parsed.data;
+  const { version, routes, services, limits } = parsed.data;
   return {
     kind: 'configuration',
     configuration: {
       version,
       maxBodyBytes: limits.max_body_bytes,
+      pools: services.map(({ name, spare }) => ({ name, isSpare: spare })),
       queues: routes.map((route) => ({
         name: route.name,
         host: route.host,
--- a/src/platform/wireInstanceClient.ts
+++ b/src/platform/wireInstanceClient.ts
@@ -11,6 +11,7 @@
   pool: z.string(),
   state: z.enum(['up', 'moving', 'upkeep', 'down']),
   zone: z.string(),
+  /** The machine's kind and its rack. */
   labels: z._default(z.array(z.string()), []),
   capacity: z.object({ cpu: z.number(), mem_mb: z.number(), gpu: z._default(z.number(), 0) }),
   /** Id of its runner. */
@@ -106,7 +107,7 @@
     pool: machine.pool,
     state: machine.state === 'upkeep' ? 'maintenance' : machine.state,
     zone: machine.zone,
-    labels: machine.labels,
+    kind: machine.labels[0] ?? '',
     cpuMillis: machine.capacity.cpu,
     memoryMb: machine.capacity.mem_mb,
     gpus: machine.capacity.gpu,
--- a/src/standins/memoryInstances.ts
+++ b/src/standins/memoryInstances.ts
@@ -6,7 +6,8 @@
   OrderAuthority,
 } from '../model/scheduler/instanceCall.ts';
 
-type Order = Exclude<InstanceCall, { op: 'list' }>;
+/** A call that takes an instance down. */
+export type InstanceOrder = Exclude<InstanceCall, { op: 'list' }>;
 
 interface Held {
   info: InstanceInfo;
@@ -19,7 +20,7 @@
 
 /** An order that was carried out. */
 export interface CarriedOut {
-  readonly order: Order;
+  readonly order: InstanceOrder;
   readonly at: number;
 }
 
@@ -27,7 +28,7 @@
 export class MemoryInstances {
   readonly carriedOut: CarriedOut[] = [];
   /** Orders that named a lower fence, or an equal one of another holder. */
-  readonly fenceFaults: Order[] = [];
+  readonly fenceFaults: InstanceOrder[] = [];
   /** Instances that every wave holds; all of them without a list. */
   waveInstances: ReadonlySet<string> | undefined;
   /** Instances that reject every order as busy. */
@@ -40,13 +41,13 @@
     public downMs: number,
     private readonly pageSize: number,
     /** Ends what runs on the instance and returns the id of the worker that will be there. */
-    private readonly restart: (instanceId: string, downMs: number) => string,
+    private readonly restart: (order: InstanceOrder, downMs: number) => string,
   ) {}
 
   static create(
     clock: Clock,
     downMs: number,
-    restart: (instanceId: string, downMs: number) => string,
+    restart: (order: InstanceOrder, downMs: number) => string,
     pageSize = 2,
   ): MemoryInstances {
     return new MemoryInstances(clock, downMs, pageSize, restart);
@@ -83,7 +84,7 @@
     };
   }
 
-  private applyOrder(order: Order): InstanceReply {
+  private applyOrder(order: InstanceOrder): InstanceReply {
     const held = this.held.get(order.instanceId);
     if (held === undefined) return { kind: 'rejected', reason: 'unknown' };
     const { fence, holder } = order.authority;
@@ -107,10 +108,10 @@
     return { kind: 'done' };
   }
 
-  private startOutage(held: Held, order: Order): void {
+  private startOutage(held: Held, order: InstanceOrder): void {
     this.carriedOut.push({ order, at: this.clock.now });
     held.upAt = this.clock.now + this.downMs;
-    const workerId = this.restart(order.instanceId, this.downMs);
+    const workerId = this.restart(order, this.downMs);
     if (order.op === 'maintain') {
       held.waves.add(order.wave);
       held.info = { ...held.info, state: 'maintenance', workerId };
--- a/src/systems/scheduler/fleetCalls.ts
+++ b/src/systems/scheduler/fleetCalls.ts
@@ -9,6 +9,10 @@
  * it, and a successor's pause outlives the time-out of an order, so orders of two owners never cross.
  */
 const CONFIRMED_WITHIN_MS = 700;
+/** An order is answered in milliseconds; shorter than the pause of a new owner. */
+export const ORDER_TIMEOUT_MS = 2_000;
+/** The platform may carry an order without an answer out up to 12 s after it was sent. */
+export const LATE_ORDER_MS = 15_000;
 
 /** Queues a call to the service that knows the instances, and returns the id of its reply. */
 export function sendInstanceCall(
--- a/src/systems/scheduler/instanceDrain.ts
+++ b/src/systems/scheduler/instanceDrain.ts
@@ -6,7 +6,7 @@
 import { canHold } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
 
-const REASON = 'its instance goes into maintenance';
+const REASON = 'its instance is taken away';
 
 /** Open runs on the worker of an instance, also those whose worker has not reported to this owner. */
 export function listInstanceRuns(state: SchedulerState, instanceId: string): RunRow[] {
--- a/src/systems/scheduler/instanceListSystem.ts
+++ b/src/systems/scheduler/instanceListSystem.ts
@@ -83,6 +83,7 @@
 }
 
 function isListNeeded({ fleet }: SchedulerState): boolean {
+  if (fleet.isListWanted) return true;
   for (const { phase } of fleet.waves.values()) if (phase === 'running') return true;
   for (const { phase } of fleet.maintenance.values()) if (phase === 'begun') return true;
   return false;
--- a/src/systems/scheduler/maintenanceOrders.ts
+++ b/src/systems/scheduler/maintenanceOrders.ts
@@ -1,19 +1,22 @@
 import type { MaintenanceRow } from '../../model/scheduler/fleet.ts';
 import type { InstanceReply, OrderRejection } from '../../model/scheduler/instanceCall.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { getOrderAuthority, listInstanceReplies, sendInstanceCall } from './fleetCalls.ts';
+import {
+  getOrderAuthority,
+  LATE_ORDER_MS,
+  listInstanceReplies,
+  ORDER_TIMEOUT_MS,
+  sendInstanceCall,
+} from './fleetCalls.ts';
 import { logEvent } from './storeCalls.ts';
 import { recordWaveChange } from './waveChanges.ts';
 
 const PURPOSE = 'maintain';
-const ORDER_TIMEOUT_MS = 2_000;
 /** Pause after an order that the service did not take or did not answer. */
 const RETRY_MS = 300;
 /** Pause after a rejection, before the instance is emptied again; doubles with each in a row. */
 const REJECTED_FIRST_MS = 4_000;
 const REJECTED_MOST_MS = 60_000;
-/** The platform may carry an order without an answer out up to 12 s after it was sent. */
-const LATE_ORDER_MS = 15_000;
 
 export function sendMaintenanceOrder(
   state: SchedulerState,
--- a/src/systems/scheduler/maintenanceSystem.ts
+++ b/src/systems/scheduler/maintenanceSystem.ts
@@ -1,7 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { MaintenanceRow, WaveRow } from '../../model/scheduler/fleet.ts';
-import { hasPlace, isSettled } from '../../model/scheduler/fleet.ts';
+import { hasPlace, isOnTheWay, isSettled } from '../../model/scheduler/fleet.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { computeOrdersFrom } from './fleetCalls.ts';
 import { countInstanceRuns, drainInstance, listInstanceRuns } from './instanceDrain.ts';
@@ -13,7 +13,8 @@
 
 /** Stops and ends take tens of milliseconds; an instance is down for seconds. */
 const LOOK_EVERY_MS = 100;
-const CLOSING_REASON = 'its instance is about to go into maintenance';
+const MAINTENANCE_REASON = 'its instance is about to go into maintenance';
+const MOVE_REASON = 'its instance is about to move to another pool';
 
 /**
  * Takes the instances of the operator's waves through maintenance: never more at one time than a
@@ -34,7 +35,8 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     const { fleet } = state;
-    if (fleet.waves.size === 0 && fleet.closedWorkers.size === 0) return;
+    if (fleet.waves.size === 0 && fleet.transfers.size === 0 && fleet.closedWorkers.size === 0)
+      return;
     receiveOrderReplies(state, tick.now);
     for (const wave of fleet.waves.list()) {
       this.updateReturned(state, wave, tick.now);
@@ -142,6 +144,7 @@
     if (fleet.list.completeAt === Number.NEGATIVE_INFINITY) return [];
     const busy = new Set<string>();
     for (const row of fleet.maintenance.values()) if (hasPlace(row)) busy.add(row.instanceId);
+    for (const row of fleet.transfers.values()) if (isOnTheWay(row)) busy.add(row.id);
     return rows.flatMap(({ phase, instanceId, retryAt }) => {
       if (phase !== 'waiting' || now < retryAt || busy.has(instanceId)) return [];
       if ((fleet.instances.get(instanceId)?.state ?? 'up') !== 'up') return [];
@@ -175,11 +178,13 @@
 
   private updateClosedWorkers({ fleet }: SchedulerState): void {
     fleet.closedWorkers.clear();
-    for (const row of fleet.maintenance.values()) {
-      if (!hasPlace(row)) continue;
-      const workerId = fleet.instances.get(row.instanceId)?.workerId ?? '';
-      if (workerId !== '') fleet.closedWorkers.set(workerId, CLOSING_REASON);
-    }
+    const close = (instanceId: string, reason: string): void => {
+      const workerId = fleet.instances.get(instanceId)?.workerId ?? '';
+      if (workerId !== '') fleet.closedWorkers.set(workerId, reason);
+    };
+    for (const row of fleet.maintenance.values())
+      if (hasPlace(row)) close(row.instanceId, MAINTENANCE_REASON);
+    for (const row of fleet.transfers.values()) if (isOnTheWay(row)) close(row.id, MOVE_REASON);
   }
 }
 
--- /dev/null
+++ b/src/systems/scheduler/poolLoads.ts
@@ -0,0 +1,119 @@
+import { hasPlace, isOnTheWay } from '../../model/scheduler/fleet.ts';
+import type { InstanceInfo } from '../../model/scheduler/instanceCall.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { listInstanceRuns } from './instanceDrain.ts';
+import type { PoolLoad } from './poolPolicy.ts';
+
+/** Time in which an instance that was moved reports as a worker; later it is not counted on. */
+const REPORT_WITHIN_MS = 10_000;
+/** Age of the list beyond which no instance is chosen from it; it is read every second. */
+const LIST_FRESH_MS = 3_000;
+
+/** Load of every pool in use. Rooms of filling tasks count by their memory, so not here. */
+export function collectPoolLoads(state: SchedulerState, now: number): PoolLoad[] {
+  const pools = state.operator.configuration?.pools ?? [];
+  return pools
+    .filter(({ isSpare }) => !isSpare)
+    .map(({ name }) => ({
+      pool: name,
+      ...countWaiting(state, name, now),
+      ...measureUse(state, name),
+      isGrowing: isGrowing(state, name, now),
+      spare: listSpare(state, name, now),
+      returnable: listReturnable(state, name, now),
+    }));
+}
+
+function countWaiting(
+  { readyTasksByStep, jobs, fleet }: SchedulerState,
+  pool: string,
+  now: number,
+): Pick<PoolLoad, 'waitingTasks' | 'waitedMs' | 'quietMs'> {
+  let waitingTasks = 0;
+  let waitedMs = 0;
+  for (const stepKey of readyTasksByStep.keys()) {
+    const task = readyTasksByStep.getFirst(stepKey);
+    if (task === undefined || jobs.get(task.jobId)?.job.service !== pool) continue;
+    waitingTasks += readyTasksByStep.count(stepKey);
+    waitedMs = Math.max(waitedMs, now - task.readyAt);
+  }
+  if (waitingTasks > 0 || !fleet.quietSince.has(pool)) fleet.quietSince.set(pool, now);
+  return { waitingTasks, waitedMs, quietMs: now - (fleet.quietSince.get(pool) ?? now) };
+}
+
+function measureUse(
+  state: SchedulerState,
+  pool: string,
+): Pick<PoolLoad, 'usedCpuMillis' | 'totalCpuMillis'> {
+  let usedCpuMillis = 0;
+  let totalCpuMillis = 0;
+  for (const worker of state.workers.values()) {
+    if (worker.identity.service !== pool) continue;
+    totalCpuMillis += worker.identity.cpuMillis;
+    for (const { step } of state.runsByWorker.values(worker.id))
+      if (!step.fills) usedCpuMillis += step.cpuMillis;
+  }
+  return { usedCpuMillis, totalCpuMillis };
+}
+
+function isGrowing({ fleet, workers }: SchedulerState, pool: string, now: number): boolean {
+  for (const row of fleet.transfers.values()) {
+    if (row.pool !== pool || row.heading !== 'out') continue;
+    if (isOnTheWay(row)) return true;
+    if (row.phase !== 'settled' || now - row.settledAt > REPORT_WITHIN_MS) continue;
+    const workerId = fleet.instances.get(row.id)?.workerId ?? '';
+    const hasReported = [...workers.values()].some(
+      ({ identity }) => identity.id === workerId && identity.service === pool,
+    );
+    if (!hasReported) return true;
+  }
+  return false;
+}
+
+function listSpare(state: SchedulerState, pool: string, now: number): string[] {
+  const { fleet, operator } = state;
+  if (now - fleet.list.completeAt > LIST_FRESH_MS) return [];
+  const kinds = new Set<string>();
+  for (const instance of fleet.instances.values())
+    if (instance.pool === pool) kinds.add(instance.kind);
+  const spare = new Set(
+    operator.configuration?.pools.filter(({ isSpare }) => isSpare).map(({ name }) => name),
+  );
+  const isUsable = ({ id, pool: home, kind, zone, state: condition }: InstanceInfo): boolean =>
+    spare.has(home) &&
+    (kinds.size === 0 || kinds.has(kind)) &&
+    condition !== 'moving' &&
+    condition !== 'maintenance' &&
+    !operator.zonesOut.has(zone) &&
+    !fleet.transfers.has(id) &&
+    !isRejected(state, id, now) &&
+    !isInWave(state, id);
+  return [...fleet.instances.values()].filter(isUsable).map(({ id }) => id);
+}
+
+/** Only instances that were moved out of a spare pool go back to one. */
+function listReturnable(state: SchedulerState, pool: string, now: number): PoolLoad['returnable'] {
+  const { fleet } = state;
+  if (now - fleet.list.completeAt > LIST_FRESH_MS) return [];
+  return [...fleet.transfers.values()]
+    .flatMap(({ id, pool: present, phase, heading }) => {
+      const instance = fleet.instances.get(id);
+      const isOut = present === pool && phase === 'settled' && heading === 'out';
+      if (!isOut || instance?.state !== 'up') return [];
+      if (isRejected(state, id, now) || isInWave(state, id)) return [];
+      const runs = listInstanceRuns(state, id);
+      if (runs.some(({ step }) => step.longRunning)) return [];
+      return [{ instanceId: id, cpuMillis: instance.cpuMillis, runs: runs.length }];
+    })
+    .sort((left, right) => left.runs - right.runs);
+}
+
+function isRejected({ fleet }: SchedulerState, instanceId: string, now: number): boolean {
+  return now < (fleet.rejectedUntil.get(instanceId) ?? Number.NEGATIVE_INFINITY);
+}
+
+function isInWave({ fleet }: SchedulerState, instanceId: string): boolean {
+  for (const row of fleet.maintenance.values())
+    if (row.instanceId === instanceId && hasPlace(row)) return true;
+  return false;
+}
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -17,6 +17,8 @@
 import { OrderSystem } from './orderSystem.ts';
 import { OwnershipSystem } from './ownershipSystem.ts';
 import { PacingSystem } from './pacingSystem.ts';
+import { DemandPools } from './poolPolicy.ts';
+import { PoolSystem } from './poolSystem.ts';
 import { PreemptionSystem } from './preemptionSystem.ts';
 import { ProgressSystem } from './progressSystem.ts';
 import { ReportSystem } from './reportSystem.ts';
@@ -31,6 +33,7 @@
   SeparatingTaskPlacement,
 } from './taskPlacementPolicy.ts';
 import { TaskPlacementSystem } from './taskPlacementSystem.ts';
+import { TransferSystem } from './transferSystem.ts';
 import { WaveSystem } from './waveSystem.ts';
 
 /** The systems of an entry of the scheduler, in the order in which a turn runs them. */
@@ -51,6 +54,8 @@
     CopySystem.create(),
     PacingSystem.create(),
     InstanceListSystem.create(),
+    PoolSystem.create(DemandPools.create()),
+    TransferSystem.create(),
     WaveSystem.create(),
     MaintenanceSystem.create(PatientMaintenance.create()),
     AdviceSystem.create(),
--- /dev/null
+++ b/src/systems/scheduler/transferSystem.ts
@@ -0,0 +1,156 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { TransferRow } from '../../model/scheduler/fleet.ts';
+import type { InstanceReply, OrderRejection } from '../../model/scheduler/instanceCall.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import {
+  computeOrdersFrom,
+  getOrderAuthority,
+  LATE_ORDER_MS,
+  listInstanceReplies,
+  ORDER_TIMEOUT_MS,
+  sendInstanceCall,
+} from './fleetCalls.ts';
+import { countInstanceRuns, drainInstance } from './instanceDrain.ts';
+import { logEvent } from './storeCalls.ts';
+import { loadTransfers, receiveTransferWrites, writeTransfer } from './transferStore.ts';
+
+const PURPOSE = 'move';
+const RETRY_MS = 300;
+/** Pause before an instance that was rejected is chosen again. */
+const REJECTED_MS = 30_000;
+const LOOK_EVERY_MS = 100;
+
+/**
+ * Carries transfers out: stores each under the owner's key, then orders the move with the owner's
+ * fence, again until it is answered. Reads store and order replies; writes `fleet.transfers`. Runs
+ * after the pool system.
+ */
+export class TransferSystem extends System<SchedulerState> {
+  override readonly name = 'transfer';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): TransferSystem {
+    return new TransferSystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    const { fleet, operator } = state;
+    if (state.ownership.role !== 'owner') return;
+    const hasSpare = operator.configuration?.pools.some(({ isSpare }) => isSpare) === true;
+    if (!hasSpare && fleet.transfers.size === 0) return;
+    loadTransfers(state, tick.now);
+    receiveTransferWrites(state, tick.now);
+    this.receiveAnswers(state, tick.now);
+    let isOpen = !fleet.transferLoad.isDone;
+    for (const { id } of fleet.transfers.list()) {
+      const row = fleet.transfers.get(id);
+      if (row === undefined) continue;
+      writeTransfer(state, row, tick.now);
+      if (row.phase === 'ordered') this.sendOrder(state, row, tick);
+      if (row.phase !== 'settled' || !row.isStored) isOpen = true;
+    }
+    if (isOpen) tick.wakeAt(tick.now + LOOK_EVERY_MS);
+  }
+
+  private sendOrder(state: SchedulerState, row: TransferRow, tick: Tick): void {
+    if (row.callId !== '' || tick.now < row.retryAt) return;
+    if (row.heading === 'home') {
+      // Nothing hurries a return, so tasks end by themselves; ones that last find room elsewhere.
+      drainInstance(state, row.id, { isStopDue: false, isPressed: false, now: tick.now });
+      if (countInstanceRuns(state, row.id) > 0) return;
+    }
+    const ordersFrom = computeOrdersFrom(state, tick.now);
+    if (tick.now < ordersFrom) {
+      tick.wakeAt(ordersFrom);
+      return;
+    }
+    const pool = row.heading === 'out' ? row.pool : row.home;
+    const authority = getOrderAuthority(state);
+    const callId = sendInstanceCall(
+      state,
+      PURPOSE,
+      { op: 'move', instanceId: row.id, pool, authority },
+      ORDER_TIMEOUT_MS,
+    );
+    state.fleet.transfers.update(row.id, { callId });
+  }
+
+  private receiveAnswers(state: SchedulerState, now: number): void {
+    for (const { callId, reply } of listInstanceReplies(state, PURPOSE))
+      for (const row of state.fleet.transfers.list()) {
+        if (row.callId !== callId) continue;
+        state.fleet.transfers.update(row.id, { callId: '' });
+        const outcome = reply.kind === 'rejected' ? reply.reason : reply.kind;
+        state.counters.add('instance_orders', { op: 'move', outcome });
+        this.applyReply(state, row, reply, now);
+      }
+  }
+
+  private applyReply(
+    state: SchedulerState,
+    row: TransferRow,
+    reply: InstanceReply,
+    now: number,
+  ): void {
+    const { transfers } = state.fleet;
+    if (reply.kind === 'done') {
+      const isHome = row.heading === 'home';
+      transfers.update(row.id, {
+        phase: isHome ? 'dropped' : 'settled',
+        isStored: false,
+        settledAt: now,
+      });
+      logEvent(state, 'info', 'instance_moved', {
+        instance: row.id,
+        pool: isHome ? row.home : row.pool,
+        fence: state.ownership.epoch,
+      });
+    } else if (reply.kind === 'rejected') {
+      this.applyRejection(state, row, reply.reason, now);
+    } else {
+      const isInDoubt = reply.kind === 'unavailable';
+      transfers.update(row.id, {
+        unansweredAt: isInDoubt ? now : row.unansweredAt,
+        retryAt: now + RETRY_MS,
+      });
+      if (isInDoubt)
+        logEvent(state, 'warn', 'instance_move_unanswered', {
+          instance: row.id,
+          message: reply.message,
+        });
+    }
+  }
+
+  /** The instance stays where it is, unless an earlier order may still be carried out. */
+  private applyRejection(
+    state: SchedulerState,
+    row: TransferRow,
+    reason: OrderRejection,
+    now: number,
+  ): void {
+    const { fleet } = state;
+    logEvent(state, 'warn', 'instance_move_rejected', {
+      instance: row.id,
+      heading: row.heading,
+      pool: row.heading === 'out' ? row.pool : row.home,
+      reason,
+      fence: state.ownership.epoch,
+    });
+    if (now - row.unansweredAt < LATE_ORDER_MS) {
+      fleet.transfers.update(row.id, { retryAt: now + RETRY_MS });
+      return;
+    }
+    fleet.rejectedUntil.set(row.id, now + REJECTED_MS);
+    // An instance that is gone needs no way home; any other one is still in the pool in use.
+    const isOut = row.heading === 'home' && reason !== 'unknown';
+    fleet.transfers.update(row.id, {
+      heading: 'out',
+      phase: isOut ? 'settled' : 'dropped',
+      isStored: false,
+    });
+  }
+}
--- a/test/platform/wireInstances.test.ts
+++ b/test/platform/wireInstances.test.ts
@@ -81,7 +81,7 @@
         id: 'm-1',
         pool: 'svc',
         zone: 'a',
-        labels: ['k', 'r1-2'],
+        kind: 'k',
         cpuMillis: 16_000,
         memoryMb: 32_768,
         gpus: 0,
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -48,9 +48,8 @@
   private nextCall = 0;
   /** Time until a link to the owner opens, ms. */
   ownerLinkMs = LINK_MS;
-  /** Answers questions about placement; without one they go unanswered. */
+  /** The adviser and the service that knows the instances; without them calls go unanswered. */
   adviser: MemoryAdviser | undefined;
-  /** The service that knows the instances; without one its calls go unanswered. */
   instances: WorldInstances | undefined;
   /** Overrides {@link behave} for single workers. */
   behaveOn: ((agent: AgentNode, task: string, run: number) => RunBehaviour) | undefined;
@@ -192,8 +191,8 @@
 
   /** Puts every worker on an instance of its own that the operator's waves can name. */
   addInstances(): WorldInstances {
-    const restart = this.restartRunner.bind(this);
-    return (this.instances = WorldInstances.create(this.clock, this.events, this.agents, restart));
+    this.instances = WorldInstances.create(this.clock, this.events, this.agents, this);
+    return this.instances;
   }
 
   cutAgent(agent: AgentNode): void {
--- a/test/support/worldInstances.ts
+++ b/test/support/worldInstances.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../../src/base/common/clock.ts';
 import type { InstanceCall, InstanceReply } from '../../src/model/scheduler/instanceCall.ts';
+import type { InstanceOrder } from '../../src/standins/memoryInstances.ts';
 import { MemoryInstances } from '../../src/standins/memoryInstances.ts';
 import type { WorldEvents } from './worldEvents.ts';
 import type { AgentNode } from './worldNodes.ts';
@@ -11,6 +12,12 @@
 /** How the service treats orders. `answerLost`: they are carried out and not answered. */
 export type InstanceMode = 'up' | 'refuses' | 'silent' | 'answerLost';
 
+/** What the world does when a worker comes up. */
+export interface WorkerHost {
+  addAgent(id: string): AgentNode;
+  restartRunner(agent: AgentNode): void;
+}
+
 /** The instances of a simulated world, one beneath each worker, and the way to their service. */
 export class WorldInstances {
   mode: InstanceMode = 'up';
@@ -26,30 +33,26 @@
     clock: Clock,
     private readonly events: WorldEvents,
     private readonly agents: readonly AgentNode[],
-    private readonly restartRunner: (agent: AgentNode) => void,
+    private readonly world: WorkerHost,
   ) {
-    this.service = MemoryInstances.create(clock, DOWN_MS, (id, downMs) => this.restart(id, downMs));
-    for (const agent of agents)
-      this.service.add({
-        id: toInstanceId(agent),
-        pool: 'svc',
-        state: 'up',
-        zone: 'a',
-        labels: ['kind-1'],
-        cpuMillis: 8_000,
-        memoryMb: 10_000,
-        gpus: 0,
-        workerId: `worker-${agent.id}`,
-      });
+    this.service = MemoryInstances.create(clock, DOWN_MS, (order, downMs) =>
+      this.restart(order, downMs),
+    );
+    for (const agent of agents) this.addInstance(toInstanceId(agent), 'svc', `worker-${agent.id}`);
+  }
+
+  /** Adds an instance of a spare pool; its worker appears when it is moved. */
+  addSpare(id: string, pool = 'spare', kind = 'kind-1'): void {
+    this.addInstance(`i-${id}`, pool, '', kind);
   }
 
   static create(
     clock: Clock,
     events: WorldEvents,
     agents: readonly AgentNode[],
-    restartRunner: (agent: AgentNode) => void,
+    world: WorkerHost,
   ): WorldInstances {
-    return new WorldInstances(clock, events, agents, restartRunner);
+    return new WorldInstances(clock, events, agents, world);
   }
 
   /** Instances that were taken through maintenance, in order. */
@@ -59,6 +62,13 @@
       .map(({ order }) => order.instanceId);
   }
 
+  /** Moves that were carried out: instance and pool, in order. */
+  listMoves(): string[] {
+    return this.service.carriedOut.flatMap(({ order }) =>
+      order.op === 'move' ? [`${order.instanceId} to ${order.pool}`] : [],
+    );
+  }
+
   call(call: InstanceCall, timeoutMs: number, answer: (reply: InstanceReply) => void): void {
     const { mode } = this;
     const isList = call.op === 'list';
@@ -84,19 +94,34 @@
       });
   }
 
-  /** Ends the worker on an instance; another life of it comes up when the instance is back. */
-  private restart(instanceId: string, downMs: number): string {
-    const agent = this.agents.find((other) => toInstanceId(other) === instanceId);
-    if (agent === undefined) return '';
+  private addInstance(id: string, pool: string, workerId: string, kind = 'kind-1'): void {
+    const size = { cpuMillis: 8_000, memoryMb: 10_000, gpus: 0 };
+    this.service.add({ id, pool, state: 'up', zone: 'a', kind, workerId, ...size });
+  }
+
+  /**
+   * Ends the worker on an instance; another life of it comes up when the instance is back, unless it
+   * was moved to a spare pool.
+   */
+  private restart({ instanceId, ...order }: InstanceOrder, downMs: number): string {
     this.onOrder(instanceId);
-    this.cutOff.push(...agent.runner.running.keys());
-    agent.runner.running.clear();
-    agent.hasLeft = true;
+    const agent = this.agents.find((other) => toInstanceId(other) === instanceId);
+    if (agent !== undefined) {
+      this.cutOff.push(...agent.runner.running.keys());
+      agent.runner.running.clear();
+      agent.hasLeft = true;
+    }
+    if (order.op === 'move' && order.pool !== 'svc') return '';
+    const agentId = instanceId.slice('i-'.length);
     this.events.schedule(downMs, () => {
+      if (agent === undefined) {
+        this.world.addAgent(agentId);
+        return;
+      }
       agent.hasLeft = false;
-      this.restartRunner(agent);
+      this.world.restartRunner(agent);
     });
-    return `worker-${agent.id}`;
+    return `worker-${agentId}`;
   }
 }
 
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -10,7 +10,7 @@
 import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
 import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
 import type { WorkerIdentity } from '../../src/model/scheduler/links.ts';
-import type { Queue } from '../../src/model/scheduler/queueConfiguration.ts';
+import type { Pool, Queue } from '../../src/model/scheduler/queueConfiguration.ts';
 import { OPERATOR_KEYS } from '../../src/model/scheduler/queueConfiguration.ts';
 import type { RunnerCall, RunnerReply } from '../../src/model/scheduler/runnerCall.ts';
 import type { SchedulerState } from '../../src/model/scheduler/schedulerState.ts';
@@ -184,6 +184,7 @@
   store: MemoryStore,
   version: number,
   differences: readonly Partial<Queue>[],
+  pools: readonly Pool[] = [],
 ): void {
   const key = OPERATOR_KEYS.configuration;
   const read = store.handle({ op: 'read', key });
@@ -199,7 +200,7 @@
     latencyObjectiveMs: 500,
     ...difference,
   }));
-  const configuration = { version, maxBodyBytes: 100_000, queues };
+  const configuration = { version, maxBodyBytes: 100_000, queues, pools };
   const value = { kind: 'configuration', configuration };
   store.handle({ op: 'write', key, expectedVersion, value });
 }
--- /dev/null
+++ b/test/systems/scheduler/maintenanceTakeover.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest';
+import {
+  createMaintenanceWorld,
+  readWaveState,
+  writeWave,
+} from '../../support/maintenanceWorld.ts';
+
+describe('maintenance of instances', () => {
+  describe('after a takeover', () => {
+    it.each([300, 900, 2_500, 4_100, 6_000])(
+      'does not begin anew or go beyond the limit when the owner is killed after %i ms',
+      (afterMs) => {
+        const { world, instances } = createMaintenanceWorld(3);
+        writeWave(world);
+        world.run(afterMs);
+        world.kill(world.owner!);
+        world.run(40_000);
+        expect(instances.listMaintained()).toHaveLength(4);
+        expect(instances.mostDown).toBe(1);
+        expect(instances.service.fenceFaults).toEqual([]);
+        expect(readWaveState(world)).toBe('completed');
+      },
+    );
+
+    it('does not order within the time in which the owner before may still have ordered', () => {
+      const { world, instances } = createMaintenanceWorld(2);
+      instances.mode = 'refuses';
+      writeWave(world, { maxDown: 4 });
+      world.run(500);
+      const first = world.owner!;
+      first.loop.receive({ kind: 'stopRequested' });
+      first.loop.runTurn();
+      instances.mode = 'up';
+      world.run(2_900);
+      expect(world.owner).not.toBe(first);
+      expect(instances.service.carriedOut).toEqual([]);
+      world.run(30_000);
+      expect(readWaveState(world)).toBe('completed');
+    });
+
+    it('does not order as an owner that the store no longer confirms', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      instances.mode = 'refuses';
+      writeWave(world);
+      world.run(1_000);
+      entry.store = 'silent';
+      world.run(1_200);
+      instances.mode = 'up';
+      world.run(6_000);
+      expect(entry.state.ownership.role).toBe('owner');
+      expect(instances.service.carriedOut).toEqual([]);
+    });
+
+    it('does not repeat a wave that is completed', () => {
+      const { world, instances } = createMaintenanceWorld(2);
+      writeWave(world);
+      world.run(20_000);
+      world.kill(world.owner!);
+      const calls = instances.service.carriedOut.length;
+      world.run(10_000);
+      expect(instances.service.carriedOut).toHaveLength(calls);
+      expect(readWaveState(world)).toBe('completed');
+      expect(world.owner?.state.fleet.closedWorkers.size).toBe(0);
+    });
+  });
+});
--- /dev/null
+++ b/test/systems/scheduler/pools.test.ts
@@ -0,0 +1,211 @@
+import { describe, expect, it } from 'vitest';
+import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
+import { DemandPools } from '../../../src/systems/scheduler/poolPolicy.ts';
+import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import { runChecked, writeWave } from '../../support/maintenanceWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import type { WorldInstances } from '../../support/worldInstances.ts';
+import type { EntryNode } from '../../support/worldNodes.ts';
+import { writeWorldQueues } from '../../support/worldNodes.ts';
+
+const POOLS = [
+  { name: 'svc', isSpare: false },
+  { name: 'spare', isSpare: true },
+];
+/** Ten tasks for two workers of eight cores. */
+const LARGE = { count: 10, cpuMillis: 8_000 };
+
+/** A world of two workers with two spare instances. */
+function createPoolWorld(
+  pools = POOLS,
+  entries = 1,
+): { world: SchedulerWorld; entry: EntryNode; instances: WorldInstances } {
+  const { world, entry } = createWorld(entries, 2);
+  const instances = world.addInstances();
+  instances.addSpare('spare-0');
+  instances.addSpare('spare-1');
+  writeWorldQueues(world.store, 2, [{}], pools);
+  world.behave = () => ({ durationMs: 4_000, how: 'done' });
+  world.run(4_000);
+  return { world, entry, instances };
+}
+
+function listStored(world: SchedulerWorld): string[] {
+  const read = world.store.handle({ op: 'list', prefix: STORE_KEYS.transferPrefix });
+  return read.kind === 'entries' ? read.entries.map(({ key }) => key) : [];
+}
+
+describe('pools of instances', () => {
+  describe('in need', () => {
+    it('do not leave spare instances off while tasks wait for long', () => {
+      const { world, entry, instances } = createPoolWorld();
+      world.submit(entry, JOB, [LARGE]);
+      world.run(14_000);
+      expect(instances.listMoves()).toEqual(['i-spare-0 to svc', 'i-spare-1 to svc']);
+      expect(world.agents.filter(({ runner }) => runner.starts.length > 0)).toHaveLength(4);
+      world.run(6_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
+    it('do not take an instance for a wait that ends by itself', () => {
+      const { world, entry, instances } = createPoolWorld();
+      world.behave = () => ({ durationMs: 900, how: 'done' });
+      world.submit(entry, JOB, [{ count: 4, cpuMillis: 8_000 }]);
+      world.run(6_000);
+      expect(instances.listMoves()).toEqual([]);
+    });
+
+    it('do not take instances where no pool is spare', () => {
+      const { world, entry, instances } = createPoolWorld([
+        { name: 'svc', isSpare: false },
+        { name: 'spare', isSpare: false },
+      ]);
+      world.submit(entry, JOB, [LARGE]);
+      world.run(10_000);
+      expect(instances.listMoves()).toEqual([]);
+      expect(entry.state.counters.get('instance_calls')).toBe(0);
+    });
+
+    it('do not take instances of another kind or of a zone out of service', () => {
+      const { world, entry, instances } = createPoolWorld();
+      for (const id of ['i-spare-0', 'i-spare-1']) instances.service.remove(id);
+      instances.addSpare('other-0', 'spare', 'kind-2');
+      world.submit(entry, JOB, [LARGE]);
+      world.run(8_000);
+      expect(instances.listMoves()).toEqual([]);
+    });
+  });
+
+  describe('after a lull', () => {
+    it('do not keep spare instances, and take them again', () => {
+      const { world, entry, instances } = createPoolWorld();
+      world.submit(entry, JOB, [LARGE]);
+      world.run(60_000);
+      expect(instances.listMoves().slice(2).sort()).toEqual([
+        'i-spare-0 to spare',
+        'i-spare-1 to spare',
+      ]);
+      expect(listStored(world)).toEqual([]);
+      expect(instances.cutOff).toEqual([]);
+      world.submit(entry, createJobId(9), [LARGE]);
+      world.run(10_000);
+      expect(instances.listMoves().length).toBeGreaterThan(4);
+    });
+
+    it('do not cut off or stop tasks of an instance that goes, or place more there', () => {
+      const { world, entry, instances } = createPoolWorld();
+      world.submit(entry, JOB, [LARGE]);
+      world.run(16_000);
+      world.behave = () => ({ durationMs: 1_500, how: 'done' });
+      let turns = 0;
+      runChecked(world, 60_000, () => {
+        turns += 1;
+        if (turns % 20 === 0) world.submit(entry, createJobId(turns), [{ count: 3 }]);
+      });
+      expect(instances.cutOff).toEqual([]);
+      expect(entry.state.counters.get('stops_sent')).toBe(0);
+      expect(instances.listMoves().length).toBeGreaterThan(2);
+    });
+
+    it('do not give away instances that were never spare', () => {
+      const { world, entry, instances } = createPoolWorld();
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(40_000);
+      expect(instances.listMoves()).toEqual([]);
+    });
+  });
+
+  describe('with faults', () => {
+    it('do not move an instance twice when answers are lost', () => {
+      const { world, entry, instances } = createPoolWorld();
+      instances.mode = 'answerLost';
+      world.submit(entry, JOB, [LARGE]);
+      world.run(7_000);
+      instances.mode = 'up';
+      world.run(7_000);
+      expect(new Set(instances.listMoves()).size).toBe(instances.listMoves().length);
+      expect(instances.listMoves()).toContain('i-spare-0 to svc');
+    });
+
+    it('do not ask again and again for an instance that cannot be moved', () => {
+      const { world, entry, instances } = createPoolWorld();
+      for (const id of ['i-spare-0', 'i-spare-1']) instances.service.busy.add(id);
+      world.submit(entry, JOB, [LARGE]);
+      world.run(16_000);
+      expect(entry.state.counters.get('instance_orders', { outcome: 'busy' })).toBe(2);
+      expect(listStored(world)).toEqual([]);
+    });
+
+    it.each([2_600, 3_500, 5_000])(
+      'do not forget instances that are out when the owner is killed after %i ms',
+      (afterMs) => {
+        const { world, entry, instances } = createPoolWorld(POOLS, 3);
+        world.submit(entry, JOB, [LARGE]);
+        world.run(afterMs);
+        world.kill(world.owner!);
+        world.run(90_000);
+        const moves = instances.listMoves();
+        const out = moves.filter((move) => move.endsWith('to svc'));
+        const home = moves.filter((move) => move.endsWith('to spare'));
+        expect(home).toHaveLength(out.length);
+        expect(out.length).toBeGreaterThan(0);
+        expect(instances.service.fenceFaults).toEqual([]);
+        expect(instances.cutOff).toEqual([]);
+        expect(listStored(world)).toEqual([]);
+      },
+    );
+
+    it('do not stop following transfers after one whose stored value has another form', () => {
+      const { world, entry, instances } = createPoolWorld(POOLS, 2);
+      const key = STORE_KEYS.transfer('i-x');
+      world.store.handle({ op: 'write', key, expectedVersion: 0, value: 'text' });
+      world.kill(world.owner!);
+      world.run(6_000);
+      expect(world.logs.map(({ event }) => event)).toContain('transfer_unreadable');
+      const other = world.entries.find(({ isUp }) => isUp) ?? entry;
+      world.submit(other, JOB, [LARGE]);
+      world.run(8_000);
+      expect(instances.listMoves()).toContain('i-spare-0 to svc');
+    });
+
+    it('do not move an instance that a wave takes down', () => {
+      const { world, entry, instances } = createPoolWorld();
+      writeWave(world, { instances: ['i-spare-0'], withinMs: 20_000 });
+      world.run(200);
+      world.submit(entry, JOB, [LARGE]);
+      world.run(12_000);
+      const orders = instances.service.carriedOut.filter(
+        ({ order }) => order.instanceId === 'i-spare-0',
+      );
+      expect(orders.map(({ order }) => order.op)).toContain('maintain');
+      const [first, second] = orders.map(({ at }) => at);
+      if (second !== undefined) expect(second - first!).toBeGreaterThanOrEqual(2_000);
+    });
+  });
+
+  describe('policy', () => {
+    const LOAD = {
+      pool: 'svc',
+      waitingTasks: 0,
+      waitedMs: 0,
+      quietMs: 60_000,
+      usedCpuMillis: 4_000,
+      totalCpuMillis: 24_000,
+      isGrowing: false,
+      spare: ['i-9'],
+      returnable: [{ instanceId: 'i-8', cpuMillis: 8_000 }],
+    };
+
+    it('does not take a second instance before the first has helped', () => {
+      const short = { ...LOAD, waitingTasks: 5, waitedMs: 9_000 };
+      expect(DemandPools.create().choose(short)?.instanceId).toBe('i-9');
+      expect(DemandPools.create().choose({ ...short, isGrowing: true })).toBeUndefined();
+    });
+
+    it('does not return an instance whose processors the rest would miss', () => {
+      expect(DemandPools.create().choose(LOAD)?.heading).toBe('home');
+      expect(DemandPools.create().choose({ ...LOAD, usedCpuMillis: 12_000 })).toBeUndefined();
+      expect(DemandPools.create().choose({ ...LOAD, quietMs: 5_000 })).toBeUndefined();
+    });
+  });
+});
