Merge maintenance waves, moves of spare instances and the metrics address

A test of the programs failed once beside load 64 (a count of waiting jobs was answered 503 in place of 200). A trace of the same test shows the cause: the lines come in the order entry_serving, settings_invalid, owner_ready, so the count was asked for before the entry owned the duty, and such a count is refused by design. The tests now wait until the entry says that it is the owner; every count after that still has to be answered with 200.

--- a/test/platform/programs.test.ts
+++ b/test/platform/programs.test.ts
@@ -80,6 +80,12 @@
     );
   }
 
+  /** A ready entry has a configuration; only the owner tells how many jobs wait. */
+  async function waitUntilOwner(): Promise<void> {
+    await waitFor(async () => (await isListening(ports[1]!)) && isReadyWith(200));
+    await waitFor(async () => (await readGauge(ports[1]!, 'is_owner')) === 1);
+  }
+
   describe('without a configuration', () => {
     it('an entry does not call a queue missing that it cannot know yet', async () => {
       start('entry');
@@ -90,12 +96,32 @@
       expect((await call(ports[1]!, '/bramleyladder/ready')).status).toBe(503);
       configure();
       await waitFor(async () => (await call(ports[1]!, '/bramleyladder/ready')).status === 200);
+      await waitUntilOwner();
       expect((await call(ports[0]!, '/q/')).status).toBe(200);
       expect((await call(ports[0]!, '/never/')).status).toBe(404);
       expect((await call(ports[0]!, '/q/00000000000000b1')).status).toBe(410);
     });
   });
 
+  describe('with an address for metrics alone', () => {
+    it.each(['entry', 'agent'] as const)('the %s does not leave it unserved', async (name) => {
+      const [metricsPort = 0] = await findPorts(1);
+      start(name, { metricsAddress: `127.0.0.1:${metricsPort}` });
+      await waitFor(() => isListening(metricsPort));
+      expect(await readGauge(metricsPort, 'cpu_seconds')).toBeGreaterThan(0);
+      expect((await call(metricsPort, '/bramleyladder/ready')).status).toBe(404);
+    });
+
+    it('an entry does not end when it is taken', async () => {
+      configure();
+      const metricsAddress = store.address;
+      const program = start('entry', { metricsAddress });
+      await waitUntilOwner();
+      expect(program.countLines('metrics_unavailable')).toBe(1);
+      expect(program.exitCode).toBeUndefined();
+    });
+  });
+
   describe('with faults in their settings', () => {
     it.each(['entry', 'agent'] as const)(
       'the %s does not start, and names every fault in one line',
@@ -112,7 +138,7 @@
     it('an entry does not give up the settings in force for ones with faults', async () => {
       configure();
       const program = start('entry');
-      await waitFor(async () => (await isListening(ports[1]!)) && isReadyWith(200));
+      await waitUntilOwner();
       for (const settings of [{ id: 'edge-1' }, 'no object', { ...createSettings(), zone: '' }]) {
         program.writeSettings(settings);
         const before = program.countLines('settings_invalid');
@@ -131,7 +157,7 @@
     it('an entry does not stop serving', async () => {
       configure();
       const program = start('entry', {}, false);
-      await waitFor(async () => (await isListening(ports[1]!)) && isReadyWith(200));
+      await waitUntilOwner();
       // Each reload writes a line of several KB; a pipe and its reader hold some 128 KB.
       program.writeSettings({ zones: Array.from({ length: 200 }, () => 7) });
       await waitFor(async () => {
--- /dev/null
+++ b/test/support/worldLinks.ts
@@ -0,0 +1,64 @@
+import type { Clock } from '../../src/base/common/clock.ts';
+import type { SchedulerArrival } from '../../src/model/scheduler/entryMessages.ts';
+import type { RunnerAgentArrival } from '../../src/model/scheduler/runnerAgentState.ts';
+import type { WorldEvents } from './worldEvents.ts';
+import type { AgentNode, EntryNode } from './worldNodes.ts';
+
+export const LINK_MS = 3;
+
+/** Brings arrivals to the nodes of a world after a delay in ms. */
+interface Deliveries {
+  toEntry(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void;
+  toAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void;
+}
+
+/** Links between the entries and agents of a world. */
+export class WorldLinks {
+  /** Time until a link to the owner opens, ms. */
+  ownerLinkMs = LINK_MS;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly events: WorldEvents,
+    private readonly entries: readonly EntryNode[],
+    private readonly deliveries: Deliveries,
+  ) {}
+
+  static create(
+    clock: Clock,
+    events: WorldEvents,
+    entries: readonly EntryNode[],
+    deliveries: Deliveries,
+  ): WorldLinks {
+    return new WorldLinks(clock, events, entries, deliveries);
+  }
+
+  openAgent(entry: EntryNode, agent: AgentNode): void {
+    if (agent.isReachable) agent.links.set(entry.id, `${entry.id}@${this.clock.now}`);
+    const arrival = { kind: 'agentLink', agentId: agent.id, isOpen: agent.isReachable } as const;
+    this.deliveries.toEntry(LINK_MS, entry, arrival);
+  }
+
+  /** Closes the link from an entry to an agent; an owner opens it again. */
+  closeAgent(entry: EntryNode | undefined, agent: AgentNode): void {
+    const linkId = agent.links.get(entry?.id ?? '');
+    if (entry === undefined || linkId === undefined) return;
+    agent.links.delete(entry.id);
+    this.deliveries.toAgent(LINK_MS, agent, { kind: 'ownerLink', linkId, isOpen: false });
+    const arrival = { kind: 'agentLink', agentId: agent.id, isOpen: false } as const;
+    this.deliveries.toEntry(LINK_MS, entry, arrival);
+  }
+
+  openOwner(entry: EntryNode, address: string): void {
+    const owner = this.entries.find(({ id }) => id === address);
+    const isOpen = owner?.isUp === true;
+    entry.ownerId = isOpen ? address : '';
+    const attempt = (entry.ownerAttempt += 1);
+    this.events.schedule(this.ownerLinkMs, () => {
+      if ((isOpen && entry.ownerId === '') || entry.ownerAttempt !== attempt) return;
+      this.deliveries.toEntry(0, entry, { kind: 'ownerLink', isOpen });
+      if (isOpen)
+        this.deliveries.toEntry(0, owner, { kind: 'peerLink', peerId: entry.id, isOpen: true });
+    });
+  }
+}
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -10,7 +10,7 @@
 import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
 import { jobSpecSchema, stepSpecSchema } from '../../src/model/scheduler/jobSpec.ts';
 import type { WorkerIdentity } from '../../src/model/scheduler/links.ts';
-import type { Queue } from '../../src/model/scheduler/queueConfiguration.ts';
+import type { Pool, Queue } from '../../src/model/scheduler/queueConfiguration.ts';
 import { OPERATOR_KEYS } from '../../src/model/scheduler/queueConfiguration.ts';
 import type { RunnerCall, RunnerReply } from '../../src/model/scheduler/runnerCall.ts';
 import type { SchedulerState } from '../../src/model/scheduler/schedulerState.ts';
@@ -93,6 +93,8 @@
   farFactor: 1.5,
   earlyMs: 250,
   statusSeconds: 120,
+  maintenanceMs: 2_000,
+  holderLeaseMs: 3_000,
 };
 
 /** A job of steps; what a step does not say is one task of one core. */
@@ -106,6 +108,24 @@
   });
 }
 
+/** What an entry has besides its state and its loop. */
+export function createEntryParts(): Omit<EntryNode, 'id' | 'state' | 'loop'> {
+  return { answers: new Map(), store: 'up', isUp: true, ownerId: '', ownerAttempt: 0 };
+}
+
+/** What an agent has besides its state, its loop and its worker. */
+export function createAgentParts(): Omit<AgentNode, 'id' | 'state' | 'loop' | 'runner' | 'shape'> {
+  return {
+    links: new Map(),
+    isReachable: true,
+    dropAnswers: 0,
+    disturb: () => undefined,
+    heldUntil: 0,
+    hasLeft: false,
+    beats: 0,
+  };
+}
+
 /** State of an entry of the world that starts now. */
 export function createWorldEntryState(id: string, now: number): SchedulerState {
   const state = createSchedulerState({
@@ -183,6 +203,7 @@
   store: MemoryStore,
   version: number,
   differences: readonly Partial<Queue>[],
+  pools: readonly Pool[] = [],
 ): void {
   const key = OPERATOR_KEYS.configuration;
   const read = store.handle({ op: 'read', key });
@@ -198,7 +219,7 @@
     latencyObjectiveMs: 500,
     ...difference,
   }));
-  const configuration = { version, maxBodyBytes: 100_000, queues };
+  const configuration = { version, maxBodyBytes: 100_000, queues, pools };
   const value = { kind: 'configuration', configuration };
   store.handle({ op: 'write', key, expectedVersion, value });
 }
