Keep a reload from ending a program that starts

The programs handled the signal only once they served, and a reload that came before that ended them.

Change: the settings file is an object that handles SIGHUP before it loads, and reads the file again when something can apply it. Until the first line of a program runs, Node.js leaves the signal to the system; the soak sends it only to processes that handle it.

Figures: `npx vitest run test/platform/programs.test.ts -t "while they start"`: 2 of 2 fail before, none after.

Conclusion: a reload during a start is carried out after it.

--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -6,12 +6,13 @@
 import { parseAddress, runnerAgentSettingsSchema } from '../daemons/schedulerSettings.ts';
 import { StatusServer } from '../protocol/node/statusServer.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
-import { loadSettings, watchSettings } from './settingsFile.ts';
+import { SettingsFile } from './settingsFile.ts';
 import { receiveBeat } from './wireBeats.ts';
 import { WireRunnerClient } from './wireRunnerClient.ts';
 
 const log = BoundedLog.createFor(process.stdout);
-const settings = loadSettings(runnerAgentSettingsSchema, log);
+const settingsFile = SettingsFile.create(runnerAgentSettingsSchema, log);
+const settings = settingsFile.load();
 const daemon = await RunnerAgentDaemon.create(
   { id: settings.id, zone: settings.zone },
   { host: settings.host, port: settings.linkPort },
@@ -39,7 +40,7 @@
       },
     }),
 );
-watchSettings(runnerAgentSettingsSchema, log, () => undefined);
+settingsFile.watch(() => undefined);
 await runUntilStopped({
   stopped: daemon.stopped,
   stop: () => {
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -7,13 +7,14 @@
 import { parseAddress, schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
 import { StatusServer } from '../protocol/node/statusServer.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
-import { loadSettings, watchSettings } from './settingsFile.ts';
+import { SettingsFile } from './settingsFile.ts';
 import { WireAdviceClient } from './wireAdviceClient.ts';
 import { createEntryStatusHandler } from './wireEntryStatus.ts';
 import { WireFront } from './wireFront.ts';
 
 const log = BoundedLog.createFor(process.stdout);
-const settings = loadSettings(schedulerSettingsSchema, log);
+const settingsFile = SettingsFile.create(schedulerSettingsSchema, log);
+const settings = settingsFile.load();
 const daemon = await SchedulerDaemon.create(
   {
     id: settings.id,
@@ -38,7 +39,7 @@
   createEntryStatusHandler(daemon),
 );
 const front = await WireFront.create(settings.callerAddress, daemon);
-watchSettings(schedulerSettingsSchema, log, ({ bounds }) => {
+settingsFile.watch(({ bounds }) => {
   Object.assign(daemon.state.bounds, bounds);
 });
 await runUntilStopped({
--- a/test/platform/programs.test.ts
+++ b/test/platform/programs.test.ts
@@ -127,6 +127,22 @@
     });
   });
 
+  describe('while they start', () => {
+    it.each(['entry', 'agent'] as const)('the %s does not end on a reload', async (name) => {
+      const create = name === 'entry' ? createEntrySettings : createAgentSettings;
+      const settings = create(store.address, ports);
+      const program = PlatformProgram.createWaiting(name);
+      programs.push(program);
+      await program.sendSettings(settings, () => {
+        program.reload();
+      });
+      await waitFor(() => program.output.includes('_started '));
+      await program.sendSettings(settings);
+      await waitFor(() => program.output.includes('event=settings_reloaded'));
+      expect(program.exitCode).toBeUndefined();
+    });
+  });
+
   describe('whose output nobody reads', () => {
     it('an entry does not stop serving', async () => {
       configure();
--- a/test/soak/regressionSeeds.ts
+++ b/test/soak/regressionSeeds.ts
@@ -5,4 +5,7 @@
     cause:
       'an owner whose orders were lost on a link that still carried reports never learnt of it',
   },
+  { seed: 105, cause: 'SIGHUP ended a process that had not yet begun to handle it' },
+  { seed: 115, cause: 'SIGHUP ended a process that had not yet begun to handle it' },
+  { seed: 125, cause: 'SIGHUP ended a process that had not yet begun to handle it' },
 ];
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -67,6 +67,12 @@
         this.check();
       }, CHECK_GAP_MS),
     ];
+    const stop = (): void => {
+      this.stop(parts);
+      process.exit(1);
+    };
+    process.once('SIGINT', stop);
+    process.once('SIGTERM', stop);
     try {
       await this.start(parts);
       await this.applyFaults(parts);
@@ -74,6 +80,8 @@
       this.log('the jobs have ended');
       this.check();
     } finally {
+      process.off('SIGINT', stop);
+      process.off('SIGTERM', stop);
       for (const timer of timers) clearInterval(timer);
       this.stop(parts);
     }
