Merge the reload of a program that starts

Cause: the metrics address and the settings file change the same lines. Change: both are kept. Conclusion: no behaviour changes by the merge.

--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -8,14 +8,15 @@
 import { parseAddress, schedulerSettingsSchema } from '../daemons/schedulerSettings.ts';
 import { StatusServer } from '../protocol/node/statusServer.ts';
 import { PlatformStoreClient } from './platformStoreClient.ts';
-import { loadSettings, watchSettings } from './settingsFile.ts';
+import { SettingsFile } from './settingsFile.ts';
 import { WireAdviceClient } from './wireAdviceClient.ts';
 import { createEntryStatusHandler } from './wireEntryStatus.ts';
 import { WireFront } from './wireFront.ts';
 import { WireInstanceClient } from './wireInstanceClient.ts';
 
 const log = BoundedLog.createFor(process.stdout);
-const settings = loadSettings(schedulerSettingsSchema, log);
+const settingsFile = SettingsFile.create(schedulerSettingsSchema, log);
+const settings = settingsFile.load();
 const daemon = await SchedulerDaemon.create(
   {
     id: settings.id,
@@ -45,7 +46,7 @@
 );
 await openMetrics(settings.metricsAddress, status, log);
 const front = await WireFront.create(settings.callerAddress, daemon);
-watchSettings(schedulerSettingsSchema, log, ({ bounds }) => {
+settingsFile.watch(({ bounds }) => {
   Object.assign(daemon.state.bounds, bounds);
 });
 await runUntilStopped({
