--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -12,8 +12,10 @@
 import type { JobStatus, EntryHint } from './links.ts';
 import type { Timetable } from './timetable.ts';
 import { createTimetable } from './timetable.ts';
-import type { AgentRow, JobRow, ListedEnd, MoveRow, RunRow, TaskRow, WorkerRow } from './rows.ts';
-import { formatStepKey, hasOpenOrder } from './rows.ts';
+import type { AgentRow, JobRow, ListedEnd, MoveRow, TaskRow, WorkerRow } from './rows.ts';
+import { formatStepKey } from './rows.ts';
+import type { RunTables } from './runTables.ts';
+import { createRunTables } from './runTables.ts';
 
 /** A caller's call that has not been answered. */
 export interface CallRow {
@@ -33,6 +35,8 @@
   readonly retryAt: number;
   /** Store version of the job that a cancellation found; 0 until it was looked up. */
   readonly jobVersion: number;
+  /** Store lease under which the cancellation of a job that is not stored is kept; empty until it is granted. */
+  readonly barLeaseId: string | undefined;
   readonly host: string;
   readonly path: string;
   /** Whether the owner has been asked to carry the call out. */
@@ -77,6 +81,10 @@
 /** Commits of job changes to the store. */
 export interface CommitState {
   callId: string;
+  /** When the call was sent, owner's clock ms. */
+  sentAt: number;
+  /** When the call counts as lost, because the store has answered a later one; infinite before that. */
+  overtakenAt: number;
   jobs: { readonly jobId: string; readonly change: number; readonly storeVersion: number }[];
   retryAt: number;
   /** Store transaction to repeat after an answer was lost. */
@@ -84,7 +92,7 @@
 }
 
 /** All state of an entry of the scheduler. */
-export interface SchedulerState {
+export interface SchedulerState extends RunTables {
   readonly inbox: Mailbox<SchedulerArrival>;
   readonly outbox: Mailbox<SchedulerEffect>;
   readonly counters: Counters;
@@ -137,12 +145,6 @@
   readonly newlyReady: Set<string>;
   /** When the steps that are not done were ready to start, owner's clock ms, by job and step. */
   readonly stepTimes: Map<string, Map<number, number>>;
-  readonly runs: Table<RunRow>;
-  readonly runsByTask: TableIndex<RunRow>;
-  readonly runsByWorker: TableIndex<RunRow>;
-  readonly runsByJob: TableIndex<RunRow>;
-  /** Runs with an order that may have to be sent; all under {@link OPEN_ORDER}. */
-  readonly runsWithOrder: TableIndex<RunRow>;
   readonly moves: Table<MoveRow>;
   readonly movesByJob: TableIndex<MoveRow>;
   readonly workers: Table<WorkerRow>;
@@ -159,9 +161,6 @@
   readonly touchedJobs: Set<string>;
 }
 
-/** Key of {@link SchedulerState.runsWithOrder}. */
-export const OPEN_ORDER = 'open';
-
 const NEVER = Number.NEGATIVE_INFINITY;
 
 export interface SchedulerIdentity {
@@ -177,7 +176,6 @@
 export function createSchedulerState(identity: SchedulerIdentity): SchedulerState {
   const statuses = Table.create<JobStatus>('statuses');
   const tasks = Table.create<TaskRow>('tasks');
-  const runs = Table.create<RunRow>('runs');
   const moves = Table.create<MoveRow>('moves');
   const advice = Table.create<AdviceRow>('advice');
   return {
@@ -193,7 +191,7 @@
     storeHealth: { failingSince: Number.POSITIVE_INFINITY },
     operator: createOperatorState(),
     ownership: createOwnership(),
-    commit: { callId: '', jobs: [], retryAt: NEVER, sequence: 0 },
+    commit: createCommit(),
     deletion: { callId: '', jobIds: [] },
     deletedJobs: new Map(),
     calls: Table.create<CallRow>('calls'),
@@ -215,11 +213,7 @@
       (previous, next) => next?.phase === 'ready' && previous?.phase !== 'ready',
     ),
     stepTimes: new Map(),
-    runs,
-    runsByTask: runs.addIndex((run) => run.taskId),
-    runsByWorker: runs.addIndex((run) => run.workerKey),
-    runsByJob: runs.addIndex((run) => run.jobId),
-    runsWithOrder: runs.addIndex((run) => (hasOpenOrder(run) ? OPEN_ORDER : undefined)),
+    ...createRunTables(),
     moves,
     movesByJob: moves.addIndex((move) => move.jobId),
     workers: Table.create<WorkerRow>('workers'),
@@ -239,6 +233,17 @@
   return { id, bootId, zone, cores, address: '', phase: 'starting', stopAt: NEVER };
 }
 
+function createCommit(): CommitState {
+  return {
+    callId: '',
+    sentAt: NEVER,
+    overtakenAt: Number.POSITIVE_INFINITY,
+    jobs: [],
+    retryAt: NEVER,
+    sequence: 0,
+  };
+}
+
 function createIntake(): SchedulerState['intake'] {
   return { storeVersion: 0, watchAt: NEVER, isWatching: false, listAt: Number.POSITIVE_INFINITY };
 }
