--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -8,13 +8,18 @@
 import { CopySystem } from './copySystem.ts';
 import { EndSystem } from './endSystem.ts';
 import { HandOverSystem } from './handOverSystem.ts';
+import { InstanceListSystem } from './instanceListSystem.ts';
 import { IntakeSystem } from './intakeSystem.ts';
+import { PatientMaintenance } from './maintenancePolicy.ts';
+import { MaintenanceSystem } from './maintenanceSystem.ts';
 import { NewsSystem } from './newsSystem.ts';
 import { OperatorKeysSystem } from './operatorKeysSystem.ts';
 import { OrderSystem } from './orderSystem.ts';
 import { OwnershipSystem } from './ownershipSystem.ts';
 import { PaceResetSystem } from './paceResetSystem.ts';
 import { PacingSystem } from './pacingSystem.ts';
+import { DemandPools } from './poolPolicy.ts';
+import { PoolSystem } from './poolSystem.ts';
 import { PreemptionSystem } from './preemptionSystem.ts';
 import { ProgressSystem } from './progressSystem.ts';
 import { ReportSystem } from './reportSystem.ts';
@@ -29,6 +34,8 @@
   SeparatingTaskPlacement,
 } from './taskPlacementPolicy.ts';
 import { TaskPlacementSystem } from './taskPlacementSystem.ts';
+import { TransferSystem } from './transferSystem.ts';
+import { WaveSystem } from './waveSystem.ts';
 
 /** The systems of an entry of the scheduler, in the order in which a turn runs them. */
 export function createSchedulerSystems(): System<SchedulerState>[] {
@@ -48,6 +55,11 @@
     CopySystem.create(),
     PaceResetSystem.create(),
     PacingSystem.create(),
+    InstanceListSystem.create(),
+    PoolSystem.create(DemandPools.create()),
+    TransferSystem.create(),
+    WaveSystem.create(),
+    MaintenanceSystem.create(PatientMaintenance.create()),
     AdviceSystem.create(),
     TaskPlacementSystem.create(
       HoldingTaskPlacement.create(queueing),
--- a/test/systems/scheduler/stepKinds.test.ts
+++ b/test/systems/scheduler/stepKinds.test.ts
@@ -149,7 +149,7 @@
       const first = entry.state.runs.get(`${JOB}.0.0.0#1`)!;
       expect(first.phase).toBe('placed');
       const agent = world.agents.find(({ id }) => first.workerKey.startsWith(`${id}|`))!;
-      world.closeAgentLink(entry, agent);
+      world.links.closeAgent(entry, agent);
       world.run(100);
       expect(world.listStarts(`${JOB}.0.0.1`)).toEqual([]);
       world.run(3_000);
