--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -69,6 +69,8 @@
   readonly isPaceKnown: boolean;
   /** When the pace last changed or the run was placed, owner's clock ms. */
   readonly pacedAt: number;
+  /** When the pace was last ordered or the run was placed, owner's clock ms. */
+  readonly paceOrderedAt: number;
   readonly placedAt: number;
   /** When the percentage last grew, owner's clock ms. */
   readonly progressAt: number;
@@ -76,6 +78,8 @@
   readonly attempts: number;
   /** Since when a serving task has been over its latency target, owner's clock ms; undefined under it. */
   readonly overSince: number | undefined;
+  /** Since when complete lists of the worker lack a run that they named, owner's clock ms. */
+  readonly absentSince: number | undefined;
   /** Whether a stop has been ordered. */
   readonly stopReason: string | undefined;
 }
@@ -205,10 +209,12 @@
     pacePercent: 100,
     isPaceKnown: phase === 'placed',
     pacedAt: now,
+    paceOrderedAt: now,
     placedAt: now,
     progressAt: now,
     attempts: 0,
     overSince: undefined,
+    absentSince: undefined,
     stopReason: undefined,
   };
 }
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -8,6 +8,7 @@
 import { dropOwnership } from './dropOwnership.ts';
 import {
   GRANT_WINDOW_MS,
+  KEY_CHECK_MS,
   LARGER_FACTOR,
   LARGER_FIRST_MS,
   OWNER_LEASE_SLACK_MS,
@@ -43,6 +44,7 @@
     this.receiveLease(state, tick.now);
     this.receiveClaim(state, tick);
     this.receiveRenewal(state, tick.now);
+    this.receiveCheck(state, tick.now);
     const { ownership } = state;
     if (ownership.role === 'owner' || ownership.role === 'loading') this.renew(state, tick);
     else this.followOwner(state, tick);
@@ -54,7 +56,7 @@
       dropOwnership(state, 'the store has not confirmed it in time', tick.now);
       return;
     }
-
+    if (tick.now >= ownership.checkAt) this.sendCheck(state, tick.now);
     if (tick.now >= ownership.renewAt) {
       ownership.renewAt = tick.now + RENEW_EVERY_MS;
       sendStoreCall(
@@ -64,7 +66,23 @@
         CALL_TIMEOUT_MS,
       );
     }
-    tick.wakeAt(ownership.renewAt);
+    tick.wakeAt(Math.min(ownership.renewAt, ownership.checkAt));
+  }
+
+  private sendCheck(state: SchedulerState, now: number): void {
+    const { ownership } = state;
+    ownership.checkAt = now + KEY_CHECK_MS;
+    const expected = [{ key: STORE_KEYS.owner, version: ownership.keyVersion }];
+    const call = { op: 'transact' as const, expected, puts: [], deletes: [] };
+    ownership.checkCallId = sendStoreCall(state, 'ownerCheck', call, CALL_TIMEOUT_MS);
+  }
+
+  private receiveCheck(state: SchedulerState, now: number): void {
+    const { ownership } = state;
+    for (const { callId, reply } of listStoreReplies(state, 'ownerCheck')) {
+      if (callId !== ownership.checkCallId || reply.kind !== 'mismatch') continue;
+      dropOwnership(state, 'another owner or none is in the store', now);
+    }
   }
 
   private receiveRenewal(state: SchedulerState, now: number): void {
@@ -247,6 +265,8 @@
     ownership.keyVersion = keyVersion;
     ownership.confirmedAt = confirmedAt;
     ownership.renewAt = confirmedAt;
+    ownership.checkAt = confirmedAt + KEY_CHECK_MS;
+    ownership.checkCallId = '';
     ownership.ownerId = '';
     ownership.ownerAddress = '';
     if (ownership.ownerLink === 'open') {
--- a/src/systems/scheduler/paceOrders.ts
+++ b/src/systems/scheduler/paceOrders.ts
@@ -14,7 +14,13 @@
 ): void {
   const worker = state.workers.get(run.workerKey);
   if (worker === undefined) return;
-  state.runs.update(run.id, { pacePercent: percent, pacedAt: now, isPaceKnown: true });
+  const hasChanged = !run.isPaceKnown || percent !== run.pacePercent;
+  state.runs.update(run.id, {
+    pacePercent: percent,
+    pacedAt: hasChanged ? now : run.pacedAt,
+    paceOrderedAt: now,
+    isPaceKnown: true,
+  });
   state.counters.add('pace_orders');
   logEvent(state, 'info', 'run_paced', { task: run.taskId, run: run.run, percent, ...reason });
   state.outbox.append({
--- a/src/systems/scheduler/paceResetSystem.ts
+++ b/src/systems/scheduler/paceResetSystem.ts
@@ -1,8 +1,8 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { RunRow } from '../../model/scheduler/rows.ts';
+import { PACE_UNKNOWN } from '../../model/scheduler/runTables.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { PACE_UNKNOWN } from '../../model/scheduler/schedulerState.ts';
 import { FULL_PERCENT, sendPace } from './paceOrders.ts';
 
 /**
--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -33,6 +33,8 @@
 const MAX_MOVES = 2;
 /** A load figure covers half a second, and a pace holds 0.1 s after its order. */
 const SETTLING_MS = 600;
+/** Pause before an order that shows no effect is sent again; reports come every second. */
+const REPEAT_MS = 1_000;
 
 /** One look at all workers. Their rooms are collected once, when the first task could move. */
 interface Look {
@@ -79,8 +81,11 @@
       state,
       settled.flatMap(({ serving, filling }) => serving.map((run) => ({ serving: run, filling }))),
     );
-    for (const { serving, filling, isSettled } of looks)
-      if (filling.length > 0) this.paceWorker(state, serving, filling, isSettled, look);
+    for (const { serving, filling, isSettled } of looks) {
+      if (filling.length === 0) continue;
+      this.paceWorker(state, serving, filling, isSettled, look);
+      for (const { id } of filling) this.repeatPace(state, id, tick.now);
+    }
   }
 
   private collectLook(state: SchedulerState, worker: WorkerRow): WorkerLook {
@@ -211,4 +216,19 @@
     if (percent !== run.pacePercent)
       sendPace(state, run, percent, now, { slack: Math.round(slack * 100) / 100 });
   }
+
+  /**
+   * Orders a pace again that shows no effect, since orders get lost. Reports do not name the pace, so
+   * whether the task uses processors decides.
+   */
+  private repeatPace(state: SchedulerState, runId: string, now: number): void {
+    const run = state.runs.get(runId);
+    const worker = state.workers.get(run?.workerKey ?? '');
+    if (run === undefined || worker === undefined || run.stopReason !== undefined) return;
+    const { pacePercent, paceOrderedAt, load } = run;
+    if (worker.lastReportAt < paceOrderedAt + SETTLING_MS) return;
+    if (now - paceOrderedAt < REPEAT_MS || load > 0 === pacePercent > 0) return;
+    const repeated = pacePercent > 0 ? 'it stands still' : 'it goes on';
+    sendPace(state, run, pacePercent, now, { load, repeated });
+  }
 }
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -38,10 +38,12 @@
     pacePercent: 100,
     isPaceKnown: true,
     pacedAt: 0,
+    paceOrderedAt: 0,
     placedAt: 0,
     progressAt: 0,
     attempts: 1,
     overSince: undefined,
+    absentSince: undefined,
     stopReason: undefined,
   };
 }
