--- a/test/support/platformProgram.ts
+++ b/test/support/platformProgram.ts
@@ -14,11 +14,6 @@
   execFileSync(process.execPath, ['tools/buildPlatform.mjs', folder]);
 }
 
-/** Path of the bundle of a role. */
-export function findBundle(role: string): string {
-  return `${BUNDLES}/${role}.mjs`;
-}
-
 /** Ports that nothing listens on at the moment. */
 export async function findPorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
