--- a/src/systems/scheduler/pacingSystem.ts
+++ b/src/systems/scheduler/pacingSystem.ts
@@ -4,8 +4,8 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { canTakeAway } from './availability.ts';
 import { requestStop } from './jobChanges.ts';
+import { FULL_PERCENT, sendPace } from './paceOrders.ts';
 import { computeSlack, getPairCost, learnSlacks } from './slackModel.ts';
-import { logEvent } from './storeCalls.ts';
 import type { WorkerRoom } from './taskPlacementPolicy.ts';
 import { canHold, estimateSlackWith } from './taskPlacementPolicy.ts';
 import { collectRooms } from './workerRooms.ts';
@@ -25,7 +25,6 @@
 /** Most that a pace rises in a look, and the least cost that a task is taken to have. */
 const RAISE_STEP_PERCENT = 100;
 const LEAST_COST = 0.1;
-const FULL_PERCENT = 100;
 /** Expected slack of serving tasks with which a worker may take a task that did harm elsewhere. */
 const MOVE_ABOVE_SLACK = 1.6;
 /** A task that is slowed below this pace gets on better elsewhere. */
@@ -34,6 +33,8 @@
 const MAX_MOVES = 2;
 /** A load figure covers half a second, and a pace holds 0.1 s after its order. */
 const SETTLING_MS = 600;
+/** Pause before an order that shows no effect is sent again; reports come every second. */
+const REPEAT_MS = 1_000;
 
 /** One look at all workers. Their rooms are collected once, when the first task could move. */
 interface Look {
@@ -80,8 +81,11 @@
       state,
       settled.flatMap(({ serving, filling }) => serving.map((run) => ({ serving: run, filling }))),
     );
-    for (const { serving, filling, isSettled } of looks)
-      if (filling.length > 0) this.paceWorker(state, serving, filling, isSettled, look);
+    for (const { serving, filling, isSettled } of looks) {
+      if (filling.length === 0) continue;
+      this.paceWorker(state, serving, filling, isSettled, look);
+      for (const { id } of filling) this.repeatPace(state, id, tick.now);
+    }
   }
 
   private collectLook(state: SchedulerState, worker: WorkerRow): WorkerLook {
@@ -209,26 +213,22 @@
     slack: number,
     now: number,
   ): void {
-    const worker = state.workers.get(run.workerKey);
-    if (worker === undefined || percent === run.pacePercent) return;
-    state.runs.update(run.id, { pacePercent: percent, pacedAt: now });
-    state.counters.add('pace_orders');
-    logEvent(state, 'info', 'run_paced', {
-      task: run.taskId,
-      run: run.run,
-      percent,
-      slack: Math.round(slack * 100) / 100,
-    });
-    state.outbox.append({
-      kind: 'orderAgent',
-      agentId: worker.agentId,
-      order: {
-        kind: 'pace',
-        bornMs: worker.identity.bornMs,
-        task: run.taskId,
-        run: run.run,
-        percent,
-      },
-    });
+    if (percent !== run.pacePercent)
+      sendPace(state, run, percent, now, { slack: Math.round(slack * 100) / 100 });
+  }
+
+  /**
+   * Orders a pace again that shows no effect, since orders get lost. Reports do not name the pace, so
+   * whether the task uses processors decides.
+   */
+  private repeatPace(state: SchedulerState, runId: string, now: number): void {
+    const run = state.runs.get(runId);
+    const worker = state.workers.get(run?.workerKey ?? '');
+    if (run === undefined || worker === undefined || run.stopReason !== undefined) return;
+    const { pacePercent, paceOrderedAt, load } = run;
+    if (worker.lastReportAt < paceOrderedAt + SETTLING_MS) return;
+    if (now - paceOrderedAt < REPEAT_MS || load > 0 === pacePercent > 0) return;
+    const repeated = pacePercent > 0 ? 'it stands still' : 'it goes on';
+    sendPace(state, run, pacePercent, now, { load, repeated });
   }
 }
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -16,6 +16,7 @@
 import { OperatorKeysSystem } from './operatorKeysSystem.ts';
 import { OrderSystem } from './orderSystem.ts';
 import { OwnershipSystem } from './ownershipSystem.ts';
+import { PaceResetSystem } from './paceResetSystem.ts';
 import { PacingSystem } from './pacingSystem.ts';
 import { DemandPools } from './poolPolicy.ts';
 import { PoolSystem } from './poolSystem.ts';
@@ -52,6 +53,7 @@
     ProgressSystem.create(),
     StallSystem.create(),
     CopySystem.create(),
+    PaceResetSystem.create(),
     PacingSystem.create(),
     InstanceListSystem.create(),
     PoolSystem.create(DemandPools.create()),
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -26,6 +26,8 @@
   createEntryParts,
   createWorldRunner,
   createWorldWorker,
+  findLinkedEntry,
+  LATE_MS,
   listTaskStarts,
   writeWorldConfiguration,
 } from './worldNodes.ts';
@@ -99,16 +101,14 @@
     schedule: Partial<JobSpec> = {},
     how: CallShape = {},
   ): string {
-    const spec = createJobSpec(steps, schedule);
-    return this.call(entry, jobId, { kind: 'submit', spec }, how);
+    return this.call(entry, jobId, { kind: 'submit', spec: createJobSpec(steps, schedule) }, how);
   }
 
   /** Stops an entry at once, as a kill does. */
   kill(entry: EntryNode): void {
     entry.isUp = false;
     for (const agent of this.agents) this.closeAgentLink(entry, agent);
-    for (const other of this.entries) {
-      if (other.ownerId !== entry.id) continue;
+    for (const other of this.entries.filter(({ ownerId }) => ownerId === entry.id)) {
       other.ownerId = '';
       this.deliver(LINK_MS, other, { kind: 'ownerLink', isOpen: false });
     }
@@ -138,9 +138,7 @@
       ...createEntryParts(),
     };
     this.entries.push(entry);
-    this.events.schedule(0, () => {
-      this.runTurn(entry);
-    });
+    this.events.schedule(0, this.runTurn.bind(this, entry));
     return entry;
   }
 
@@ -191,8 +189,7 @@
 
   /** Puts every worker on an instance of its own that the operator's waves can name. */
   addInstances(): WorldInstances {
-    this.instances = WorldInstances.create(this.clock, this.events, this.agents, this);
-    return this.instances;
+    return (this.instances = WorldInstances.create(this.clock, this.events, this.agents, this));
   }
 
   cutAgent(agent: AgentNode): void {
@@ -272,7 +269,7 @@
         return;
       case 'orderAgent': {
         const linkId = agent?.links.get(entry.id);
-        if (agent !== undefined && linkId !== undefined)
+        if (agent !== undefined && linkId !== undefined && linkId !== agent.deafLink)
           this.deliverToAgent(LINK_MS, agent, { kind: 'ownerOrder', linkId, order: effect.order });
         return;
       }
@@ -305,13 +302,16 @@
         return;
       case 'callRunner': {
         const { callId, call, timeoutMs } = effect;
-        const { reply, delayMs } = answerRunnerCall(agent, call, timeoutMs);
+        const { reply, delayMs, isLate } = answerRunnerCall(agent, call, timeoutMs);
+        if (isLate === true) this.events.schedule(LATE_MS, () => agent.runner.handle(call));
         this.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
         return;
       }
+      case 'closeOwner':
+        this.closeAgentLink(findLinkedEntry(this.entries, agent, effect.linkId), agent);
+        return;
       case 'sendOwner': {
-        const [entryId] = [...agent.links].find(([, link]) => link === effect.linkId) ?? [];
-        const entry = this.entries.find(({ id }) => id === entryId);
+        const entry = findLinkedEntry(this.entries, agent, effect.linkId);
         if (entry !== undefined)
           this.deliver(Math.max(LINK_MS, agent.heldUntil - this.clock.now), entry, {
             kind: 'agentMessage',
@@ -339,9 +339,9 @@
   }
 
   /** Closes the link from an entry to an agent; an owner opens it again. */
-  closeAgentLink(entry: EntryNode, agent: AgentNode): void {
-    const linkId = agent.links.get(entry.id);
-    if (linkId === undefined) return;
+  closeAgentLink(entry: EntryNode | undefined, agent: AgentNode): void {
+    const linkId = agent.links.get(entry?.id ?? '');
+    if (entry === undefined || linkId === undefined) return;
     agent.links.delete(entry.id);
     this.deliverToAgent(LINK_MS, agent, { kind: 'ownerLink', linkId, isOpen: false });
     this.deliver(LINK_MS, entry, { kind: 'agentLink', agentId: agent.id, isOpen: false });
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -42,6 +42,8 @@
   readonly links: Map<string, string>;
   /** Links from entries are cut while it is false. */
   isReachable: boolean;
+  /** A link that loses what the owner sends. */
+  deafLink?: string;
   /** How many of the next orders the worker leaves undone and unanswered. */
   dropAnswers: number;
   /** Until when the agent's messages to owners are held up on their way. */
@@ -59,8 +61,12 @@
 /**
  * What may go wrong with a call to a worker. `dropped`: it is left undone and hangs. `silent`: it is
  * carried out and hangs. `lost`: it is carried out and its connection reset. `refused`: the worker answers that it did nothing.
+ * `late`: it hangs and is carried out {@link LATE_MS} after it was sent, by the incarnation that is up then.
  */
-export type RunnerDisturbance = 'dropped' | 'silent' | 'lost' | 'refused';
+export type RunnerDisturbance = 'dropped' | 'silent' | 'lost' | 'refused' | 'late';
+
+/** The platform carries late orders out 2 to 12 s after they were sent. */
+export const LATE_MS = 5_000;
 
 /** Where a call goes, `/q/` unless told, and how long its caller waits. */
 export interface CallShape {
@@ -134,6 +140,15 @@
   return state;
 }
 
+/** The entry at the other end of an agent's link. */
+export function findLinkedEntry(
+  entries: readonly EntryNode[],
+  agent: AgentNode,
+  linkId: string,
+): EntryNode | undefined {
+  return entries.find(({ id }) => agent.links.get(id) === linkId);
+}
+
 /** What arrives at an entry that asked the adviser; a world without one leaves it unanswered. */
 export function answerAdvice(
   adviser: MemoryAdviser | undefined,
@@ -150,14 +165,18 @@
   agent: AgentNode,
   call: RunnerCall,
   timeoutMs: number,
-): { readonly reply: RunnerReply; readonly delayMs: number } {
+): { readonly reply: RunnerReply; readonly delayMs: number; readonly isLate?: boolean } {
   const isDropped = call.op !== 'hold' && agent.dropAnswers > 0;
   if (isDropped && !agent.hasLeft) agent.dropAnswers -= 1;
   if (agent.hasLeft)
     return { reply: { kind: 'unreachable', message: 'ECONNREFUSED' }, delayMs: ANSWER_MS };
   const disturbance = isDropped ? 'dropped' : agent.disturb(call);
-  if (disturbance === 'dropped')
-    return { reply: { kind: 'noAnswer', message: 'no answer in time' }, delayMs: timeoutMs };
+  if (disturbance === 'dropped' || disturbance === 'late')
+    return {
+      reply: { kind: 'noAnswer', message: 'no answer in time' },
+      delayMs: timeoutMs,
+      isLate: disturbance === 'late',
+    };
   if (disturbance === 'refused')
     return { reply: { kind: 'refused', message: 'the worker answered 503' }, delayMs: ANSWER_MS };
   const reply = agent.runner.handle(call);
@@ -212,6 +231,7 @@
 ): MemoryRunner {
   const runner = MemoryRunner.create(clock, clock.now, behave);
   runner.stopMs = BOUNDS.stopMs;
+  runner.maxLeaseMs = BOUNDS.holdMaxMs;
   return runner;
 }
 
