--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -144,9 +144,7 @@
       ...createEntryParts(),
     };
     this.entries.push(entry);
-    this.events.schedule(0, () => {
-      this.runTurn(entry);
-    });
+    this.events.schedule(0, this.runTurn.bind(this, entry));
     return entry;
   }
 
@@ -197,8 +195,7 @@
 
   /** Puts every worker on an instance of its own that the operator's waves can name. */
   addInstances(): WorldInstances {
-    this.instances = WorldInstances.create(this.clock, this.events, this.agents, this);
-    return this.instances;
+    return (this.instances = WorldInstances.create(this.clock, this.events, this.agents, this));
   }
 
   cutAgent(agent: AgentNode): void {
