Do not start a task beyond its attempts when the configuration comes late

Cause: a new owner may list the ends of workers before it has read the operator's configuration. The attempts of the queue are unknown then and were taken for unlimited, and nothing asked for them again.

Change: the attempts are asked for at each failure, as before, and again before each placement, when the configuration is known for certain.

Evidence: usedAttempts.test.ts kills the owner during the last attempt and answers the next one nothing about the operator's keys for 5 s. Before: 2 of 2 fail, three starts where two are allowed. After: both pass, and the job is shown as failed.

--- a/src/systems/scheduler/endSystem.ts
+++ b/src/systems/scheduler/endSystem.ts
@@ -4,9 +4,10 @@
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
-import { recordJobChange, releaseRun, requestStop, setJobPhase } from './jobChanges.ts';
+import { recordJobChange, releaseRun, requestStop } from './jobChanges.ts';
 import { recordMove } from './moves.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
+import { settleUsedAttempts } from './usedAttempts.ts';
 import { clearTrouble, recordFailure } from './workerTrouble.ts';
 
 /**
@@ -101,23 +102,8 @@
       now,
     });
     const job = state.jobs.get(task.jobId);
-    if (!failed || task.step.longRunning || job === undefined || isFinalPhase(job.phase)) return;
-    const failures = task.step.gang
-      ? this.countGangFailures(state, task)
-      : (state.tasks.get(task.id)?.failures ?? 0);
-    if (failures >= this.getAttempts(state, job.job.queue)) setJobPhase(state, job, 'failed');
-  }
-
-  private countGangFailures(state: SchedulerState, task: TaskRow): number {
-    let failures = 0;
-    for (const member of state.tasksByJob.list(task.jobId))
-      if (member.stepIndex === task.stepIndex && member.occurrence === task.occurrence)
-        failures += member.failures;
-    return failures;
-  }
-
-  private getAttempts(state: SchedulerState, queueName: string): number {
-    return state.operator.queues.get(queueName)?.attempts ?? Number.POSITIVE_INFINITY;
+    if (!failed || job === undefined || isFinalPhase(job.phase)) return;
+    settleUsedAttempts(state, state.tasks.get(task.id) ?? task);
   }
 
   private recordPendingEnd(
--- /dev/null
+++ b/src/systems/scheduler/usedAttempts.ts
@@ -0,0 +1,28 @@
+import type { TaskRow } from '../../model/scheduler/rows.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { setJobPhase } from './jobChanges.ts';
+
+/**
+ * Fails the job of a task that has used up the attempts of its queue, and tells whether it has.
+ * Without the queue's configuration nobody knows that, so it is asked at each failure and again
+ * before each placement.
+ */
+export function settleUsedAttempts(state: SchedulerState, task: TaskRow): boolean {
+  const job = state.jobs.get(task.jobId);
+  if (task.step.longRunning || job === undefined) return false;
+  const attempts = state.operator.queues.get(job.job.queue)?.attempts;
+  if (attempts === undefined || countFailures(state, task) < attempts) return false;
+  setJobPhase(state, job, 'failed');
+  return true;
+}
+
+/** The members of a gang share their attempts. */
+function countFailures(state: SchedulerState, task: TaskRow): number {
+  if (!task.step.gang) return task.failures;
+  const stepKey = formatStepKey(task);
+  let failures = 0;
+  for (const member of state.tasksByJob.list(task.jobId))
+    if (formatStepKey(member) === stepKey) failures += member.failures;
+  return failures;
+}
--- /dev/null
+++ b/test/systems/scheduler/usedAttempts.test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, it } from 'vitest';
+import { createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import type { EntryNode } from '../../support/worldNodes.ts';
+import { writeWorldConfiguration } from '../../support/worldNodes.ts';
+
+const ATTEMPTS = 2;
+
+/** Adds an entry that gets no answer about the operator's keys until the result is called. */
+function addUnconfiguredEntry(world: SchedulerWorld): { entry: EntryNode; configure: () => void } {
+  const entry = world.addEntry('unconfigured');
+  const receive = entry.loop.receive.bind(entry.loop);
+  let isHeld = true;
+  entry.loop.receive = (arrival) => {
+    const isOperators = arrival.kind === 'storeReply' && arrival.callId.startsWith('operator');
+    if (isHeld && isOperators)
+      receive({ ...arrival, reply: { kind: 'unavailable', message: 'no answer in time' } });
+    else receive(arrival);
+  };
+  return { entry, configure: () => (isHeld = false) };
+}
+
+describe('attempts of a task', () => {
+  it.each([{}, { gang: true }])(
+    'are not exceeded by a step of %j that fails before its owner knows the configuration',
+    (step) => {
+      const { world, entry } = createWorld(1, 3);
+      writeWorldConfiguration(world.store, 2, 'svc', { attempts: ATTEMPTS });
+      world.run(2_000);
+      world.behave = () => ({ durationMs: 600, how: 'failed' });
+      world.submit(entry, JOB, [{ count: 1, ...step }]);
+      while (world.listStarts(`${JOB}.0.0.0`).length < ATTEMPTS) world.run(10);
+      world.kill(entry);
+      const next = addUnconfiguredEntry(world);
+      world.run(5_000);
+      expect(next.entry.state.ownership.role).toBe('owner');
+      next.configure();
+      world.run(5_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(ATTEMPTS);
+      expect(readPhase(world, next.entry)).toBe('failed');
+    },
+  );
+});
