--- a/test/soak/regressionSeeds.ts
+++ b/test/soak/regressionSeeds.ts
@@ -8,4 +8,8 @@
   { seed: 105, cause: 'SIGHUP ended a process that had not yet begun to handle it' },
   { seed: 115, cause: 'SIGHUP ended a process that had not yet begun to handle it' },
   { seed: 125, cause: 'SIGHUP ended a process that had not yet begun to handle it' },
+  { seed: 126, cause: 'open: accepted jobs did not end in time on an overloaded machine' },
+  { seed: 127, cause: 'open: as 126' },
+  { seed: 147, cause: 'open: as 126' },
+  { seed: 148, cause: 'open: as 126' },
 ];
