--- a/src/model/scheduler/queueConfiguration.ts
+++ b/src/model/scheduler/queueConfiguration.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import { maintenanceWaveSchema } from './maintenanceWave.ts';
 
 /** Figures of the adviser that decides which workers may run the steps of a queue. */
 export const advicePolicySchema = z.object({
@@ -29,10 +30,19 @@
 });
 export type Queue = z.infer<typeof queueSchema>;
 
+/** A pool of instances that runs the workers of one service. */
+export const poolSchema = z.object({
+  name: z.string(),
+  /** Whether its instances are off until they are moved to another pool. */
+  isSpare: z.boolean(),
+});
+export type Pool = z.infer<typeof poolSchema>;
+
 /** The operator's configuration as the scheduler uses it. */
 export const queueConfigurationSchema = z.object({
   version: z.number(),
   queues: z.array(queueSchema),
+  pools: z._default(z.array(poolSchema), []),
   maxBodyBytes: z.number(),
 });
 export type QueueConfiguration = z.infer<typeof queueConfigurationSchema>;
@@ -41,6 +51,7 @@
 export const operatorKeySchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('configuration'), configuration: queueConfigurationSchema }),
   z.object({ kind: z.literal('zoneOut'), zone: z.string() }),
+  z.object({ kind: z.literal('wave'), wave: maintenanceWaveSchema }),
 ]);
 export type OperatorKey = z.infer<typeof operatorKeySchema>;
 
@@ -49,6 +60,8 @@
   prefix: 'operator/',
   configuration: 'operator/configuration',
   zoneOut: (zone: string): string => `operator/zones-out/${zone}`,
+  wavePrefix: 'operator/waves/',
+  wave: (id: string): string => `operator/waves/${id}`,
 } as const;
 
 /** The queue with the longest prefix that the path begins with, or undefined. */
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -15,12 +15,16 @@
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { WorldEvents } from './worldEvents.ts';
+import { WorldInstances } from './worldInstances.ts';
+import { LINK_MS, WorldLinks } from './worldLinks.ts';
 import type { AgentNode, CallShape, EntryNode, TaskStart, WorkerShape } from './worldNodes.ts';
 import {
   answerAdvice,
   answerRunnerCall,
   createJobSpec,
   createWorldEntryState,
+  createAgentParts,
+  createEntryParts,
   createWorldRunner,
   createWorldWorker,
   findLinkedEntry,
@@ -30,7 +34,6 @@
 } from './worldNodes.ts';
 import { WorldStore } from './worldStore.ts';
 
-const LINK_MS = 3;
 const ADVICE_MS = 40;
 
 /** Entries, agents, workers and the store of the scheduler on a manual clock, in one process. */
@@ -44,11 +47,18 @@
   private readonly events = WorldEvents.create(this.clock);
   private readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
   private readonly random = SeededRandom.create(7);
+  readonly links = WorldLinks.create(this.clock, this.events, this.entries, {
+    toEntry: (delayMs, entry, arrival) => {
+      this.deliver(delayMs, entry, arrival);
+    },
+    toAgent: (delayMs, agent, arrival) => {
+      this.deliverToAgent(delayMs, agent, arrival);
+    },
+  });
   private nextCall = 0;
-  /** Time until a link to the owner opens, ms. */
-  ownerLinkMs = LINK_MS;
-  /** Answers questions about placement; without one they go unanswered. */
+  /** The adviser and the service that knows the instances; without them calls go unanswered. */
   adviser: MemoryAdviser | undefined;
+  instances: WorldInstances | undefined;
   /** Overrides {@link behave} for single workers. */
   behaveOn: ((agent: AgentNode, task: string, run: number) => RunBehaviour) | undefined;
   behave: (task: string, run: number) => RunBehaviour = () => ({ durationMs: 1_000, how: 'done' });
@@ -103,7 +113,7 @@
   /** Stops an entry at once, as a kill does. */
   kill(entry: EntryNode): void {
     entry.isUp = false;
-    for (const agent of this.agents) this.closeAgentLink(entry, agent);
+    for (const agent of this.agents) this.links.closeAgent(entry, agent);
     for (const other of this.entries.filter(({ ownerId }) => ownerId === entry.id)) {
       other.ownerId = '';
       this.deliver(LINK_MS, other, { kind: 'ownerLink', isOpen: false });
@@ -131,11 +141,7 @@
           this.handleEntryEffect(entry, effect);
         },
       }),
-      answers: new Map(),
-      store: 'up',
-      isUp: true,
-      ownerId: '',
-      ownerAttempt: 0,
+      ...createEntryParts(),
     };
     this.entries.push(entry);
     this.events.schedule(0, () => {
@@ -160,13 +166,7 @@
         },
       }),
       runner: createWorldRunner(this.clock, (task, run) => this.behave(task, run)),
-      links: new Map(),
-      isReachable: true,
-      dropAnswers: 0,
-      disturb: () => undefined,
-      heldUntil: 0,
-      hasLeft: false,
-      beats: 0,
+      ...createAgentParts(),
       shape,
     };
     agent.runner = this.createRunner(agent);
@@ -195,9 +195,15 @@
     this.deliverToAgent(0, agent, { kind: 'workerLeft', workerId: `worker-${agent.id}` });
   }
 
+  /** Puts every worker on an instance of its own that the operator's waves can name. */
+  addInstances(): WorldInstances {
+    this.instances = WorldInstances.create(this.clock, this.events, this.agents, this);
+    return this.instances;
+  }
+
   cutAgent(agent: AgentNode): void {
     agent.isReachable = false;
-    for (const entry of this.entries) this.closeAgentLink(entry, agent);
+    for (const entry of this.entries) this.links.closeAgent(entry, agent);
   }
 
   private createRunner(agent: AgentNode): MemoryRunner {
@@ -256,14 +262,19 @@
           answerAdvice(this.adviser, effect, this.clock.now),
         );
         return;
+      case 'callInstances':
+        this.instances?.call(effect.call, effect.timeoutMs, (reply) => {
+          this.deliver(0, entry, { kind: 'instanceReply', callId: effect.callId, reply });
+        });
+        return;
       case 'answerCall':
         entry.answers.set(effect.callId, effect.answer);
         return;
       case 'openAgent':
-        if (agent !== undefined) this.openAgentLink(entry, agent);
+        if (agent !== undefined) this.links.openAgent(entry, agent);
         return;
       case 'closeAgent':
-        if (agent !== undefined) this.closeAgentLink(entry, agent);
+        if (agent !== undefined) this.links.closeAgent(entry, agent);
         return;
       case 'orderAgent': {
         const linkId = agent?.links.get(entry.id);
@@ -272,7 +283,7 @@
         return;
       }
       case 'openOwner':
-        this.openOwnerLink(entry, effect.address);
+        this.links.openOwner(entry, effect.address);
         return;
       case 'hintOwner': {
         const owner = this.entries.find(({ id }) => id === entry.ownerId);
@@ -306,7 +317,7 @@
         return;
       }
       case 'closeOwner':
-        this.closeAgentLink(findLinkedEntry(this.entries, agent, effect.linkId), agent);
+        this.links.closeAgent(findLinkedEntry(this.entries, agent, effect.linkId), agent);
         return;
       case 'sendOwner': {
         const entry = findLinkedEntry(this.entries, agent, effect.linkId);
@@ -326,34 +337,4 @@
       default:
     }
   }
-
-  private openAgentLink(entry: EntryNode, agent: AgentNode): void {
-    if (agent.isReachable) agent.links.set(entry.id, `${entry.id}@${this.clock.now}`);
-    this.deliver(LINK_MS, entry, {
-      kind: 'agentLink',
-      agentId: agent.id,
-      isOpen: agent.isReachable,
-    });
-  }
-
-  /** Closes the link from an entry to an agent; an owner opens it again. */
-  closeAgentLink(entry: EntryNode | undefined, agent: AgentNode): void {
-    const linkId = agent.links.get(entry?.id ?? '');
-    if (entry === undefined || linkId === undefined) return;
-    agent.links.delete(entry.id);
-    this.deliverToAgent(LINK_MS, agent, { kind: 'ownerLink', linkId, isOpen: false });
-    this.deliver(LINK_MS, entry, { kind: 'agentLink', agentId: agent.id, isOpen: false });
-  }
-
-  private openOwnerLink(entry: EntryNode, address: string): void {
-    const owner = this.entries.find(({ id }) => id === address);
-    const isOpen = owner?.isUp === true;
-    entry.ownerId = isOpen ? address : '';
-    const attempt = (entry.ownerAttempt += 1);
-    this.events.schedule(this.ownerLinkMs, () => {
-      if ((isOpen && entry.ownerId === '') || entry.ownerAttempt !== attempt) return;
-      this.deliver(0, entry, { kind: 'ownerLink', isOpen });
-      if (isOpen) this.deliver(0, owner, { kind: 'peerLink', peerId: entry.id, isOpen: true });
-    });
-  }
 }
--- a/test/systems/scheduler/lostAnswers.test.ts
+++ b/test/systems/scheduler/lostAnswers.test.ts
@@ -96,7 +96,7 @@
         if (world.clock.now >= refusedUntil) return undefined;
         return call.op === 'hold' ? 'lost' : call.op === 'start' ? 'refused' : undefined;
       };
-      world.closeAgentLink(entry, holder);
+      world.links.closeAgent(entry, holder);
       expect(countMostRuns(world, 6_000)).toBe(1);
       expect(readPhase(world, entry!)).toBe('completed');
     });
@@ -124,7 +124,7 @@
       world.submit(entry, JOB, [{ count: 1 }]);
       world.run(20);
       agent!.disturb = () => undefined;
-      world.closeAgentLink(entry, agent!);
+      world.links.closeAgent(entry, agent!);
       // The link is tried again after 250 ms.
       world.run(400);
       expect(agent!.runner.starts).toHaveLength(1);
@@ -136,7 +136,7 @@
       const holder = findHolder(world);
       holder.disturb = (call) => (call.op === 'stop' ? undefined : 'lost');
       world.drainRunner(holder);
-      world.closeAgentLink(world.entries[0], holder);
+      world.links.closeAgent(world.entries[0], holder);
       expect(countMostRuns(world, 3_000)).toBe(1);
     });
   });
@@ -250,7 +250,7 @@
       agent!.disturb = (call) => (call.op === 'start' ? 'dropped' : undefined);
       world.submit(entry, JOB, [{ count: 1 }]);
       world.run(50);
-      world.closeAgentLink(entry, agent!);
+      world.links.closeAgent(entry, agent!);
       entry.state.operator.zonesOut.add('a');
       agent!.disturb = () => undefined;
       world.run(2_000);
--- a/test/systems/scheduler/waitingCounts.test.ts
+++ b/test/systems/scheduler/waitingCounts.test.ts
@@ -35,7 +35,7 @@
   describe('at an entry whose link to a slow owner opens late', () => {
     it('does not stay out of touch with the owner', () => {
       const { world } = createWaitingWorld();
-      world.ownerLinkMs = 1_500;
+      world.links.ownerLinkMs = 1_500;
       const entry = world.addEntry('entry-new');
       world.run(4_000);
       expect(countWaiting(world, entry)).toEqual({ kind: 'count', waiting: JOBS });
