Keep the soak from writing logs of processes that it has ended

Cause: after a run that passed, the soak removes the folder of its logs. The same error would fail the short run in the continuous integration.

Change: a process of the soak that has been ended logs nothing more.

Figures: soakProcess.test.ts without the change: an unhandled ENOENT, as in the run; with it: passes.

Conclusion: a fault of the soak, not of the programs.

--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -111,6 +111,8 @@
 
   /** Adds the time on the clock of the soak, because the programs leave times to the platform. */
   private log(text: string): void {
+    // What the process wrote before its end may arrive when its folder has been removed.
+    if (this.isDisposed) return;
     const at = Math.round(performance.now());
     const lines = text.trimEnd().replaceAll('\n', `\nt=${at} `);
     appendFileSync(join(this.folder, `${this.name}.log`), `t=${at} ${lines}\n`);
