--- a/test/support/jobWorld.ts
+++ b/test/support/jobWorld.ts
@@ -3,6 +3,11 @@
 
 /** Id of the job in tests that submit one. */
 export const JOB = '00000000000000a1';
+/** The first task of the job. */
+export const TASK = `${JOB}.0.0.0`;
+
+/** Time between two looks at the runs of a task, ms. */
+const STEP_MS = 5;
 
 /** A world whose owner is ready for jobs. */
 export function createWorld(entries = 2, agents = 2): { world: SchedulerWorld; entry: EntryNode } {
@@ -22,3 +27,13 @@
 export function createJobId(index: number): string {
   return index.toString(16).padStart(16, '0');
 }
+
+/** Most runs of the task at one time while time moves on. */
+export function countMostRuns(world: SchedulerWorld, durationMs: number): number {
+  let most = 0;
+  for (let passed = 0; passed < durationMs; passed += STEP_MS) {
+    world.run(STEP_MS);
+    most = Math.max(most, world.agents.filter(({ runner }) => runner.running.has(TASK)).length);
+  }
+  return most;
+}
--- a/test/systems/scheduler/lateOrders.test.ts
+++ b/test/systems/scheduler/lateOrders.test.ts
@@ -1,21 +1,14 @@
 import { describe, expect, it } from 'vitest';
-import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
-import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import {
+  countMostRuns,
+  createJobId,
+  createWorld,
+  JOB,
+  readPhase,
+  TASK,
+} from '../../support/jobWorld.ts';
 import { LATE_MS } from '../../support/worldNodes.ts';
 
-const TASK = `${JOB}.0.0.0`;
-const STEP_MS = 5;
-
-/** Most runs of the task at one time while time moves on. */
-function countMostRuns(world: SchedulerWorld, durationMs: number): number {
-  let most = 0;
-  for (let passed = 0; passed < durationMs; passed += STEP_MS) {
-    world.run(STEP_MS);
-    most = Math.max(most, world.agents.filter(({ runner }) => runner.running.has(TASK)).length);
-  }
-  return most;
-}
-
 describe('orders that a worker carries out late', () => {
   describe('after it has restarted under its id', () => {
     it('do not start a task that was given up there', () => {
