Leave odd entries of the store aside instead of ending the process

Cause: an agent's or owner's record could hold any text as its address. A port out of range or text with blanks made new WebSocket throw inside a tick, and WireHttp.send reject; both ended the process, and each successor read the same record and ended too. The same holds for a worker id with a line break and for a key with a lone surrogate at the end of a page. An owner-epoch out of range would have overflowed the fences.

Change: src/model/address.ts is the one schema of an address, used by records, settings, messages and heartbeats. JsonLink.open reports an invalid address as a closed link, WireHttp.send as no answer: a refused connection would prove that a worker has ended. Epochs and ids of agents and jobs have bounds. At most 256 links are opened at one time, and an agent that another instance's record names closes the link instead of following the owner twice.

Records of instances that are gone are still dialled for ever.

--- a/src/cli/localScheduler.ts
+++ b/src/cli/localScheduler.ts
@@ -108,7 +108,8 @@
     id: `worker-${index}`,
     bornMs: runner.startedMs,
     service: SERVICE,
-    address: `worker-${index}`,
+    // The worker lives in this process; its client dials no address.
+    address: `worker-${index}:1`,
     zone: ZONE,
     labels: [],
     ...WORKER_CAPACITY,
--- a/src/daemons/schedulerSettings.ts
+++ b/src/daemons/schedulerSettings.ts
@@ -1,8 +1,7 @@
 import * as z from 'zod/mini';
+import { addressSchema, listenAddressSchema } from '../model/address.ts';
 import { platformBoundsSchema } from '../model/scheduler/platformBounds.ts';
 
-const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d+$/, 'must be ip:port'));
-
 const commonSettings = {
   id: z.string().check(z.minLength(1)),
   zone: z.string().check(z.minLength(1)),
@@ -11,7 +10,7 @@
   linkPort: z.int().check(z.minimum(0), z.maximum(65_535)),
   storeAddress: addressSchema,
   /** Separate HTTP address for metrics with a fixed port; empty for none. */
-  metricsAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
+  metricsAddress: z._default(z.union([listenAddressSchema, z.literal('')]), ''),
 };
 
 /** Settings of an entry of the scheduler. */
@@ -20,9 +19,9 @@
   /** All availability zones of the deployment. */
   zones: z.array(z.string()),
   /** HTTP address for callers. */
-  callerAddress: addressSchema,
+  callerAddress: listenAddressSchema,
   /** HTTP address for the balancer's readiness check and for metrics. */
-  readyAddress: addressSchema,
+  readyAddress: listenAddressSchema,
   /** Address of the placement adviser; empty when no queue requires it. */
   adviserAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
   /** Address of the service that lists instances and accepts commands for them; empty for none. */
@@ -37,15 +36,6 @@
 export const runnerAgentSettingsSchema = z.object({
   ...commonSettings,
   /** HTTP address for the worker's heartbeats and for metrics. */
-  beatAddress: addressSchema,
+  beatAddress: listenAddressSchema,
 });
 export type RunnerAgentSettings = z.infer<typeof runnerAgentSettingsSchema>;
-
-/** Splits `ip:port`. */
-export function parseAddress(address: string): { readonly host: string; readonly port: number } {
-  const separatorIndex = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, separatorIndex),
-    port: Number(address.slice(separatorIndex + 1)),
-  };
-}
--- a/src/daemons/settings.ts
+++ b/src/daemons/settings.ts
@@ -2,11 +2,11 @@
 import { Either } from 'purify-ts/Either';
 import * as z from 'zod/mini';
 import { formatFaults, parseValue } from '../base/common/parse.ts';
+import { addressSchema } from '../model/address.ts';
 import { nameSchema } from '../model/configuration.ts';
 
 const portSchema = z.int().check(z.minimum(0), z.maximum(65_535));
 const hostSchema = z.string().check(z.minLength(1));
-const addressSchema = z.string().check(z.regex(/^[^\s:]+:\d+$/, 'must be ip:port'));
 const originSchema = z.string().check(z.regex(/^http:\/\//, 'must be an http origin'));
 
 /** Settings of an entry. Port 0 selects any free port. */
--- a/src/model/endpoint.ts
+++ b/src/model/endpoint.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import { addressSchema } from './address.ts';
 import { nameSchema } from './configuration.ts';
 
 /** Announcement of an endpoint to the agent on its instance. */
@@ -33,7 +34,7 @@
   zone: z.string(),
   agentId: z.string(),
   agentBootId: z.string(),
-  agentAddress: z.string(),
+  agentAddress: addressSchema,
   slots: z.int(),
   connections: z.int(),
   draining: z.boolean(),
--- a/src/model/exchange.ts
+++ b/src/model/exchange.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod/mini';
 import { failureSchema } from '../base/common/errors.ts';
+import { addressSchema } from './address.ts';
 import { endpointReportSchema } from './endpoint.ts';
 import { workerCommandSchema, workerReportSchema } from './worker.ts';
 
@@ -8,8 +9,8 @@
   id: z.string(),
   region: z.string(),
   zone: z.string(),
-  /** Address of its gRPC server, `ip:port`. */
-  address: z.string(),
+  /** Address of its gRPC server. */
+  address: addressSchema,
 });
 export type EntryInfo = z.infer<typeof entryInfoSchema>;
 
@@ -20,7 +21,7 @@
 export const exchangeRequestSchema = z.object({
   agentId: z.string(),
   agentBootId: z.string(),
-  agentAddress: z.string(),
+  agentAddress: addressSchema,
   region: z.string(),
   zone: z.string(),
   /** Increases with each exchange of a boot; an older exchange is not applied. */
@@ -56,7 +57,7 @@
   /** Present when the agent's digest differs. */
   entries: z.optional(z.array(entryInfoSchema)),
   /** Address of the owner of the worker's shard; absent when the entry does not know it. */
-  ownerAddress: z.optional(z.string()),
+  ownerAddress: z.optional(addressSchema),
   /** Present in replies of the owner of the worker's shard. */
   owner: z.optional(
     z.object({
--- a/src/model/ledger.ts
+++ b/src/model/ledger.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import { addressSchema } from './address.ts';
 import type { JobCall } from './effects.ts';
 import { taskSchema } from './task.ts';
 
@@ -42,7 +43,7 @@
 /** Value of the store key `duties/<shard>`: the owner and how long it may renew leases without the store. */
 export const ownershipRecordSchema = z.object({
   ownerId: z.string(),
-  ownerAddress: z.string(),
+  ownerAddress: addressSchema,
   epoch: z.int().check(z.nonnegative()),
   /** Grace period G of this owner, in milliseconds. */
   graceMs: z.number().check(z.nonnegative()),
--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import { addressSchema } from '../address.ts';
 import { jobSpecSchema } from './jobSpec.ts';
 
 export const jobPhaseSchema = z.enum(['pending', 'running', 'completed', 'failed', 'cancelled']);
@@ -8,6 +9,9 @@
   return phase === 'completed' || phase === 'failed' || phase === 'cancelled';
 }
 
+/** Callers choose the id of a job; the names of its tasks begin with it. */
+export const jobIdSchema = z.string().check(z.regex(/^[0-9a-f]{16}$/i, 'must be 16 hex digits'));
+
 /** A job as the accepting entry stores it; immutable. */
 export const submittedJobSchema = z.object({
   queue: z.string(),
@@ -44,20 +48,29 @@
 });
 export type JobProgress = z.infer<typeof jobProgressSchema>;
 
+/** Largest epoch: fences have 20 bits for it, which last for years of takeovers. */
+export const MAX_EPOCH = 2 ** 20 - 1;
+export const epochSchema = z.int().check(z.minimum(0), z.maximum(MAX_EPOCH));
+
 /** The entry that owns the scheduling of all jobs. */
 export const ownerRecordSchema = z.object({
   entryId: z.string(),
   bootId: z.string(),
-  address: z.string(),
-  epoch: z.int(),
+  address: addressSchema,
+  epoch: epochSchema,
   /** Store lease that the record is attached to. */
   leaseId: z.optional(z.string()),
 });
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
+/** Ids of agents become part of worker keys, `AGENT|WORKER|BORN`, and of the store's keys. */
+export const agentIdSchema = z
+  .string()
+  .check(z.regex(/^[\x21-\x7b\x7d\x7e]{1,150}$/, 'must be printable ASCII without "|"'));
+
 /** Address of an agent, and the incarnation of its worker that has certainly ended. */
 export const agentRecordSchema = z.object({
-  address: z.string(),
+  address: addressSchema,
   zone: z.string(),
   /** Stored because the agent may stop with its instance before the owner has stored the release of the runs. */
   goneWorker: z.optional(z.object({ id: z.string(), bornMs: z.number() })),
--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod/mini';
-import { jobPhaseSchema, submittedJobSchema } from './jobRecord.ts';
+import { addressSchema } from '../address.ts';
+import { epochSchema, jobPhaseSchema, submittedJobSchema } from './jobRecord.ts';
 import { queueAnswerSchema, queueCallSchema } from './queueCall.ts';
 
 /** How a run ended, as its worker reports it. */
@@ -34,7 +35,7 @@
   /** Wall-clock time of the incarnation's start at the worker, ms; identifies the incarnation. */
   bornMs: z.number(),
   service: z.string(),
-  address: z.string(),
+  address: addressSchema,
   zone: z.string(),
   labels: z.array(z.string()),
   cpuMillis: z.number(),
@@ -51,7 +52,7 @@
   /** `epoch` is the owner epoch under which the lists were read; 0 when no list has been read. */
   z.object({
     kind: z.literal('report'),
-    epoch: z.int(),
+    epoch: epochSchema,
     worker: z.optional(workerIdentitySchema),
     /** Whether the incarnation announced its end and has refused connections since; nothing runs there. */
     isGone: z.optional(z.boolean()),
@@ -83,7 +84,9 @@
   /** First message on a link. An epoch below the highest received one closes the link. */
   z.object({
     kind: z.literal('hello'),
-    epoch: z.int(),
+    epoch: epochSchema,
+    /** Agent that the owner means; another one has its address from an earlier instance. */
+    agent: z.optional(z.string()),
     /** The worker of this agent as the owner knows it, for an agent that has just started. */
     worker: z.optional(workerIdentitySchema),
   }),
@@ -125,7 +128,7 @@
 /** Status update of the owner to the other entries, with the phases of jobs. */
 const ownerStatusUpdateSchema = z.object({
   kind: z.literal('news'),
-  epoch: z.int(),
+  epoch: epochSchema,
   /** Whether the list contains every job; the receiver then removes the statuses of other jobs. */
   isComplete: z.boolean(),
   jobs: z.array(jobStatusSchema),
@@ -170,6 +173,6 @@
   /** The entry has more processor time than the owner and could take over the ownership. */
   z.object({ kind: z.literal('offerTakeOver'), cores: z.number() }),
   /** The sender has taken over the ownership and listens at the address. */
-  z.object({ kind: z.literal('successor'), address: z.string() }),
+  z.object({ kind: z.literal('successor'), address: addressSchema }),
 ]);
 export type EntryMessage = z.infer<typeof entryMessageSchema>;
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -122,6 +122,8 @@
   readonly commit: CommitState;
   /** Jobs in the pending delete call of the store; the call id is empty without one. */
   readonly deletion: { callId: string; jobIds: readonly string[] };
+  /** Versions of the store's entries that could not be read, by key, to log each version once. */
+  readonly unreadableEntries: Map<string, number>;
   /** Recently deleted jobs, with the store version and the owner's time of the deletion. */
   readonly deletedJobs: Map<string, { readonly version: number; readonly at: number }>;
   readonly calls: Table<CallRow>;
@@ -200,6 +202,7 @@
     ownership: createOwnership(),
     commit: createCommit(),
     deletion: { callId: '', jobIds: [] },
+    unreadableEntries: new Map(),
     deletedJobs: new Map(),
     calls: Table.create<CallRow>('calls'),
     statuses,
--- a/src/platform/platformStoreClient.ts
+++ b/src/platform/platformStoreClient.ts
@@ -68,20 +68,20 @@
     case 'read':
       return {
         method: 'GET',
-        path: `${ROOT}/kv-key?key=${encodeURIComponent(encodeKey(call.key))}`,
+        path: `${ROOT}/kv-key?key=${encodeParameter(call.key)}`,
       };
     case 'list':
     case 'listPage': {
       const after =
         call.op === 'listPage' && call.after !== undefined
-          ? `&after=${encodeURIComponent(encodeKey(call.after))}`
+          ? `&after=${encodeParameter(call.after)}`
           : '';
-      const prefix = encodeURIComponent(encodeKey(call.prefix));
+      const prefix = encodeParameter(call.prefix);
       return { method: 'GET', path: `${ROOT}/kv-range?prefix=${prefix}${after}` };
     }
     case 'watch':
     case 'watchPrefix': {
-      const prefix = encodeURIComponent(encodeKey(call.op === 'watch' ? call.key : call.prefix));
+      const prefix = encodeParameter(call.op === 'watch' ? call.key : call.prefix);
       const query = `prefix=${prefix}&after=${call.newerThan}&wait_ms=${call.waitMs}`;
       return { method: 'GET', path: `${ROOT}/kv-watch?${query}` };
     }
@@ -104,6 +104,11 @@
   }
 }
 
+/** Encodes a key for a query. Keys of other writers may hold lone surrogates, which have no encoding. */
+function encodeParameter(key: string): string {
+  return encodeURIComponent(encodeKey(key).replace(/\p{Surrogate}/gu, '\ufffd'));
+}
+
 function buildTransaction(
   expected: readonly { readonly key: string; readonly version: number }[],
   puts: readonly {
--- a/src/platform/wireHeartbeats.ts
+++ b/src/platform/wireHeartbeats.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import * as z from 'zod/mini';
+import { addressSchema } from '../model/address.ts';
 import type { WorkerHeartbeat } from '../model/scheduler/runnerAgentState.ts';
 import { decodePathSegment } from '../protocol/node/requestPath.ts';
 import { readJsonBody } from './wireBody.ts';
@@ -10,7 +11,7 @@
 
 const heartbeatSchema = z.object({
   service: z.string(),
-  addr: z.string(),
+  addr: addressSchema,
   zone: z.string(),
   state: z.enum(['ready', 'draining']),
   /** Increases with each heartbeat; identifies heartbeats that arrive out of order. */
--- a/src/platform/wireHttp.ts
+++ b/src/platform/wireHttp.ts
@@ -1,4 +1,6 @@
+import type { ClientRequest, RequestOptions } from 'node:http';
 import { Agent, request } from 'node:http';
+import { isAddress, parseAddress } from '../model/address.ts';
 
 /** Outcome of an HTTP call. `notSent`: the connection was refused, so the call had no effect. */
 export type WireOutcome =
@@ -40,25 +42,19 @@
 
   /** Never throws. Closes the connection of a call that times out. */
   async send(call: WireCall): Promise<WireOutcome> {
+    if (!isAddress(call.address)) return { kind: 'noAnswer', message: 'the address is invalid' };
     return new Promise((resolve) => {
-      const payload = call.body === undefined ? undefined : JSON.stringify(call.body);
-      const separatorIndex = call.address.lastIndexOf(':');
-      const outgoing = request({
-        agent: this.agent,
-        host: call.address.slice(0, separatorIndex),
-        port: Number(call.address.slice(separatorIndex + 1)),
-        method: call.method,
-        path: call.path,
-        headers: {
-          ...call.headers,
-          ...(payload === undefined
-            ? {}
-            : {
-                'content-type': 'application/json',
-                'content-length': String(Buffer.byteLength(payload)),
-              }),
-        },
-      });
+      let outgoing: ClientRequest;
+      let payload: string | undefined;
+      try {
+        payload = call.body === undefined ? undefined : JSON.stringify(call.body);
+        outgoing = request(this.buildOptions(call, payload));
+      } catch (error) {
+        // Node rejects characters that a path or a header must not contain.
+        // `notSent` would mean that the receiver refuses connections.
+        resolve({ kind: 'noAnswer', message: (error as Error).message });
+        return;
+      }
       const timer = setTimeout(() => {
         outgoing.destroy(new Error('no answer in time'));
       }, call.timeoutMs);
@@ -87,6 +83,24 @@
     });
   }
 
+  private buildOptions(call: WireCall, payload: string | undefined): RequestOptions {
+    return {
+      agent: this.agent,
+      ...parseAddress(call.address),
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...call.headers,
+        ...(payload === undefined
+          ? {}
+          : {
+              'content-type': 'application/json',
+              'content-length': String(Buffer.byteLength(payload)),
+            }),
+      },
+    };
+  }
+
   dispose(): void {
     this.agent.destroy();
   }
--- a/src/protocol/node/jsonLinks.ts
+++ b/src/protocol/node/jsonLinks.ts
@@ -3,6 +3,7 @@
 import type * as z from 'zod/mini';
 import type { Disposable } from '../../base/common/disposable.ts';
 import { parseValue } from '../../base/common/parse.ts';
+import { isAddress } from '../../model/address.ts';
 import { decodePathSegment } from './requestPath.ts';
 
 /** Default timeout for the connection and the WebSocket handshake together. */
@@ -25,11 +26,13 @@
 export class JsonLink<Message> implements Disposable {
   private isClosed = false;
 
+  /** Without a socket the link is closed from the start. */
   private constructor(
-    private readonly socket: WebSocket,
+    private readonly socket: WebSocket | undefined,
     private readonly schema: z.ZodMiniType<Message>,
     private readonly handlers: LinkHandlers<Message>,
   ) {
+    if (socket === undefined) return;
     socket.on('message', (data) => {
       this.receive(data);
     });
@@ -40,7 +43,7 @@
     socket.on('error', () => undefined);
   }
 
-  /** Opens a link to a {@link JsonLinkServer}. */
+  /** Opens a link to a {@link JsonLinkServer}. Never throws: a link to an invalid address is closed. */
   static open<Message>(
     address: string,
     peerId: string,
@@ -48,15 +51,17 @@
     handlers: LinkHandlers<Message>,
     handshakeTimeoutMs = HANDSHAKE_TIMEOUT_MS,
   ): JsonLink<Message> {
-    const socket = new WebSocket(`ws://${address}/${encodeURIComponent(peerId)}`, {
-      perMessageDeflate: false,
-      handshakeTimeout: handshakeTimeoutMs,
-      maxPayload: MAX_JSON_MESSAGE_BYTES,
-    });
+    const socket = openSocket(address, peerId, handshakeTimeoutMs);
     const link = new JsonLink(socket, schema, handlers);
-    socket.on('open', () => {
-      handlers.onOpen();
-    });
+    // The holder stores the link before it learns that the link is closed.
+    if (socket === undefined)
+      queueMicrotask(() => {
+        link.handleClose();
+      });
+    else
+      socket.on('open', () => {
+        handlers.onOpen();
+      });
     return link;
   }
 
@@ -71,7 +76,7 @@
 
   /** Sends a message, or discards it on a link that is not open; `onClose` reports the close. */
   send(message: unknown): void {
-    if (this.socket.readyState !== WebSocket.OPEN) return;
+    if (this.socket?.readyState !== WebSocket.OPEN) return;
     if (this.socket.bufferedAmount > MAX_UNSENT_BYTES) this.socket.terminate();
     else this.socket.send(JSON.stringify(message));
   }
@@ -79,14 +84,14 @@
   dispose(): void {
     this.isClosed = true;
     // Earlier messages are still sent; ws terminates the connection when the peer does not respond.
-    if (this.socket.readyState === WebSocket.OPEN) this.socket.close();
-    else this.socket.terminate();
+    if (this.socket?.readyState === WebSocket.OPEN) this.socket.close();
+    else this.socket?.terminate();
   }
 
   /** Terminates the connection without a close handshake, for a peer that may not receive one. */
   drop(): void {
     this.isClosed = true;
-    this.socket.terminate();
+    this.socket?.terminate();
   }
 
   private handleClose(): void {
@@ -117,6 +122,24 @@
   }
 }
 
+/** Returns undefined for an invalid address, for which the constructor can throw. */
+function openSocket(
+  address: string,
+  peerId: string,
+  handshakeTimeout: number,
+): WebSocket | undefined {
+  if (!isAddress(address)) return undefined;
+  try {
+    return new WebSocket(`ws://${address}/${encodeURIComponent(peerId)}`, {
+      perMessageDeflate: false,
+      handshakeTimeout,
+      maxPayload: MAX_JSON_MESSAGE_BYTES,
+    });
+  } catch {
+    return undefined;
+  }
+}
+
 /** A WebSocket server that accepts links. */
 export class JsonLinkServer implements Disposable {
   private constructor(private readonly server: WebSocketServer) {}
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -101,6 +101,12 @@
     now: number,
   ): void {
     const { owner } = state;
+    if (hello.agent !== undefined && hello.agent !== state.self.id) {
+      // The record of an instance that is gone names the address, which this instance has now.
+      logAgentEvent(state, 'warn', 'owner_mistaken', { epoch: hello.epoch, agent: hello.agent });
+      state.outbox.append({ kind: 'closeOwner', linkId });
+      return;
+    }
     if (hello.epoch < owner.epoch) {
       state.outbox.append({ kind: 'closeOwner', linkId });
       return;
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -15,6 +15,11 @@
 /** Upper bound of the backoff for an unreachable agent. */
 const MAX_RETRY_DELAY_MS = 2_000;
 const GRANT_INTERVAL_MS = 700;
+/**
+ * Most links that are being opened at one time. Records of instances that are gone take the whole
+ * handshake timeout each, and must not use up the file descriptors of a small entry.
+ */
+const MAX_OPENING_LINKS = 256;
 /** Agents report at least every 1 s; a link without messages for this time is reopened. */
 const LINK_SILENCE_TIMEOUT_MS = 2_500;
 
@@ -40,9 +45,12 @@
       // Commands follow in the next tick, after the first message on the link.
       if (isOpen) tick.wakeAt(tick.now + 1);
     }
-    for (const agent of state.agents.list()) {
-      if (agent.link === 'closed') this.openLink(state, agent, tick);
-      else if (agent.link === 'open') this.updateLink(state, agent, tick);
+    const agents = state.agents.list();
+    let openingCount = agents.filter(({ link }) => link === 'opening').length;
+    for (const agent of agents) {
+      if (agent.link === 'open') this.updateLink(state, agent, tick);
+      else if (agent.link === 'closed' && openingCount < MAX_OPENING_LINKS)
+        openingCount += this.openLink(state, agent, tick) ? 1 : 0;
     }
   }
 
@@ -58,7 +66,6 @@
         link: 'open',
         openedAt: now,
         lastMessageAt: now,
-        failures: 0,
       });
       const worker = state.workers.get(agent.workerKey ?? '');
       state.outbox.append({
@@ -67,6 +74,7 @@
         command: {
           kind: 'hello',
           epoch: state.ownership.epoch,
+          agent: agentId,
           ...(worker === undefined ? {} : { worker: worker.identity }),
         },
       });
@@ -80,13 +88,15 @@
     });
   }
 
-  private openLink(state: SchedulerState, agent: AgentRow, tick: Tick): void {
+  /** Opens the link to an agent unless its backoff lasts. */
+  private openLink(state: SchedulerState, agent: AgentRow, tick: Tick): boolean {
     if (tick.now < agent.retryAt) {
       tick.wakeAt(agent.retryAt);
-      return;
+      return false;
     }
     state.agents.update(agent.id, { link: 'opening' });
     state.outbox.append({ kind: 'openAgent', agentId: agent.id, address: agent.address });
+    return true;
   }
 
   private updateLink(state: SchedulerState, agent: AgentRow, tick: Tick): void {
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -1,24 +1,21 @@
 import { parseValue } from '../../base/common/parse.ts';
 import type { AgentRecord } from '../../model/scheduler/jobRecord.ts';
-import { agentRecordSchema } from '../../model/scheduler/jobRecord.ts';
+import { agentIdSchema, agentRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import { formatWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import type { StoreEntry } from '../../model/store.ts';
 import { releaseRun } from './jobChanges.ts';
-import { logEvent } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 /**
  * Applies an agent's stored record: its address, and the termination of its worker if the record
- * contains one. An unreadable record is ignored.
+ * contains one. An unreadable record is left aside; an agent known from an earlier version stays.
  */
-export function applyStoredAgent(
-  state: SchedulerState,
-  id: string,
-  value: unknown,
-  now: number,
-): void {
-  const record = parseValue(agentRecordSchema, value).toMaybe().extract();
-  if (record === undefined) {
-    logEvent(state, 'error', 'agent_unreadable', { agent: id });
+export function applyStoredAgent(state: SchedulerState, entry: StoreEntry, now: number): void {
+  const id = entry.key.slice(STORE_KEYS.agentPrefix.length);
+  const record = parseValue(agentRecordSchema, entry.value).toMaybe().extract();
+  if (record === undefined || parseValue(agentIdSchema, id).isLeft()) {
+    recordUnreadableEntry(state, 'agent_unreadable', entry, { agent: id });
     return;
   }
   addAgent(state, id, record);
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -1,6 +1,7 @@
+import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
+import { isFinalPhase, jobIdSchema } from '../../model/scheduler/jobRecord.ts';
 import { findQueue } from '../../model/scheduler/queueConfiguration.ts';
 import type { SchedulerArrival } from '../../model/scheduler/schedulerMessages.ts';
 import type { CallRow, SchedulerState } from '../../model/scheduler/schedulerState.ts';
@@ -26,7 +27,6 @@
 const MAX_COUNT_AGE_MS = 2_000;
 /** Ownership changes and links open within about 1 s. */
 const COUNT_RETRY_AFTER_MS = 1_000;
-const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
 
 /**
  * Answers callers: stores submitted jobs and cancellations, and returns phases and counts. Reads
@@ -95,7 +95,7 @@
       this.answerCount(state, arrival, queue.name, now);
       return;
     }
-    if (!JOB_ID_PATTERN.test(jobId)) {
+    if (parseValue(jobIdSchema, jobId).isLeft()) {
       refuseCall(
         state,
         arrival.callId,
--- a/src/systems/scheduler/intakeSystem.ts
+++ b/src/systems/scheduler/intakeSystem.ts
@@ -1,12 +1,13 @@
 import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import { STORE_KEYS, submittedJobSchema } from '../../model/scheduler/jobRecord.ts';
+import { jobIdSchema, STORE_KEYS, submittedJobSchema } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { applyStoredAgent } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 /** Short, because only the timeout that follows it reveals a dead connection. */
 const WATCH_WAIT_MS = 2_000;
@@ -167,7 +168,7 @@
     if (key.startsWith(STORE_KEYS.cancelPrefix)) {
       applyCancel(state, id);
     } else if (key.startsWith(STORE_KEYS.agentPrefix)) {
-      applyStoredAgent(state, id, value, now);
+      applyStoredAgent(state, { key, value, version: stored.version }, now);
     } else if (key.startsWith(STORE_KEYS.jobPrefix) && !state.jobs.has(id)) {
       this.addStoredJob(state, id, stored, now, source);
     }
@@ -184,8 +185,13 @@
     // A value that was read before the job was deleted may arrive after the deletion.
     if (version <= (state.deletedJobs.get(id)?.version ?? 0)) return;
     const job = parseValue(submittedJobSchema, value).toMaybe().extract();
-    if (job === undefined) {
-      logEvent(state, 'error', 'job_unreadable', { job: id });
+    if (job === undefined || parseValue(jobIdSchema, id).isLeft()) {
+      recordUnreadableEntry(
+        state,
+        'job_unreadable',
+        { key: STORE_KEYS.job(id), version },
+        { job: id },
+      );
       return;
     }
     addJob(state, id, job, now);
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -4,6 +4,7 @@
 import { OPERATOR_KEYS, operatorKeySchema } from '../../model/scheduler/queueConfiguration.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 /**
  * Interval at which the keys are compared with the store. A configuration must be in force within 2
@@ -174,20 +175,22 @@
 
   private applyWave(state: SchedulerState, id: string, version: number, value: unknown): void {
     const { waves } = state.operator;
+    const key = OPERATOR_KEYS.wave(id);
     if (version === 0) {
       waves.delete(id);
       return;
     }
     const parsed = parseValue(operatorKeySchema, value).toMaybe().extract();
     if (parsed?.kind === 'wave') waves.set(id, parsed.wave);
-    else logEvent(state, 'warn', 'wave_unreadable', { wave: id, version });
+    else recordUnreadableEntry(state, 'wave_unreadable', { key, version }, { wave: id });
   }
 
   private applyConfiguration(state: SchedulerState, version: number, value: unknown): void {
     const { operator } = state;
     const parsed = parseValue(operatorKeySchema, value).toMaybe().extract();
     if (parsed?.kind !== 'configuration') {
-      logEvent(state, 'warn', 'configuration_unreadable', { version });
+      const key = OPERATOR_KEYS.configuration;
+      recordUnreadableEntry(state, 'configuration_unreadable', { key, version }, {});
       return;
     }
     if (parsed.configuration.version < (operator.configuration?.version ?? 0)) return;
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -2,7 +2,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { OwnerRecord } from '../../model/scheduler/jobRecord.ts';
-import { ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import { epochSchema, ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import {
@@ -14,6 +14,7 @@
 } from './ownershipTimes.ts';
 import { resetToFollower } from './resetToFollower.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 const RENEWAL_INTERVAL_MS = 400;
 const RENEWAL_RETRY_DELAY_MS = 150;
@@ -156,13 +157,13 @@
     if (entry === undefined) return;
     if (entry.version === 0 || owner === undefined) {
       // An unreadable record names no owner, and it has overwritten the previous owner's key.
-      if (entry.version !== 0)
-        logEvent(state, 'error', 'owner_unreadable', { version: entry.version });
+      if (entry.version !== 0) recordUnreadableEntry(state, 'owner_unreadable', entry, {});
       if (entry.version === 0) this.tryClaim(state, now);
       else this.startClaim(state, entry.version);
       return;
     }
     ownership.vacantSince = Number.POSITIVE_INFINITY;
+    ownership.epoch = Math.max(ownership.epoch, owner.epoch);
     if (owner.entryId === state.self.id) {
       // The latest claim of this process, whose reply was lost. An earlier claim, or one of a dead
       // process with the same id, is attached to a lease that nobody renews.
@@ -199,8 +200,16 @@
     const entry = entries.find(({ key }) => key === STORE_KEYS.epoch);
     if (entry === undefined) return;
     state.ownership.epochKeyVersion = entry.version;
-    if (typeof entry.value === 'number')
-      state.ownership.epoch = Math.max(state.ownership.epoch, entry.value);
+    if (entry.version === 0) return;
+    parseValue(epochSchema, entry.value).caseOf({
+      // The next claim replaces the value; the epochs of owners that are known to this entry count.
+      Left: () => {
+        recordUnreadableEntry(state, 'epoch_unreadable', entry, {});
+      },
+      Right: (epoch) => {
+        state.ownership.epoch = Math.max(state.ownership.epoch, epoch);
+      },
+    });
   }
 
   /**
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -46,7 +46,8 @@
     if (state.ownership.role !== 'owner') return;
     for (const { agentId, message } of state.inbox.list('agentMessage')) {
       if (!state.agents.has(agentId)) continue;
-      state.agents.update(agentId, { lastMessageAt: tick.now });
+      // An agent that accepts links and closes them without a message stays in backoff.
+      state.agents.update(agentId, { lastMessageAt: tick.now, failures: 0 });
       if (message.kind === 'report') this.applyReport(state, agentId, message, tick.now);
     }
     this.releaseExpiredRuns(state, tick);
--- a/src/systems/scheduler/takeoverSystem.ts
+++ b/src/systems/scheduler/takeoverSystem.ts
@@ -2,17 +2,20 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import {
+  jobIdSchema,
   jobProgressSchema,
   STORE_KEYS,
   submittedJobSchema,
 } from '../../model/scheduler/jobRecord.ts';
 import type { JobProgress } from '../../model/scheduler/jobRecord.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import type { StoreEntry } from '../../model/store.ts';
 import { applyStoredAgent } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import type { StoredProgress } from './jobTables.ts';
 import { addJob } from './jobTables.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 /** A page of a slow store takes up to 0.4 s plus the transfer of its bytes. */
 const PAGE_TIMEOUT_MS = 1_000;
@@ -77,12 +80,12 @@
     const { load, ownership } = state;
     ownership.role = 'owner';
     ownership.loadedAt = tick.now;
-    for (const { key, value } of this.listEntries(state, STORE_KEYS.jobPrefix))
-      this.loadJob(state, key.slice(STORE_KEYS.jobPrefix.length), value, tick.now);
+    for (const entry of this.listEntries(state, STORE_KEYS.jobPrefix))
+      this.loadJob(state, entry, tick.now);
     for (const { key } of this.listEntries(state, STORE_KEYS.cancelPrefix))
       applyCancel(state, key.slice(STORE_KEYS.cancelPrefix.length));
-    for (const { key, value } of this.listEntries(state, STORE_KEYS.agentPrefix))
-      applyStoredAgent(state, key.slice(STORE_KEYS.agentPrefix.length), value, tick.now);
+    for (const entry of this.listEntries(state, STORE_KEYS.agentPrefix))
+      applyStoredAgent(state, entry, tick.now);
     load.entries.clear();
     state.intake.storeVersion = load.version;
     state.intake.watchAt = tick.now;
@@ -97,19 +100,17 @@
     });
   }
 
-  private listEntries(
-    state: SchedulerState,
-    prefix: string,
-  ): { readonly key: string; readonly value: unknown }[] {
+  private listEntries(state: SchedulerState, prefix: string): StoreEntry[] {
     return [...state.load.entries]
       .filter(([key]) => key.startsWith(prefix))
-      .map(([key, { value }]) => ({ key, value }));
+      .map(([key, { value, version }]) => ({ key, value, version }));
   }
 
-  private loadJob(state: SchedulerState, id: string, value: unknown, now: number): void {
-    const job = parseValue(submittedJobSchema, value).toMaybe().extract();
-    if (job === undefined) {
-      logEvent(state, 'error', 'job_unreadable', { job: id });
+  private loadJob(state: SchedulerState, entry: StoreEntry, now: number): void {
+    const id = entry.key.slice(STORE_KEYS.jobPrefix.length);
+    const job = parseValue(submittedJobSchema, entry.value).toMaybe().extract();
+    if (job === undefined || parseValue(jobIdSchema, id).isLeft()) {
+      recordUnreadableEntry(state, 'job_unreadable', entry, { job: id });
       return;
     }
     addJob(state, id, job, now, this.findProgress(state, id));
@@ -120,7 +121,9 @@
     if (entry === undefined) return undefined;
     const progress = parseValue(jobProgressSchema, entry.value).toMaybe().extract();
     if (progress === undefined) {
-      logEvent(state, 'error', 'progress_unreadable', { job: id, version: entry.version });
+      const { version } = entry;
+      const key = STORE_KEYS.progress(id);
+      recordUnreadableEntry(state, 'progress_unreadable', { key, version }, { job: id });
       // The next write must expect this version to replace the value; otherwise no write of the job
       // succeeds.
       return { version: entry.version, progress: EMPTY_PROGRESS };
--- a/src/systems/scheduler/transferStore.ts
+++ b/src/systems/scheduler/transferStore.ts
@@ -5,7 +5,8 @@
 import type { TransferRecord } from '../../model/scheduler/transferRecord.ts';
 import { transferRecordSchema } from '../../model/scheduler/transferRecord.ts';
 import type { StoreEntry, StoreReply } from '../../model/store.ts';
-import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { listStoreReplies, sendStoreCall } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 const LOAD_PURPOSE = 'transferLoad';
 const WRITE_PURPOSE = 'transferWrite';
@@ -48,7 +49,7 @@
   const id = key.slice(STORE_KEYS.transferPrefix.length);
   const record = parseValue(transferRecordSchema, value).toMaybe().extract();
   if (record === undefined) {
-    logEvent(state, 'error', 'transfer_unreadable', { instance: id, version });
+    recordUnreadableEntry(state, 'transfer_unreadable', { key, version }, { instance: id });
     return;
   }
   const { home, pool, heading: direction, isSettled } = record;
--- a/src/systems/scheduler/waveSystem.ts
+++ b/src/systems/scheduler/waveSystem.ts
@@ -9,6 +9,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry, StoreReply } from '../../model/store.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
+import { recordUnreadableEntry } from './unreadableEntries.ts';
 import { recordWaveChange } from './waveChanges.ts';
 
 const READ = 'waveRead';
@@ -134,7 +135,7 @@
     const startedAt =
       progress === undefined ? row.startedAt : progress.startedAtMs - state.wallOffsetMs;
     for (const instanceId of row.wave.instances) {
-      const stored = progress?.instances[instanceId] ?? 'waiting';
+      const stored = findStoredPhase(progress, instanceId) ?? 'waiting';
       // A completed wave sends no more commands, so instances that are still down do not count.
       const isOver = stored === 'begun' && progress?.isCompleted === true;
       addInstance(state, row.id, instanceId, isOver ? 'back' : stored, now);
@@ -168,7 +169,12 @@
     const progress = parseValue(waveProgressSchema, value).toMaybe().extract();
     // Without its progress every command is repeated; the platform answers those already executed.
     if (progress === undefined)
-      logEvent(state, 'error', 'wave_progress_unreadable', { wave: row.id, version });
+      recordUnreadableEntry(
+        state,
+        'wave_progress_unreadable',
+        { key: STORE_KEYS.waveProgress(row.id), version },
+        { wave: row.id },
+      );
     return progress;
   }
 
@@ -198,6 +204,15 @@
   }
 }
 
+/** Names of instances come from the operator, and may be those of members of every object. */
+function findStoredPhase(
+  progress: WaveProgress | undefined,
+  instanceId: string,
+): WaveProgress['instances'][string] | undefined {
+  if (progress === undefined || !Object.hasOwn(progress.instances, instanceId)) return undefined;
+  return progress.instances[instanceId];
+}
+
 function findByCall({ fleet }: SchedulerState, callId: string): WaveRow | undefined {
   for (const row of fleet.waves.values()) if (row.callId === callId) return row;
   return undefined;
--- a/test/docs/operationsPage.test.ts
+++ b/test/docs/operationsPage.test.ts
@@ -118,6 +118,7 @@
         /\.write\(\s*'(?:info|warn|error)',\s*'([a-z_]+)'/g,
         /log(?:Agent)?Event\(\s*state,\s*'(?:info|warn|error)',\s*'([a-z_]+)'/g,
         /logEvent\(\s*state,\s*[^,;]*\? '\w+' : '\w+',\s*'([a-z_]+)'/g,
+        /recordUnreadableEntry\(\s*state,\s*'([a-z_]+)'/g,
       ];
       const written = patterns.flatMap((pattern) =>
         [...source.matchAll(pattern)].map((match) => match[1]!),
--- a/test/docs/operatorsPage.test.ts
+++ b/test/docs/operatorsPage.test.ts
@@ -61,6 +61,7 @@
       ...listNames(/event: '([a-z_]+)'/g),
       ...listNames(/\.write\(\s*'(?:info|warn|error)',\s*'([a-z_]+)'/g),
       ...listNames(/log(?:Endpoint|Member)\(state, '([a-z_]+)'/g),
+      ...listNames(/recordUnreadableEntry\(\s*state,\s*'([a-z_]+)'/g),
       ...listNames(/log(?:Agent)?Event\(\s*state,\s*'(?:info|warn|error)',\s*'([a-z_]+)'/g),
     ];
     expect(events.length).toBeGreaterThan(10);
