Contain unexpected exceptions instead of ending the process

Cause: an exception inside a system, the handler of an effect, a callback or a promise had no owner and ended the process; where its cause lay in the store, each successor ended too. A wake-up weeks ahead made Node.js fire the timer at once, so that the loop would spin.

Change: the loop passes exceptions to a handler and goes on with the next system or effect. After one of a system an owner gives up its ownership, because the next owner builds the tables from the store, and an agent closes the owner's link, whose commands are repeated. Clients that reject count as unanswered. The loop caps its timers, and a closed output no longer ends a process.

The daemons of the earlier path still end.

--- a/src/base/common/loop.ts
+++ b/src/base/common/loop.ts
@@ -25,6 +25,14 @@
   readonly slowestMs: number;
 }
 
+/** An exception that a system, or the handler of an effect, has thrown. */
+export interface LoopFailure {
+  readonly source: 'system' | 'effect';
+  /** Name of the system, or kind of the effect. */
+  readonly name: string;
+  readonly error: unknown;
+}
+
 export interface LoopOptions<
   Arrival extends KindedMessage,
   Effect extends KindedMessage,
@@ -37,8 +45,18 @@
   /** Executes one effect. Its result is received by the loop as an arrival. */
   readonly handleEffect: (effect: Effect) => void;
   readonly recordTick?: (report: TickReport) => void;
+  /**
+   * Handles an exception; the tick then continues with the next system or effect. Without a handler
+   * the exception leaves the tick.
+   */
+  readonly handleFailure?: (failure: LoopFailure) => void;
 }
 
+/** Delay of the tick that runs a failed system again; its wake-up time is not known. */
+const FAILURE_RETRY_DELAY_MS = 200;
+/** Node.js fires a timer with a delay above 2^31-1 ms at once; an earlier tick only re-schedules. */
+const MAX_TIMER_DELAY_MS = 60 * 60 * 1_000;
+
 /**
  * Decides when the systems of a process run and which time they see. A tick runs every system once
  * over the received messages and then passes the queued effects to the adapters.
@@ -75,7 +93,12 @@
 
   /** Schedules a tick as soon as possible. */
   wake(): void {
-    this.scheduleTick(this.options.clock.now);
+    this.wakeAt(this.options.clock.now);
+  }
+
+  /** Schedules a tick no later than the given time. */
+  wakeAt(timeMs: number): void {
+    this.scheduleTick(timeMs);
   }
 
   /** Runs one tick now and returns the earliest time at which a system requests the next one. */
@@ -94,7 +117,7 @@
     let slowestMs = 0;
     let startedAt = now;
     for (const system of systems) {
-      system.run(state, tick);
+      this.runSystem(system, tick);
       const endedAt = clock.now;
       if (endedAt - startedAt > slowestMs) {
         slowestSystem = system.name;
@@ -103,7 +126,7 @@
       startedAt = endedAt;
     }
     const arrivals = state.inbox.removeAll().length;
-    for (const effect of state.outbox.removeAll()) this.options.handleEffect(effect);
+    for (const effect of state.outbox.removeAll()) this.handleEffect(effect);
     const durationMs = clock.now - now;
     this.options.recordTick?.({ durationMs, arrivals, slowestSystem, slowestMs });
     return wakeAt;
@@ -114,11 +137,33 @@
     this.pendingTimer?.dispose();
   }
 
+  private runSystem(system: System<State>, tick: Tick): void {
+    try {
+      system.run(this.options.state, tick);
+    } catch (error) {
+      this.handleFailure({ source: 'system', name: system.name, error });
+      tick.wakeAt(tick.now + FAILURE_RETRY_DELAY_MS);
+    }
+  }
+
+  private handleEffect(effect: Effect): void {
+    try {
+      this.options.handleEffect(effect);
+    } catch (error) {
+      this.handleFailure({ source: 'effect', name: effect.kind, error });
+    }
+  }
+
+  private handleFailure(failure: LoopFailure): void {
+    if (this.options.handleFailure === undefined) throw failure.error;
+    this.options.handleFailure(failure);
+  }
+
   private scheduleTick(timeMs: number): void {
     if (this.timer === undefined || this.isDisposed || timeMs >= this.pendingTickAt) return;
     this.pendingTimer?.dispose();
     this.pendingTickAt = timeMs;
-    const delayMs = Math.max(0, timeMs - this.options.clock.now);
+    const delayMs = Math.min(MAX_TIMER_DELAY_MS, Math.max(0, timeMs - this.options.clock.now));
     this.pendingTimer = this.timer.schedule(delayMs, () => {
       this.pendingTimer = undefined;
       this.pendingTickAt = Number.POSITIVE_INFINITY;
--- a/src/base/node/boundedLog.ts
+++ b/src/base/node/boundedLog.ts
@@ -26,8 +26,14 @@
   /** Number of dropped lines since the start. */
   leftOutLines = 0;
 
+  private isOutputClosed = false;
+
   private constructor(private readonly output: Writable) {
     super(false);
+    // A reader that is gone makes each write fail; an unhandled error event would end the process.
+    output.on('error', () => {
+      this.isOutputClosed = true;
+    });
   }
 
   static createFor(output: Writable): BoundedLog {
@@ -46,7 +52,7 @@
       window.startMs = now;
       window.lines = 0;
     }
-    const isFull = this.output.writableLength > MAX_BUFFERED_BYTES;
+    const isFull = this.isOutputClosed || this.output.writableLength > MAX_BUFFERED_BYTES;
     if (window.lines >= MAX_LINES_PER_WINDOW[level] || isFull) {
       window.dropped += 1;
       this.leftOutLines += 1;
--- a/src/daemons/loopDaemon.ts
+++ b/src/daemons/loopDaemon.ts
@@ -1,5 +1,6 @@
 import { randomInt } from 'node:crypto';
 import type { Clock } from '../base/common/clock.ts';
+import type { Counters } from '../base/common/counters.ts';
 import type { Disposable } from '../base/common/disposable.ts';
 import type { LoopState, TickReport } from '../base/common/loop.ts';
 import { Loop } from '../base/common/loop.ts';
@@ -9,6 +10,7 @@
 import type { LogWriter } from '../base/node/logWriter.ts';
 import { Metrics } from '../base/node/metrics.ts';
 import { NodeClock, NodeTimer } from '../base/node/nodeClock.ts';
+import { FailureMonitor } from './failureMonitor.ts';
 
 /** A longer tick noticeably delays every timeout and answer of the process. */
 const SLOW_TICK_MS = 100;
@@ -19,9 +21,11 @@
 export abstract class LoopDaemon<
   Arrival extends KindedMessage,
   Effect extends KindedMessage,
-  State extends LoopState<Arrival, Effect>,
+  State extends LoopState<Arrival, Effect> & { readonly counters: Counters },
 > implements Disposable {
   readonly metrics = Metrics.create();
+  /** Exceptions of the process that did not end it. */
+  readonly failures: FailureMonitor;
   protected readonly clock: Clock = NodeClock.create();
   protected readonly loop: Loop<Arrival, Effect, State>;
   private resolveStopped: () => void = () => undefined;
@@ -35,6 +39,7 @@
     systems: readonly System<State>[],
     protected readonly log: LogWriter,
   ) {
+    this.failures = FailureMonitor.create(log, state.counters, this.clock);
     this.loop = Loop.create<Arrival, Effect, State>(
       {
         state,
@@ -47,6 +52,10 @@
         recordTick: (report) => {
           this.recordTick(report);
         },
+        handleFailure: ({ source, name, error }) => {
+          this.failures.record(source, name, error);
+          if (source === 'system') this.recoverFrom(name);
+        },
       },
       NodeTimer.create(),
     );
@@ -60,6 +69,9 @@
   /** Executes one effect of the loop. */
   protected abstract handleEffect(effect: Effect): void;
 
+  /** Discards the state that the failed system may have left inconsistent. */
+  protected abstract recoverFrom(system: string): void;
+
   /** Resolves {@link stopped}. */
   protected completeStop(): void {
     this.resolveStopped();
--- a/src/daemons/runnerAgentDaemon.ts
+++ b/src/daemons/runnerAgentDaemon.ts
@@ -12,6 +12,7 @@
 import { JsonLink, JsonLinkServer } from '../protocol/node/jsonLinks.ts';
 import type { RunnerClient } from '../protocol/node/runnerClient.ts';
 import type { StoreClient } from '../protocol/node/storeClient.ts';
+import { resetOwnerLink } from '../systems/runnerAgent/agentCalls.ts';
 import { createRunnerAgentSystems } from '../systems/runnerAgent/runnerAgentSystems.ts';
 import { LoopDaemon } from './loopDaemon.ts';
 import type { LinkAddress } from './schedulerDaemon.ts';
@@ -92,6 +93,10 @@
     this.ownerLinks.set(linkId, link);
   }
 
+  protected override recoverFrom(): void {
+    resetOwnerLink(this.state, this.clock.now);
+  }
+
   protected override handleEffect(effect: RunnerAgentEffect): void {
     switch (effect.kind) {
       case 'log':
@@ -99,8 +104,14 @@
         return;
       case 'callRunner': {
         const sentAt = this.clock.now;
-        void this.runner
-          .send(effect.address, effect.workerId, effect.call, effect.timeoutMs)
+        const call = this.runner.send(
+          effect.address,
+          effect.workerId,
+          effect.call,
+          effect.timeoutMs,
+        );
+        void this.failures
+          .completeCall('worker', call, (message) => ({ kind: 'noAnswer' as const, message }))
           .then((reply) => {
             this.metrics.recordDuration(
               'worker_call_duration_ms',
@@ -120,9 +131,14 @@
         this.ownerLinks.delete(effect.linkId);
         return;
       case 'callStore':
-        void this.store.send(effect.call, effect.timeoutMs).then((reply) => {
-          this.loop.receive({ kind: 'storeReply', callId: effect.callId, reply });
-        });
+        void this.failures
+          .completeCall('store', this.store.send(effect.call, effect.timeoutMs), (message) => ({
+            kind: 'unavailable' as const,
+            message,
+          }))
+          .then((reply) => {
+            this.loop.receive({ kind: 'storeReply', callId: effect.callId, reply });
+          });
         return;
       case 'exit':
         this.completeStop();
--- a/src/daemons/schedulerDaemon.ts
+++ b/src/daemons/schedulerDaemon.ts
@@ -13,6 +13,7 @@
 import type { SchedulerIdentity, SchedulerState } from '../model/scheduler/schedulerState.ts';
 import { createSchedulerState } from '../model/scheduler/schedulerState.ts';
 import { JsonLink, JsonLinkServer } from '../protocol/node/jsonLinks.ts';
+import { recoverFromFailure } from '../systems/scheduler/failureRecovery.ts';
 import { buildJobExplanation } from '../systems/scheduler/jobExplanation.ts';
 import { OWNER_HANDSHAKE_TIMEOUT_MS } from '../systems/scheduler/ownershipTimes.ts';
 import { createSchedulerSystems } from '../systems/scheduler/schedulerSystems.ts';
@@ -40,7 +41,7 @@
 
   private constructor(state: SchedulerState, services: ExternalServices, log: LogWriter) {
     super(state, createSchedulerSystems(), log);
-    this.services = ServiceCalls.create(services, this.clock, this.metrics, (arrival) => {
+    this.services = ServiceCalls.create(services, this.clock, this, (arrival) => {
       if (arrival.kind === 'storeReply') this.readWallClock();
       this.loop.receive(arrival);
     });
@@ -139,6 +140,10 @@
     this.loop.receive({ kind: 'peerLink', peerId, isOpen: true });
   }
 
+  protected override recoverFrom(system: string): void {
+    recoverFromFailure(this.state, system, this.clock.now);
+  }
+
   protected override handleEffect(effect: SchedulerEffect): void {
     switch (effect.kind) {
       case 'log':
--- a/src/daemons/serviceCalls.ts
+++ b/src/daemons/serviceCalls.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../base/common/clock.ts';
 import type { Disposable } from '../base/common/disposable.ts';
 import type { Metrics } from '../base/node/metrics.ts';
+import type { FailureMonitor } from './failureMonitor.ts';
 import type { SchedulerArrival, SchedulerEffect } from '../model/scheduler/schedulerMessages.ts';
 import type { AdviceClient } from '../protocol/node/adviceClient.ts';
 import type { InstanceClient } from '../protocol/node/instanceClient.ts';
@@ -13,6 +14,18 @@
   readonly instances: InstanceClient;
 }
 
+/** Where the process records durations and failures of its calls. */
+export interface CallRecords {
+  readonly metrics: Metrics;
+  readonly failures: FailureMonitor;
+}
+
+/** The reply of every service to a call without an answer. */
+interface ServiceFailure {
+  readonly kind: 'unavailable';
+  readonly message: string;
+}
+
 type ServiceEffect<Kind extends SchedulerEffect['kind']> = Extract<SchedulerEffect, { kind: Kind }>;
 
 /** Sends an entry's calls to the platform's services and forwards the replies to its loop. */
@@ -20,25 +33,26 @@
   private constructor(
     private readonly services: ExternalServices,
     private readonly clock: Clock,
-    private readonly metrics: Metrics,
+    private readonly records: CallRecords,
     private readonly receive: (arrival: SchedulerArrival) => void,
   ) {}
 
   static create(
     services: ExternalServices,
     clock: Clock,
-    metrics: Metrics,
+    records: CallRecords,
     receive: (arrival: SchedulerArrival) => void,
   ): ServiceCalls {
-    return new ServiceCalls(services, clock, metrics, receive);
+    return new ServiceCalls(services, clock, records, receive);
   }
 
   callStore({ call, callId, timeoutMs }: ServiceEffect<'callStore'>): void {
     const sentAt = this.clock.now;
-    void this.services.store.send(call, timeoutMs).then((reply) => {
+    const pending = this.services.store.send(call, timeoutMs);
+    void this.completeCall('store', pending).then((reply) => {
       // A watch waits for changes, so its duration does not measure the latency of the store.
       if (call.op !== 'watchPrefix')
-        this.metrics.recordDuration(
+        this.records.metrics.recordDuration(
           'store_call_duration_ms',
           { op: call.op, result: reply.kind },
           this.clock.now - sentAt,
@@ -49,15 +63,17 @@
 
   requestAdvice({ callId, request, timeoutMs }: ServiceEffect<'requestAdvice'>): void {
     const sentAt = this.clock.now;
-    void this.services.adviser.request(request, timeoutMs).then((reply) => {
+    const pending = this.services.adviser.request(request, timeoutMs);
+    void this.completeCall('adviser', pending).then((reply) => {
       this.receive({ kind: 'adviceReply', callId, reply, sentAt });
     });
   }
 
   callInstances({ callId, call, timeoutMs }: ServiceEffect<'callInstances'>): void {
     const sentAt = this.clock.now;
-    void this.services.instances.send(call, timeoutMs).then((reply) => {
-      this.metrics.recordDuration(
+    const pending = this.services.instances.send(call, timeoutMs);
+    void this.completeCall('instances', pending).then((reply) => {
+      this.records.metrics.recordDuration(
         'instance_call_duration_ms',
         { op: call.op, result: reply.kind },
         this.clock.now - sentAt,
@@ -70,4 +86,14 @@
     const { store, adviser, instances } = this.services;
     for (const client of [store, adviser, instances]) client.dispose();
   }
+
+  private async completeCall<Reply>(
+    service: string,
+    reply: Promise<Reply | ServiceFailure>,
+  ): Promise<Reply | ServiceFailure> {
+    return this.records.failures.completeCall(service, reply, (message) => ({
+      kind: 'unavailable',
+      message,
+    }));
+  }
 }
--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -1,6 +1,6 @@
 // Main program of an agent on the users' platform.
 import { BoundedLog } from '../base/node/boundedLog.ts';
-import { runUntilStopped } from '../cli/runDaemon.ts';
+import { handleUncaughtErrors, runUntilStopped } from '../cli/runDaemon.ts';
 import { openMetricsServer } from '../daemons/metricsAddress.ts';
 import { RunnerAgentDaemon } from '../daemons/runnerAgentDaemon.ts';
 import { listProcessGauges, listRunnerAgentGauges } from '../daemons/schedulerGauges.ts';
@@ -22,6 +22,7 @@
   WireRunnerClient.create(),
   log,
 );
+handleUncaughtErrors(daemon.failures);
 const status = {
   counters: daemon.state.counters,
   metrics: daemon.metrics,
--- a/src/platform/entryMain.ts
+++ b/src/platform/entryMain.ts
@@ -1,7 +1,7 @@
 // Main program of an entry on the users' platform.
 import { randomUUID } from 'node:crypto';
 import { BoundedLog } from '../base/node/boundedLog.ts';
-import { runUntilStopped } from '../cli/runDaemon.ts';
+import { handleUncaughtErrors, runUntilStopped } from '../cli/runDaemon.ts';
 import { openMetricsServer } from '../daemons/metricsAddress.ts';
 import { SchedulerDaemon } from '../daemons/schedulerDaemon.ts';
 import { listProcessGauges, listSchedulerGauges } from '../daemons/schedulerGauges.ts';
@@ -35,6 +35,7 @@
   },
   log,
 );
+handleUncaughtErrors(daemon.failures);
 const status = {
   counters: daemon.state.counters,
   metrics: daemon.metrics,
--- a/src/platform/wireFront.ts
+++ b/src/platform/wireFront.ts
@@ -22,7 +22,10 @@
 
   private constructor(private readonly daemon: SchedulerDaemon) {
     this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (request, response) => {
-      void this.receive(request, response);
+      this.receive(request, response).catch((error: unknown) => {
+        daemon.failures.record('callback', 'front', error);
+        this.send(response, 500, { error: 'internal error' });
+      });
     });
   }
 
--- a/src/protocol/node/statusServer.ts
+++ b/src/protocol/node/statusServer.ts
@@ -28,7 +28,7 @@
         void source.metrics.render(source.counters.list(), source.listGauges()).then((page) => {
           response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page);
         });
-      } else if (!handler(request, response)) {
+      } else if (!handleRequest(handler, request, response)) {
         response.writeHead(404).end();
       }
     });
@@ -45,3 +45,17 @@
     this.server.closeAllConnections();
   }
 }
+
+/** Answers a request whose handler throws, and passes the exception on. */
+function handleRequest(
+  handler: RequestHandler,
+  request: IncomingMessage,
+  response: ServerResponse,
+): boolean {
+  try {
+    return handler(request, response);
+  } catch (error) {
+    response.writeHead(500).end();
+    throw error;
+  }
+}
--- a/src/systems/runnerAgent/agentCalls.ts
+++ b/src/systems/runnerAgent/agentCalls.ts
@@ -61,6 +61,17 @@
   state.owner.reportAt = now;
 }
 
+/** Closes the link to the owner and drops its commands; the owner reopens the link and repeats them. */
+export function resetOwnerLink(state: RunnerAgentState, now: number): void {
+  const { owner, poll } = state;
+  if (owner.linkId !== '')
+    state.outbox.append({ kind: 'closeOwner', linkId: owner.linkId, isSilent: true });
+  owner.linkId = '';
+  state.commands.clear();
+  poll.callId = '';
+  poll.nextAt = now;
+}
+
 /** Sends a message to the owner; without a link it is dropped, because the owner repeats its commands. */
 export function sendOwner(state: RunnerAgentState, message: AgentMessage): void {
   if (state.owner.linkId === '') return;
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -2,7 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { OwnerCommand } from '../../model/scheduler/linkMessages.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
-import { logAgentEvent, sendOwner } from './agentCalls.ts';
+import { logAgentEvent, resetOwnerLink, sendOwner } from './agentCalls.ts';
 
 type WorkerCommand = Exclude<OwnerCommand, { kind: 'hello' | 'grant' | 'heartbeat' }>;
 
@@ -42,7 +42,7 @@
     }
     if (state.owner.linkId === '') return;
     if (tick.now > state.owner.lastMessageAt + OWNER_SILENCE_TIMEOUT_MS) {
-      this.dropSilentLink(state);
+      this.dropSilentLink(state, tick.now);
       return;
     }
     tick.wakeAt(state.owner.lastMessageAt + OWNER_SILENCE_TIMEOUT_MS + 1);
@@ -63,11 +63,9 @@
   }
 
   /** Closes the link, so that the owner opens a new one for its commands. */
-  private dropSilentLink(state: RunnerAgentState): void {
+  private dropSilentLink(state: RunnerAgentState, now: number): void {
     logAgentEvent(state, 'warn', 'owner_lost', { epoch: state.owner.epoch, link: 'silent' });
-    state.outbox.append({ kind: 'closeOwner', linkId: state.owner.linkId, isSilent: true });
-    state.owner.linkId = '';
-    state.commands.clear();
+    resetOwnerLink(state, now);
   }
 
   private receiveCommand(
--- a/test/docs/operationsPage.test.ts
+++ b/test/docs/operationsPage.test.ts
@@ -16,6 +16,7 @@
   'src/systems/runnerAgent',
   'src/platform',
   'src/base/node/boundedLog.ts',
+  'src/daemons/failureMonitor.ts',
   'src/daemons/loopDaemon.ts',
   'src/daemons/schedulerDaemon.ts',
   'src/daemons/serviceCalls.ts',
