Leave odd rows of lists, heartbeats and configurations aside

Cause: one row of another form hid all the others: of a worker's lists of runs, of the routes of the configuration, of the adviser's tickets. A heartbeat with a start time far ahead made the agent ignore the real worker for ever. A job whose counts add up to millions of tasks, which a body of 20 bytes can name, exhausted the memory of each owner in turn. A deadline that is no number kept a call for ever.

Change: odd rows are left aside; lists without them count as incomplete, and ends after an unreadable one wait, because acknowledging them would acknowledge it. Heartbeats have ranges; a job has at most 10,000 tasks over its occurrences, which its progress record has room for.

Pages of the service for instances are still rejected whole: a machine that is not listed would count as removed.

--- a/src/model/scheduler/jobSpec.ts
+++ b/src/model/scheduler/jobSpec.ts
@@ -48,7 +48,21 @@
 /** A job has at least one step; the upper bound limits the size of a stored job. */
 export const STEP_COUNT_CHECKS = [z.minLength(1), z.maxLength(1_000)] as const;
 
-export const jobSpecSchema = z.object({
+/**
+ * Most tasks of a job over all its occurrences. The owner keeps a row for each, and its progress, about
+ * 100 bytes for each, is one value of the store, which holds 1 MB.
+ */
+export const MAX_JOB_TASKS = 10_000;
+
+function hasBoundedTasks(spec: {
+  readonly steps: readonly { readonly count: number }[];
+  readonly occurrences: number;
+}): boolean {
+  const tasks = spec.steps.reduce((sum, { count }) => sum + count, 0);
+  return tasks * Math.max(1, spec.occurrences) <= MAX_JOB_TASKS;
+}
+
+const unboundedJobSpecSchema = z.object({
   /** Opaque to the scheduler; passed to the worker. */
   payload: z._default(z.string().check(z.maxLength(4_000)), ''),
   steps: z.array(stepSpecSchema).check(...STEP_COUNT_CHECKS),
@@ -58,6 +72,13 @@
   startAtMs: z._default(z.number(), 0),
   intervalMs: z._default(z.number(), 0),
 });
+
+export const jobSpecSchema = unboundedJobSpecSchema.check(
+  z.refine(hasBoundedTasks, {
+    error: `a job may have at most ${MAX_JOB_TASKS} tasks over all its occurrences`,
+    path: ['steps'],
+  }),
+);
 export type JobSpec = z.infer<typeof jobSpecSchema>;
 
 /** Lists dependencies on steps that do not precede the dependent step. */
--- a/src/model/scheduler/queueConfiguration.ts
+++ b/src/model/scheduler/queueConfiguration.ts
@@ -44,6 +44,8 @@
   queues: z.array(queueSchema),
   pools: z._default(z.array(poolSchema), []),
   maxBodyBytes: z.number(),
+  /** Number of queues and pools that could not be read and are left aside. */
+  unreadableItems: z._default(z.int(), 0),
 });
 export type QueueConfiguration = z.infer<typeof queueConfigurationSchema>;
 
--- a/src/platform/wireAdviceClient.ts
+++ b/src/platform/wireAdviceClient.ts
@@ -3,8 +3,9 @@
 import { AdviceClient } from '../protocol/node/adviceClient.ts';
 import { WireHttp } from './wireHttp.ts';
 
-/** `good` holds pairs of worker id and ticket. */
-const adviceSchema = z.object({ good: z.array(z.tuple([z.string(), z.string()])) });
+/** Worker id and ticket. */
+const ticketSchema = z.tuple([z.string(), z.string()]);
+const adviceSchema = z.object({ good: z.array(z.unknown()) });
 
 /** Client of the platform's placement adviser, which names the workers that a policy allows. */
 export class WireAdviceClient extends AdviceClient {
@@ -33,10 +34,14 @@
     const parsed = z.safeParse(adviceSchema, outcome.body);
     if (outcome.status !== 200 || !parsed.success)
       return { kind: 'unavailable', message: `unexpected answer ${outcome.status}` };
-    return {
-      kind: 'advice',
-      tickets: parsed.data.good.map(([workerId, ticket]) => ({ workerId, ticket })),
-    };
+    // A row that cannot be read allows no worker; the others hold.
+    const tickets = parsed.data.good.flatMap((row) => {
+      const pair = z.safeParse(ticketSchema, row);
+      return pair.success ? [{ workerId: pair.data[0], ticket: pair.data[1] }] : [];
+    });
+    if (tickets.length === 0 && parsed.data.good.length > 0)
+      return { kind: 'unavailable', message: 'no row of the answer can be read' };
+    return { kind: 'advice', tickets };
   }
 
   override dispose(): void {
--- a/src/platform/wireConfiguration.ts
+++ b/src/platform/wireConfiguration.ts
@@ -27,23 +27,38 @@
 
 const configurationSchema = z.object({
   version: z.number(),
-  routes: z.array(routeSchema),
-  services: z._default(z.array(serviceSchema), []),
+  routes: z.array(z.unknown()),
+  services: z._default(z.array(z.unknown()), []),
   limits: z._default(z.object({ max_body_bytes: z._default(z.number(), 262_144) }), {
     max_body_bytes: 262_144,
   }),
 });
 
+/** Reads the items that match the schema; others are left aside and change nothing for these. */
+function decodeItems<Schema extends z.ZodMiniType>(
+  schema: Schema,
+  items: readonly unknown[],
+): z.output<Schema>[] {
+  return items.flatMap((item) => {
+    const parsed = z.safeParse(schema, item);
+    return parsed.success ? [parsed.data] : [];
+  });
+}
+
 /** Decodes the operator's configuration; returns undefined if it is invalid. */
 export function decodeConfiguration(value: unknown): OperatorKey | undefined {
   const parsed = z.safeParse(configurationSchema, value);
   if (!parsed.success) return undefined;
-  const { version, routes, services, limits } = parsed.data;
+  const { version, limits } = parsed.data;
+  const routes = decodeItems(routeSchema, parsed.data.routes);
+  const services = decodeItems(serviceSchema, parsed.data.services);
+  const itemCount = parsed.data.routes.length + parsed.data.services.length;
   return {
     kind: 'configuration',
     configuration: {
       version,
       maxBodyBytes: limits.max_body_bytes,
+      unreadableItems: itemCount - routes.length - services.length,
       pools: services.map(({ name, spare }) => ({ name, isSpare: spare })),
       queues: routes.map((route) => ({
         name: route.name,
--- a/src/platform/wireFront.ts
+++ b/src/platform/wireFront.ts
@@ -13,6 +13,7 @@
 
 /** Deadline of a request without a `deadline-ms` header. */
 const DEFAULT_DEADLINE_MS = 3_000;
+const MAX_DEADLINE_MS = 10 * 60 * 1_000;
 /** Exceeds the platform's idle timeout, so that the balancer closes idle connections first. */
 const KEEP_ALIVE_TIMEOUT_MS = 20_000;
 
@@ -60,7 +61,7 @@
         host: (request.headers.host ?? '').toLowerCase(),
         path,
         call,
-        deadlineMs: Number(request.headers['deadline-ms'] ?? DEFAULT_DEADLINE_MS),
+        deadlineMs: parseDeadline(request.headers['deadline-ms']),
       },
       (answer) => {
         this.sendAnswer(response, answer);
@@ -110,6 +111,12 @@
   }
 }
 
+/** Any text may arrive; a call without a deadline would be kept for ever. */
+function parseDeadline(header: string | string[] | undefined): number {
+  const deadlineMs = Number(header ?? DEFAULT_DEADLINE_MS);
+  return deadlineMs >= 0 ? Math.min(deadlineMs, MAX_DEADLINE_MS) : DEFAULT_DEADLINE_MS;
+}
+
 function decodeCall(method: string, body: unknown): QueueCall | string {
   if (method === 'GET') return { kind: 'read' };
   if (method === 'DELETE') return { kind: 'cancel' };
--- a/src/platform/wireHeartbeats.ts
+++ b/src/platform/wireHeartbeats.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import * as z from 'zod/mini';
+import { readWallClock } from '../base/node/nodeClock.ts';
 import { addressSchema } from '../model/address.ts';
 import type { WorkerHeartbeat } from '../model/scheduler/runnerAgentState.ts';
 import { decodePathSegment } from '../protocol/node/requestPath.ts';
@@ -9,23 +10,37 @@
 /** Maximum size of a heartbeat on the platform. */
 const MAX_HEARTBEAT_BYTES = 4 * 1024 * 1024;
 
+/** Ids of workers become part of worker keys, `AGENT|WORKER|BORN`, and of a header. */
+const WORKER_ID = /^[\x21-\x7b\x7d\x7e]+$/;
+/**
+ * A start time further ahead is not that of a worker: the real one would count as an earlier
+ * incarnation for ever. Clocks of instances differ by less.
+ */
+const MAX_CLOCK_LEAD_MS = 24 * 60 * 60 * 1_000;
+const MAX_LABELS = 1_000;
+const MAX_TEXT_LENGTH = 1_000;
+
+const textSchema = z.string().check(z.maxLength(MAX_TEXT_LENGTH));
+const amountSchema = z.number().check(z.minimum(0), z.maximum(Number.MAX_SAFE_INTEGER));
+const wholeSchema = z.int().check(z.minimum(0));
+
 const heartbeatSchema = z.object({
-  service: z.string(),
+  service: textSchema,
   addr: addressSchema,
-  zone: z.string(),
+  zone: textSchema,
   state: z.enum(['ready', 'draining']),
   /** Increases with each heartbeat; identifies heartbeats that arrive out of order. */
-  seq: z.number(),
+  seq: wholeSchema,
   /** Start of the incarnation, wall-clock ms since 1970. */
-  born: z._default(z.number(), 0),
+  born: z._default(wholeSchema, 0),
   capacity: z.object({
-    cpu: z.number(),
-    mem_mb: z.number(),
-    gpu: z._default(z.number(), 0),
+    cpu: amountSchema,
+    mem_mb: amountSchema,
+    gpu: z._default(amountSchema, 0),
   }),
-  labels: z._default(z.array(z.string()), []),
+  labels: z._default(z.array(textSchema).check(z.maxLength(MAX_LABELS)), []),
   /** Minimum time that remains while the worker drains. */
-  drain_left_ms: z._default(z.number(), 0),
+  drain_left_ms: z._default(amountSchema, 0),
 });
 
 /** Callbacks for the heartbeats of a worker. */
@@ -44,7 +59,7 @@
   const match = HEARTBEAT_PATH.exec(request.url ?? '');
   if (match === null || request.method !== 'POST') return false;
   const workerId = decodePathSegment(match[1] ?? '');
-  if (workerId === undefined) return false;
+  if (workerId === undefined || !WORKER_ID.test(workerId)) return false;
   void readJsonBody(request, MAX_HEARTBEAT_BYTES).then((body) => {
     if (body.kind === 'cut') return;
     if (match[2] === 'leave') {
@@ -59,6 +74,11 @@
       sendEmpty(response, 400);
       return;
     }
+    if (parsed.data.born > readWallClock() + MAX_CLOCK_LEAD_MS) {
+      handlers.onInvalid(workerId, 'born: is in the future');
+      sendEmpty(response, 400);
+      return;
+    }
     handlers.onBeat(toHeartbeat(workerId, parsed.data));
     sendEmpty(response, 200);
   });
--- a/src/platform/wireRunnerClient.ts
+++ b/src/platform/wireRunnerClient.ts
@@ -13,16 +13,25 @@
 const MAX_LISTED_ENDS = 500;
 
 /** Task, run, checkpoint, percent of the work done, and an optional load figure. */
-const runningRowSchema = z.tuple([z.string(), z.int(), z.string(), z.number()], z.number());
+const runningRowSchema = z.tuple(
+  [z.string(), z.int().check(z.minimum(1)), z.string(), z.number()],
+  z.number(),
+);
 /** Number of the end, task, run, outcome, and checkpoint. */
-const endedRowSchema = z.tuple([z.int(), z.string(), z.int(), runEndSchema, z.string()]);
+const endedRowSchema = z.tuple([
+  z.int().check(z.minimum(1)),
+  z.string(),
+  z.int().check(z.minimum(1)),
+  runEndSchema,
+  z.string(),
+]);
 
 const listsSchema = z.object({
-  clock_ms: z.number(),
+  clock_ms: z.number().check(z.minimum(0), z.maximum(Number.MAX_SAFE_INTEGER)),
   /** Start of the incarnation, wall-clock time. */
-  born: z.optional(z.number()),
-  running: z.array(runningRowSchema),
-  ended: z.array(endedRowSchema),
+  born: z.optional(z.int()),
+  running: z.array(z.unknown()),
+  ended: z.array(z.unknown()),
 });
 const answerSchema = z.object({ clock_ms: z._default(z.number(), 0) });
 const rejectionSchema = z.object({ reason: z.string() });
@@ -117,29 +126,38 @@
   return { kind: 'done', clockMs: parsed.success ? parsed.data.clock_ms : 0 };
 }
 
-/** Treats invalid lists as no answer, so that the known runs stay unchanged. */
+/**
+ * Leaves rows aside that cannot be read, and lists without them count as incomplete, so that no run
+ * is missed. Ends after an unreadable one are left aside too: acknowledging them would acknowledge
+ * it. Other invalid lists count as no answer, so that the known runs stay unchanged.
+ */
 function decodeLists(body: unknown): RunnerReply {
   const parsed = z.safeParse(listsSchema, body);
   if (!parsed.success) return { kind: 'noAnswer', message: 'the lists of runs are invalid' };
-  const { clock_ms: clockMs, born: bornMs, running, ended } = parsed.data;
-  return {
-    kind: 'lists',
-    clockMs,
-    bornMs,
-    isComplete: ended.length < MAX_LISTED_ENDS,
-    running: running.map(([task, run, checkpoint, percent, load]): RunningRun => ({
-      task,
-      run,
-      checkpoint,
-      percent,
-      load: load ?? 0,
-    })),
-    ended: ended.map(([number, task, run, how, checkpoint]): EndedRun => ({
-      number,
-      task,
-      run,
-      how,
-      checkpoint,
-    })),
-  };
+  const { clock_ms: clockMs, born: bornMs } = parsed.data;
+  const running = parsed.data.running.flatMap(decodeRunning);
+  const ended: EndedRun[] = [];
+  for (const row of parsed.data.ended) {
+    const end = decodeEnd(row);
+    if (end === undefined) break;
+    ended.push(end);
+  }
+  const hasAllRows =
+    running.length === parsed.data.running.length && ended.length === parsed.data.ended.length;
+  const isComplete = hasAllRows && ended.length < MAX_LISTED_ENDS;
+  return { kind: 'lists', clockMs, bornMs, isComplete, running, ended };
+}
+
+function decodeRunning(row: unknown): RunningRun[] {
+  const parsed = z.safeParse(runningRowSchema, row);
+  if (!parsed.success) return [];
+  const [task, run, checkpoint, percent, load] = parsed.data;
+  return [{ task, run, checkpoint, percent, load: load ?? 0 }];
+}
+
+function decodeEnd(row: unknown): EndedRun | undefined {
+  const parsed = z.safeParse(endedRowSchema, row);
+  if (!parsed.success) return undefined;
+  const [number, task, run, how, checkpoint] = parsed.data;
+  return { number, task, run, how, checkpoint };
 }
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -200,6 +200,7 @@
     logEvent(state, 'info', 'configuration_in_force', {
       version: parsed.configuration.version,
       queues: parsed.configuration.queues.length,
+      unreadable: parsed.configuration.unreadableItems,
     });
   }
 }
