Report a worker's incarnation only once it has answered

Cause: an agent took any later heartbeat for the present incarnation of its worker. One of another writer made the owner release the runs of the true one, which ran on: two runs of one task at a time. True heartbeats were then ignored for ever. With the same id the fence of the poll shut out the calls to the true incarnation.

Change: agents report an incarnation that has answered a poll or that the owner knows. The first poll of another incarnation carries the fence of the known one, and the lists tell which of them answers. An unconfirmed one outranks no other. The setting workerAddress names the worker beside the agent, and heartbeats with another address are invalid.

--- a/src/daemons/schedulerSettings.ts
+++ b/src/daemons/schedulerSettings.ts
@@ -37,5 +37,7 @@
   ...commonSettings,
   /** HTTP address for the worker's heartbeats and for metrics. */
   beatAddress: listenAddressSchema,
+  /** Address of the worker on this instance; heartbeats with another one are ignored. Empty for any. */
+  workerAddress: z._default(z.union([addressSchema, z.literal('')]), ''),
 });
 export type RunnerAgentSettings = z.infer<typeof runnerAgentSettingsSchema>;
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -82,6 +82,12 @@
   };
   nextCall: number;
   worker: WorkerIdentity | undefined;
+  /**
+   * The latest incarnation that has answered a poll, or that the owner knows. A heartbeat alone may
+   * come from another writer, and an owner releases the runs of the incarnations before the reported
+   * one.
+   */
+  confirmedWorker: { readonly id: string; readonly bornMs: number } | undefined;
   workerSequence: number;
   /** `leaving` once the worker has announced its end, `gone` once it refuses connections after that. */
   workerExit: 'none' | 'leaving' | 'gone';
@@ -123,6 +129,15 @@
 
 const NEVER = Number.NEGATIVE_INFINITY;
 
+/** Whether the present worker is certainly the one beside this agent. */
+export function isWorkerConfirmed({ worker, confirmedWorker }: RunnerAgentState): boolean {
+  return (
+    worker !== undefined &&
+    confirmedWorker?.id === worker.id &&
+    confirmedWorker.bornMs === worker.bornMs
+  );
+}
+
 export function createRunnerAgentState(id: string, zone: string): RunnerAgentState {
   return {
     inbox: Mailbox.create<RunnerAgentArrival>(),
@@ -139,6 +154,7 @@
     },
     nextCall: 1,
     worker: undefined,
+    confirmedWorker: undefined,
     workerSequence: 0,
     workerExit: 'none',
     owner: { epoch: 0, linkId: '', reportAt: NEVER, lastMessageAt: NEVER },
--- a/src/platform/agentMain.ts
+++ b/src/platform/agentMain.ts
@@ -30,6 +30,7 @@
 };
 await StatusServer.create(parseAddress(settings.beatAddress), status, (request, response) =>
   receiveHeartbeat(request, response, {
+    workerAddress: settings.workerAddress,
     onBeat: (heartbeat) => {
       daemon.receiveHeartbeat(heartbeat);
     },
--- a/src/platform/wireHeartbeats.ts
+++ b/src/platform/wireHeartbeats.ts
@@ -45,6 +45,8 @@
 
 /** Callbacks for the heartbeats of a worker. */
 export interface HeartbeatHandlers {
+  /** Address of the worker beside this agent; heartbeats with another one are invalid. Empty for any. */
+  readonly workerAddress: string;
   readonly onBeat: (heartbeat: WorkerHeartbeat) => void;
   readonly onLeave: (workerId: string) => void;
   readonly onInvalid: (workerId: string, reason: string) => void;
@@ -74,6 +76,11 @@
       sendEmpty(response, 400);
       return;
     }
+    if (handlers.workerAddress !== '' && parsed.data.addr !== handlers.workerAddress) {
+      handlers.onInvalid(workerId, 'addr: is not that of the worker beside this agent');
+      sendEmpty(response, 400);
+      return;
+    }
     if (parsed.data.born > readWallClock() + MAX_CLOCK_LEAD_MS) {
       handlers.onInvalid(workerId, 'born: is in the future');
       sendEmpty(response, 400);
--- a/src/systems/runnerAgent/agentCalls.ts
+++ b/src/systems/runnerAgent/agentCalls.ts
@@ -2,6 +2,7 @@
 import type { AgentMessage } from '../../model/scheduler/linkMessages.ts';
 import type { RunnerCall } from '../../model/scheduler/runnerCall.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
+import { isWorkerConfirmed } from '../../model/scheduler/runnerAgentState.ts';
 
 /** Unit of an incarnation's start time in a fence, ms; incarnations of one worker start further apart. */
 const FENCE_START_UNIT_MS = 100;
@@ -14,11 +15,22 @@
  * a delayed call to its previous incarnation; after the first call to the new incarnation it rejects
  * such calls.
  */
-export function computeFence({ owner, worker }: RunnerAgentState): number {
-  const startUnits = Math.floor((worker?.bornMs ?? 0) / FENCE_START_UNIT_MS) % FENCE_START_RANGE;
+export function computeFence(state: RunnerAgentState): number {
+  const { owner, worker, confirmedWorker } = state;
+  const addressed = isProbing(state) ? confirmedWorker : worker;
+  const startUnits = Math.floor((addressed?.bornMs ?? 0) / FENCE_START_UNIT_MS) % FENCE_START_RANGE;
   return owner.epoch * FENCE_START_RANGE + startUnits;
 }
 
+/**
+ * Whether a heartbeat names another incarnation of a known worker and no poll has confirmed it. It may
+ * be false, and its fence would shut out the calls to the true incarnation; the fence of the known one
+ * is accepted by both, and the lists tell which of them answers.
+ */
+export function isProbing(state: RunnerAgentState): boolean {
+  return !isWorkerConfirmed(state) && state.confirmedWorker?.id === state.worker?.id;
+}
+
 /** Queues a call to the present worker and returns its id; empty without a worker. */
 export function sendRunnerCall(
   state: RunnerAgentState,
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { OwnerCommand } from '../../model/scheduler/linkMessages.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
+import { isWorkerConfirmed } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, resetOwnerLink, sendOwner } from './agentCalls.ts';
 
 type WorkerCommand = Exclude<OwnerCommand, { kind: 'hello' | 'grant' | 'heartbeat' }>;
@@ -51,7 +52,9 @@
       sendOwner(state, {
         kind: 'report',
         epoch: 0,
-        ...(state.worker === undefined ? {} : { worker: state.worker }),
+        ...(state.worker === undefined || !isWorkerConfirmed(state)
+          ? {}
+          : { worker: state.worker }),
         ...(state.workerExit === 'gone' ? { isGone: true } : {}),
         clockMs: state.poll.clockMs,
         running: [],
@@ -118,6 +121,7 @@
     owner.lastMessageAt = now;
     state.commands.clear();
     state.worker ??= hello.worker;
+    state.confirmedWorker ??= hello.worker;
     state.poll.callId = '';
     state.poll.epoch = 0;
     state.poll.nextAt = now;
--- a/src/systems/runnerAgent/workerHeartbeatSystem.ts
+++ b/src/systems/runnerAgent/workerHeartbeatSystem.ts
@@ -1,6 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { RunnerAgentState, WorkerHeartbeat } from '../../model/scheduler/runnerAgentState.ts';
+import { isWorkerConfirmed } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, requestPoll, resetIncarnation } from './agentCalls.ts';
 
 /**
@@ -32,12 +33,16 @@
     }
   }
 
-  /** Applies a heartbeat; one that a partition delayed past the next incarnation's is ignored. */
+  /**
+   * Applies a heartbeat; one that a partition delayed past the next incarnation's is ignored. An
+   * incarnation that has not answered yet may be false, and outranks no other.
+   */
   private applyHeartbeat(state: RunnerAgentState, beat: WorkerHeartbeat, now: number): void {
     const { worker } = state;
     const { identity } = beat;
     const isSameIncarnation = worker?.id === identity.id && worker.bornMs === identity.bornMs;
-    if (worker !== undefined && identity.bornMs < worker.bornMs) return;
+    const isEarlier = worker !== undefined && identity.bornMs < worker.bornMs;
+    if (isEarlier && isWorkerConfirmed(state)) return;
     if (isSameIncarnation && beat.sequence <= state.workerSequence) return;
     state.workerSequence = beat.sequence;
     state.worker = identity;
--- a/src/systems/runnerAgent/workerPollSystem.ts
+++ b/src/systems/runnerAgent/workerPollSystem.ts
@@ -6,6 +6,7 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import {
   computeFence,
+  isProbing,
   logAgentEvent,
   resetIncarnation,
   sendOwner,
@@ -57,7 +58,8 @@
   /**
    * Another incarnation answered; its heartbeat will identify it. Until then it gets no calls: the
    * numbers of acknowledged ends are those of the previous incarnation, and would acknowledge ends of
-   * the new one that were not read.
+   * the new one that were not read. The present one may also be that of a false heartbeat, which must
+   * not outrank the true ones.
    */
   private handleOtherIncarnation(
     state: RunnerAgentState,
@@ -65,10 +67,6 @@
     bornMs: number,
     now: number,
   ): void {
-    if (bornMs < worker.bornMs) {
-      state.poll.nextAt = now + RETRY_DELAY_MS;
-      return;
-    }
     logAgentEvent(state, 'info', 'worker_replaced', { worker: worker.id, born: bornMs });
     resetIncarnation(state, now);
     state.worker = undefined;
@@ -131,6 +129,8 @@
       }
       if (poll.failures === 1)
         logAgentEvent(state, 'warn', 'worker_silent', { answer: reply.kind });
+      if (reply.kind === 'otherIncarnation' && state.workerExit === 'none' && worker !== undefined)
+        this.handleOtherIncarnation(state, worker, 0, now);
       return;
     }
     if (poll.failures > 0)
@@ -141,6 +141,14 @@
       this.handleOtherIncarnation(state, worker, reply.bornMs, now);
       return;
     }
+    const wasProbe = isProbing(state);
+    state.confirmedWorker = { id: worker.id, bornMs: worker.bornMs };
+    if (wasProbe) {
+      // The next poll carries the incarnation's own fence, which rejects calls to earlier ones.
+      poll.isUrgent = true;
+      poll.nextAt = now;
+      return;
+    }
     poll.answeredWorkerStartedMs = worker.bornMs;
     // An incomplete list does not show which runs are absent.
     if (reply.isComplete) poll.lastCompleted = poll.lastSent;
--- a/test/platform/oddMessages.test.ts
+++ b/test/platform/oddMessages.test.ts
@@ -161,6 +161,7 @@
     beforeAll(async () => {
       server = createServer((request, response) => {
         const isServed = receiveHeartbeat(request, response, {
+          workerAddress: VALID.addr,
           onBeat: (beat) => beats.push(beat),
           onLeave: () => undefined,
           onInvalid: () => undefined,
@@ -194,6 +195,8 @@
     it('do not name a worker when a field is out of range', async () => {
       const odd: readonly object[] = [
         ...INVALID_ADDRESSES.map((addr) => ({ addr })),
+        // Another writer names a worker that is not beside the agent.
+        { addr: '127.0.0.2:9' },
         { seq: 0.5 },
         { seq: -1 },
         { born: 1.5 },
--- a/test/support/platformWorld.ts
+++ b/test/support/platformWorld.ts
@@ -178,6 +178,7 @@
     { counters: agent.state.counters, metrics: agent.metrics, listGauges },
     (incoming, response) =>
       receiveHeartbeat(incoming, response, {
+        workerAddress: '',
         onBeat: (heartbeat) => {
           agent.receiveHeartbeat(heartbeat);
         },
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -219,7 +219,7 @@
     );
   }
 
-  private sendHeartbeat(agent: AgentNode, delayMs = 0): void {
+  sendHeartbeat(agent: AgentNode, delayMs = 0): void {
     agent.heartbeats += 1;
     const heartbeat = { identity: createWorldWorker(agent), sequence: agent.heartbeats };
     this.deliverToAgent(delayMs, agent, { kind: 'workerBeat', heartbeat });
@@ -324,8 +324,8 @@
         this.logs.push({ node: agent.id, event: effect.event });
         return;
       case 'callRunner': {
-        const { callId, call, timeoutMs } = effect;
-        const { reply, delayMs, isLate } = answerRunnerCall(agent, call, timeoutMs);
+        const { callId, call, timeoutMs, workerId } = effect;
+        const { reply, delayMs, isLate } = answerRunnerCall(agent, workerId, call, timeoutMs);
         if (isLate === true)
           this.events.schedule(LATE_CALL_DELAY_MS, () => agent.runner.handle(call));
         this.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -172,6 +172,7 @@
 /** Computes the worker's answer to its agent and the answer's delay. */
 export function answerRunnerCall(
   agent: AgentNode,
+  workerId: string,
   call: RunnerCall,
   timeoutMs: number,
 ): { readonly reply: RunnerReply; readonly delayMs: number; readonly isLate?: boolean } {
@@ -191,7 +192,11 @@
       reply: { kind: 'refused', message: 'the worker answered 503' },
       delayMs: ANSWER_DELAY_MS,
     };
-  const reply = agent.runner.handle(call);
+  // Nobody serves the address of a worker with this id.
+  if (workerId === 'silent')
+    return { reply: { kind: 'unreachable', message: 'ECONNREFUSED' }, delayMs: ANSWER_DELAY_MS };
+  const isAddressed = workerId === createWorldWorker(agent).id;
+  const reply: RunnerReply = isAddressed ? agent.runner.handle(call) : { kind: 'otherIncarnation' };
   if (fault === 'silent')
     return { reply: { kind: 'noAnswer', message: 'no answer in time' }, delayMs: timeoutMs };
   if (fault === 'lost')
