Add another writer to the fault soak

Change: in each run odd agents, jobs and nested values stand in the store from the start, and agents get heartbeats of incarnations that do not exist, with the id of the true one or another. The plans of the seeds stay as they were.

--- a/test/soak/soakParts.ts
+++ b/test/soak/soakParts.ts
@@ -1,4 +1,4 @@
-import type { SeededRandom } from '../../src/base/common/seededRandom.ts';
+import { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import { BOUNDS } from '../support/worldNodes.ts';
 import { SOAK_BOUNDS } from './bounds.ts';
 import type { FrontAddress } from './callers.ts';
@@ -7,6 +7,7 @@
 import type { SoakHistory } from './history.ts';
 import { SPECIAL_LABEL } from './jobs.ts';
 import { Operator } from './operator.ts';
+import { OtherWriter } from './otherWriter.ts';
 import { SoakNetwork } from './soakNetwork.ts';
 import { SoakProcess } from './soakProcess.ts';
 import { StoreStandIn } from './storeStandIn.ts';
@@ -36,6 +37,7 @@
 }
 
 export interface StartedSoak extends SoakParts {
+  readonly otherWriter: OtherWriter;
   readonly entries: readonly string[];
   readonly agents: readonly string[];
   readonly fronts: readonly FrontAddress[];
@@ -117,7 +119,21 @@
   }
   const callers = SoakCallers.create(fronts, history, random);
   const operator = Operator.create(store, history);
-  return { network, store, processes, workers, callers, operator, entries, agents, fronts };
+  // Its own random numbers, so that the choices of the others stay those of the seed.
+  const otherRandom = SeededRandom.create(options.seed);
+  const otherWriter = OtherWriter.create(store, [...workers.values()], otherRandom);
+  return {
+    network,
+    store,
+    processes,
+    workers,
+    callers,
+    operator,
+    otherWriter,
+    entries,
+    agents,
+    fronts,
+  };
 }
 
 /** A port without a listener refuses connections. */
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -104,8 +104,10 @@
     workers,
     callers,
     fronts,
+    otherWriter,
   }: StartedSoak): Promise<void> {
     operator.updateConfiguration();
+    otherWriter.start();
     for (const process of processes.values()) process.start();
     for (const worker of workers.values()) await worker.start(true);
     const until = performance.now() + START_LIMIT_MS;
@@ -186,8 +188,10 @@
       }
   }
 
-  private stop({ callers, operator, processes, workers, network, store }: StartedSoak): void {
+  private stop(parts: StartedSoak): void {
+    const { callers, operator, otherWriter, processes, workers, network, store } = parts;
     callers.dispose();
+    otherWriter.dispose();
     operator.dispose();
     for (const process of processes.values()) process.dispose();
     for (const worker of workers.values()) worker.dispose();
--- a/test/soak/workerSlot.ts
+++ b/test/soak/workerSlot.ts
@@ -52,6 +52,11 @@
     this.onChange(true);
   }
 
+  /** Sends the agent a heartbeat of an incarnation that does not exist. */
+  async sendFalseBeat(bornMs: number, keepsId: boolean): Promise<void> {
+    await this.worker?.sendFalseBeat(bornMs, keepsId);
+  }
+
   /** Brings a fault about; the returned function ends it. */
   apply(fault: WorkerFault): () => void {
     switch (fault.kind) {
--- a/test/soak/workerStandIn.ts
+++ b/test/soak/workerStandIn.ts
@@ -262,12 +262,25 @@
     return `${this.rowId}/${task}/${run}`;
   }
 
+  /** Sends the agent a heartbeat of an incarnation that does not exist, as another writer may. */
+  async sendFalseBeat(bornMs: number, keepsId: boolean): Promise<void> {
+    await this.post('heartbeat', { ...this.buildBeat(), born: bornMs }, keepsId ? this.id : 'odd');
+  }
+
   private async sendBeat(): Promise<void> {
     if (!this.isUp) return;
     this.sequence += 1;
+    const isDraining = this.drainingSince !== undefined;
+    const isAcked = await this.post('heartbeat', this.buildBeat());
+    const row = this.history.workers.get(this.rowId);
+    if (isDraining && isAcked && row?.drainingAckedAt === undefined)
+      this.history.workers.update(this.rowId, { drainingAckedAt: performance.now() });
+  }
+
+  private buildBeat(): object {
     const { zone, address, cpuMillis, memoryMb, labels } = this.options;
     const isDraining = this.drainingSince !== undefined;
-    const isAcked = await this.post('heartbeat', {
+    return {
       service: 'svc',
       addr: address,
       zone,
@@ -281,17 +294,14 @@
       seq: this.sequence,
       born: this.bornMs,
       ...(isDraining ? { drain_left_ms: SOAK_BOUNDS.drainMs } : {}),
-    });
-    const row = this.history.workers.get(this.rowId);
-    if (isDraining && isAcked && row?.drainingAckedAt === undefined)
-      this.history.workers.update(this.rowId, { drainingAckedAt: performance.now() });
+    };
   }
 
   /** Whether the agent acknowledged it in time. */
-  private async post(name: string, body: object): Promise<boolean> {
+  private async post(name: string, body: object, id = this.id): Promise<boolean> {
     return new Promise((resolve) => {
       const outgoing = request(
-        `http://${this.options.beatAddress}/bramleyladder/instances/${this.id}/${name}`,
+        `http://${this.options.beatAddress}/bramleyladder/instances/${id}/${name}`,
         { method: 'POST', agent: false, signal: AbortSignal.timeout(BEAT_TIMEOUT_MS) },
         (response) => {
           response.resume();
