Play paused owners in the tests' world

Cause: operators of similar systems report processes that were paused for some seconds and then acted on a permission that had run out. No test stopped an owner at each step between a placement and the end of its run.

Change: the world freezes an entry, by a signal or with its instance, whose monotonic clock then stops; it receives everything at once when it wakes.

--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from '../../src/base/common/clock.ts';
+import { Clock, ManualClock } from '../../src/base/common/clock.ts';
 import { Loop } from '../../src/base/common/loop.ts';
 import { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import type {
@@ -40,6 +40,24 @@
 
 const ADVICE_DELAY_MS = 40;
 
+/** Monotonic clock of an entry. */
+class EntryClock extends Clock {
+  private constructor(
+    private readonly clock: Clock,
+    private readonly getSuspendedMs: () => number,
+  ) {
+    super();
+  }
+
+  static create(clock: Clock, getSuspendedMs: () => number): EntryClock {
+    return new EntryClock(clock, getSuspendedMs);
+  }
+
+  override get now(): number {
+    return this.clock.now - this.getSuspendedMs();
+  }
+}
+
 /** Simulates entries, agents, workers and the store of the scheduler on a manual clock. */
 export class SchedulerWorld {
   readonly clock = ManualClock.create(1_000);
@@ -129,6 +147,22 @@
     }
   }
 
+  /**
+   * Freezes an entry, as SIGSTOP does; it then receives everything at once. The monotonic clock of a
+   * suspended instance does not count the time.
+   */
+  freeze(entry: EntryNode, durationMs: number, isSuspended = false): void {
+    entry.frozenArrivals = [];
+    this.events.schedule(durationMs, () => {
+      const arrivals = entry.frozenArrivals ?? [];
+      entry.frozenArrivals = undefined;
+      if (isSuspended) entry.suspendedMs += durationMs;
+      if (!entry.isUp) return;
+      for (const arrival of arrivals) this.receive(entry, arrival);
+      this.runTick(entry);
+    });
+  }
+
   /** Advances the clock and runs all events that are due. */
   run(durationMs: number): void {
     this.events.run(durationMs, () => {
@@ -144,7 +178,7 @@
       loop: Loop.create({
         state,
         systems: createSchedulerSystems(),
-        clock: this.clock,
+        clock: EntryClock.create(this.clock, () => entry.suspendedMs),
         random: this.random,
         handleEffect: (effect) => {
           this.handleEntryEffect(entry, effect);
@@ -228,11 +262,22 @@
   private deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void {
     this.events.schedule(delayMs, () => {
       if (!entry.isUp) return;
-      entry.loop.receive(arrival);
+      if (entry.frozenArrivals !== undefined) {
+        entry.frozenArrivals.push(arrival);
+        return;
+      }
+      this.receive(entry, arrival);
       this.runTick(entry);
     });
   }
 
+  private receive(entry: EntryNode, arrival: SchedulerArrival): void {
+    // The daemon reads the wall clock with each reply of the store.
+    if (arrival.kind === 'storeReply' && entry.suspendedMs > 0)
+      entry.state.wallOffsetMs = entry.suspendedMs;
+    entry.loop.receive(arrival);
+  }
+
   private deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void {
     this.events.schedule(delayMs, () => {
       agent.loop.receive(arrival);
@@ -241,12 +286,15 @@
   }
 
   private runTick(entry: EntryNode): void {
-    this.events.wake(entry.id, entry.loop.runTick(), () =>
-      entry.isUp ? entry.loop.runTick() : Number.POSITIVE_INFINITY,
-    );
+    const runTick = (): number =>
+      entry.isUp && entry.frozenArrivals === undefined
+        ? entry.loop.runTick() + entry.suspendedMs
+        : Number.POSITIVE_INFINITY;
+    this.events.wake(entry.id, runTick(), runTick);
   }
 
   private handleEntryEffect(entry: EntryNode, effect: SchedulerEffect): void {
+    const { suspendedMs } = entry;
     const agent =
       'agentId' in effect ? this.agents.find(({ id }) => id === effect.agentId) : undefined;
     switch (effect.kind) {
@@ -257,7 +305,8 @@
         this.durations.push(effect);
         return;
       case 'callStore':
-        this.storeLink.call(entry.store, effect.call, effect.timeoutMs, (reply, sentAt) => {
+        this.storeLink.call(entry.store, effect.call, effect.timeoutMs, (reply, calledAt) => {
+          const sentAt = calledAt - suspendedMs;
           this.deliver(0, entry, { kind: 'storeReply', callId: effect.callId, reply, sentAt });
         });
         return;
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -31,6 +31,10 @@
   readonly answers: Map<string, QueueAnswer>;
   store: StoreMode;
   isUp: boolean;
+  /** Arrivals of a frozen process, which it receives when it wakes; undefined while it runs. */
+  frozenArrivals: SchedulerArrival[] | undefined;
+  /** Time for which the instance was suspended, which its monotonic clock does not count. */
+  suspendedMs: number;
   ownerId: string;
   /** Number of the latest attempt to open the link to the owner. */
   ownerAttempt: number;
@@ -114,7 +118,15 @@
 
 /** Creates the parts of an entry other than its state and its loop. */
 export function createEntryParts(): Omit<EntryNode, 'id' | 'state' | 'loop'> {
-  return { answers: new Map(), store: 'up', isUp: true, ownerId: '', ownerAttempt: 0 };
+  return {
+    answers: new Map(),
+    store: 'up',
+    isUp: true,
+    frozenArrivals: undefined,
+    suspendedMs: 0,
+    ownerId: '',
+    ownerAttempt: 0,
+  };
 }
 
 /** Creates the parts of an agent other than its state, its loop and its worker. */
