--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -1,4 +1,4 @@
-import { Clock, ManualClock } from '../../src/base/common/clock.ts';
+import { ManualClock } from '../../src/base/common/clock.ts';
 import { Loop } from '../../src/base/common/loop.ts';
 import { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import type {
@@ -7,32 +7,28 @@
 } from '../../src/model/scheduler/schedulerMessages.ts';
 import type { QueueCall } from '../../src/model/scheduler/queueCall.ts';
 import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
-import type {
-  RunnerAgentArrival,
-  RunnerAgentEffect,
-} from '../../src/model/scheduler/runnerAgentState.ts';
+import type { RunnerAgentArrival } from '../../src/model/scheduler/runnerAgentState.ts';
 import { createRunnerAgentState } from '../../src/model/scheduler/runnerAgentState.ts';
 import type { MemoryRunner, RunBehaviour } from '../../src/standins/memoryRunner.ts';
 import type { MemoryAdviser } from '../../src/standins/memoryAdviser.ts';
 import { MemoryStore } from '../../src/standins/memoryStore.ts';
 import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
+import { EntryClock } from './entryClock.ts';
+import { handleAgentEffect } from './worldAgentEffects.ts';
 import { WorldEvents } from './worldEvents.ts';
 import { WorldInstances } from './worldInstances.ts';
 import { LINK_DELAY_MS, WorldLinks } from './worldLinks.ts';
 import type { AgentNode, CallOptions, EntryNode, TaskStart, WorkerOptions } from './worldNodes.ts';
 import {
   answerAdvice,
-  answerRunnerCall,
   createJobSpec,
   createWorldEntryState,
   createAgentParts,
   createEntryParts,
   createWorldRunner,
   createWorldWorker,
-  findLinkedEntry,
   formatWorldAddress,
-  LATE_CALL_DELAY_MS,
   listTaskStarts,
   writeWorldConfiguration,
 } from './worldNodes.ts';
@@ -40,24 +36,6 @@
 
 const ADVICE_DELAY_MS = 40;
 
-/** Monotonic clock of an entry. */
-class EntryClock extends Clock {
-  private constructor(
-    private readonly clock: Clock,
-    private readonly getSuspendedMs: () => number,
-  ) {
-    super();
-  }
-
-  static create(clock: Clock, getSuspendedMs: () => number): EntryClock {
-    return new EntryClock(clock, getSuspendedMs);
-  }
-
-  override get now(): number {
-    return this.clock.now - this.getSuspendedMs();
-  }
-}
-
 /** Simulates entries, agents, workers and the store of the scheduler on a manual clock. */
 export class SchedulerWorld {
   readonly clock = ManualClock.create(1_000);
@@ -66,8 +44,8 @@
   readonly agents: AgentNode[] = [];
   readonly logs: { readonly node: string; readonly event: string }[] = [];
   readonly durations: Extract<SchedulerEffect, { kind: 'duration' }>[] = [];
-  private readonly events = WorldEvents.create(this.clock);
-  private readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
+  readonly events = WorldEvents.create(this.clock);
+  readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
   private readonly random = SeededRandom.create(7);
   readonly links = WorldLinks.create(this.clock, this.events, this.entries, {
     toEntry: (delayMs, entry, arrival) => {
@@ -203,7 +181,7 @@
         clock: this.clock,
         random: this.random,
         handleEffect: (effect) => {
-          this.handleAgentEffect(agent, effect);
+          handleAgentEffect(this, agent, effect);
         },
       }),
       runner: createWorldRunner(this.clock, (task, run) => this.behave(task, run)),
@@ -259,7 +237,7 @@
     this.deliverToAgent(delayMs, agent, { kind: 'workerBeat', heartbeat });
   }
 
-  private deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void {
+  deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void {
     this.events.schedule(delayMs, () => {
       if (!entry.isUp) return;
       if (entry.frozenArrivals !== undefined) {
@@ -278,7 +256,7 @@
     entry.loop.receive(arrival);
   }
 
-  private deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void {
+  deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void {
     this.events.schedule(delayMs, () => {
       agent.loop.receive(arrival);
       this.events.wake(agent.id, agent.loop.runTick(), () => agent.loop.runTick());
@@ -366,39 +344,4 @@
       default:
     }
   }
-
-  private handleAgentEffect(agent: AgentNode, effect: RunnerAgentEffect): void {
-    switch (effect.kind) {
-      case 'log':
-        this.logs.push({ node: agent.id, event: effect.event });
-        return;
-      case 'callRunner': {
-        const { callId, call, timeoutMs, workerId } = effect;
-        const { reply, delayMs, isLate } = answerRunnerCall(agent, workerId, call, timeoutMs);
-        if (isLate === true)
-          this.events.schedule(LATE_CALL_DELAY_MS, () => agent.runner.handle(call));
-        this.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
-        return;
-      }
-      case 'closeOwner':
-        this.links.closeAgent(findLinkedEntry(this.entries, agent, effect.linkId), agent);
-        return;
-      case 'sendOwner': {
-        const entry = findLinkedEntry(this.entries, agent, effect.linkId);
-        if (entry !== undefined)
-          this.deliver(Math.max(LINK_DELAY_MS, agent.delayedUntil - this.clock.now), entry, {
-            kind: 'agentMessage',
-            agentId: agent.id,
-            message: effect.message,
-          });
-        return;
-      }
-      case 'callStore':
-        this.storeLink.call('up', effect.call, effect.timeoutMs, (reply) => {
-          this.deliverToAgent(0, agent, { kind: 'storeReply', callId: effect.callId, reply });
-        });
-        return;
-      default:
-    }
-  }
 }
--- /dev/null
+++ b/test/support/worldAgentEffects.ts
@@ -0,0 +1,64 @@
+import type {
+  RunnerAgentArrival,
+  RunnerAgentEffect,
+} from '../../src/model/scheduler/runnerAgentState.ts';
+import type { SchedulerArrival } from '../../src/model/scheduler/schedulerMessages.ts';
+import type { WorldEvents } from './worldEvents.ts';
+import type { WorldLinks } from './worldLinks.ts';
+import { LINK_DELAY_MS } from './worldLinks.ts';
+import type { AgentNode, EntryNode } from './worldNodes.ts';
+import { answerRunnerCall, findLinkedEntry, LATE_CALL_DELAY_MS } from './worldNodes.ts';
+import type { WorldStore } from './worldStore.ts';
+import type { Clock } from '../../src/base/common/clock.ts';
+
+/** What the effects of an agent act on. */
+interface WorldParts {
+  readonly clock: Clock;
+  readonly entries: readonly EntryNode[];
+  readonly events: WorldEvents;
+  readonly links: WorldLinks;
+  readonly logs: { readonly node: string; readonly event: string }[];
+  readonly storeLink: WorldStore;
+  deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void;
+  deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void;
+}
+
+/** Executes one effect of an agent in the world. */
+export function handleAgentEffect(
+  world: WorldParts,
+  agent: AgentNode,
+  effect: RunnerAgentEffect,
+): void {
+  switch (effect.kind) {
+    case 'log':
+      world.logs.push({ node: agent.id, event: effect.event });
+      return;
+    case 'callRunner': {
+      const { callId, call, timeoutMs, workerId } = effect;
+      const { reply, delayMs, isLate } = answerRunnerCall(agent, workerId, call, timeoutMs);
+      if (isLate === true)
+        world.events.schedule(LATE_CALL_DELAY_MS, () => agent.runner.handle(call));
+      world.deliverToAgent(delayMs, agent, { kind: 'runnerReply', callId, reply });
+      return;
+    }
+    case 'closeOwner':
+      world.links.closeAgent(findLinkedEntry(world.entries, agent, effect.linkId), agent);
+      return;
+    case 'sendOwner': {
+      const entry = findLinkedEntry(world.entries, agent, effect.linkId);
+      if (entry !== undefined)
+        world.deliver(Math.max(LINK_DELAY_MS, agent.delayedUntil - world.clock.now), entry, {
+          kind: 'agentMessage',
+          agentId: agent.id,
+          message: effect.message,
+        });
+      return;
+    }
+    case 'callStore':
+      world.storeLink.call('up', effect.call, effect.timeoutMs, (reply) => {
+        world.deliverToAgent(0, agent, { kind: 'storeReply', callId: effect.callId, reply });
+      });
+      return;
+    default:
+  }
+}
