--- a/bench/capacityPage.ts
+++ b/bench/capacityPage.ts
@@ -8,6 +8,8 @@
   GROWTH,
 } from './capacityFigures.ts';
 import type { BenchReport } from './report.ts';
+import type { Sweep } from './sweepPage.ts';
+import { renderSweep } from './sweepPage.ts';
 
 interface RoleText {
   readonly title: string;
@@ -70,14 +72,16 @@
   return [...head, table.join('\n')].join('\n\n');
 }
 
-/** Renders the capacity page from the report of the capacity bench. */
-export function renderCapacityPage(report: BenchReport): string {
+/** Renders the capacity page from a sweep of the users' bench and the report of the capacity bench. */
+export function renderCapacityPage(report: BenchReport, sweep: Sweep): string {
   const { regions, workers, tasks, endpoints, startsPerSecond, entriesPerRegion } = GROWTH;
   const measured = report.rows.map((row) => `| ${row.metric} | ${formatNumber(row.chosen)} |`);
   const sections = [
     '# Capacity',
-    'This page is generated from `docs/capacity.json` by `npm run capacity-page`. `npm run capacity-measure` measures the file again.',
-    `Size: ${workers.toLocaleString('en-US')} workers, ${tasks.toLocaleString('en-US')} tasks, ${endpoints.toLocaleString('en-US')} endpoints and ${startsPerSecond} starts/s in ${regions} regions; assumed are ${entriesPerRegion} entries per region, one agent per endpoint, an even spread over regions and one shard per region. A shard of a region has a sixth of the workers and tasks. The budget per daemon is 3.1 % of a core, 64 MB and 3 KB/s.`,
+    'This page is generated from `docs/sweep.json` and `docs/capacity.json` by `npm run capacity-page`. `npm run capacity-measure` measures the second file again.',
+    renderSweep(sweep).trimEnd(),
+    '## The earlier path',
+    `Programs for requests and jobs without steps. Size: ${workers.toLocaleString('en-US')} workers, ${tasks.toLocaleString('en-US')} tasks, ${endpoints.toLocaleString('en-US')} endpoints and ${startsPerSecond} starts/s in ${regions} regions; assumed are ${entriesPerRegion} entries per region, one agent per endpoint, an even spread over regions and one shard per region. A shard of a region has a sixth of the workers and tasks. The budget per daemon is 3.1 % of a core, 64 MB and 3 KB/s.`,
     ...ROLES.map((role) => renderRole(role, report)),
     '## Not measured here',
     'gRPC and HTTP of entries and owners (the `overhead` bench measures them for requests), requests, key claims, the time until a configuration is in force (`configuration` bench), urgent starts, quotas of the teams, accelerators, resident memory of an entry daemon (the figure above is the process of the bench), and more than one region at a time.',
--- a/tools/writeCapacityPage.mjs
+++ b/tools/writeCapacityPage.mjs
@@ -4,7 +4,7 @@
 import { pathToFileURL } from 'node:url';
 import { format } from 'prettier';
 
-// Writes docs/CAPACITY.md from the figures in docs/capacity.json.
+// Writes docs/CAPACITY.md from the figures in docs/sweep.json and docs/capacity.json.
 const bundle = resolve('node_modules/.cache/bramleyladder/capacityPage.mjs');
 await build({
   entryPoints: ['bench/capacityPage.ts'],
@@ -16,4 +16,6 @@
 });
 const { renderCapacityPage } = await import(pathToFileURL(bundle).href);
 const report = JSON.parse(readFileSync('docs/capacity.json', 'utf8'));
-writeFileSync('docs/CAPACITY.md', await format(renderCapacityPage(report), { parser: 'markdown' }));
+const sweep = JSON.parse(readFileSync('docs/sweep.json', 'utf8'));
+const page = renderCapacityPage(report, sweep);
+writeFileSync('docs/CAPACITY.md', await format(page, { parser: 'markdown' }));
