--- a/test/cli/explainJob.test.ts
+++ b/test/cli/explainJob.test.ts
@@ -55,74 +55,86 @@
     for (const server of servers) server.close();
   });
 
-  it('does not omit steps, runs or moves', async () => {
-    const { code, stdout } = await runExplain('job', DIGITS_JOB, '--address', await serve(owner));
-    const lines = stdout.trimEnd().split('\n');
-    expect(lines[0]).toMatch(
-      new RegExp(`^job ${DIGITS_JOB}: running, queue \\S+, accepted 1.0 s ago, owner ${owner.id}$`),
-    );
-    expect(lines.slice(1)).toEqual([
-      'step 0.0: waiting 0, ready 0, active 1, done 0',
-      'step 0.1: waiting 1, ready 0, active 0, done 0; waits for step 0 (0 of 1 done)',
-      expect.stringMatching(
+  describe('output', () => {
+    it('does not omit steps, runs or moves', async () => {
+      const { code, stdout } = await runExplain('job', DIGITS_JOB, '--address', await serve(owner));
+      const lines = stdout.trimEnd().split('\n');
+      expect(lines[0]).toMatch(
         new RegExp(
-          `^run ${DIGITS_JOB}.0.0.0#2: running on \\S+ for 0.\\d s, \\d+% done, pace 100%$`,
+          `^job ${DIGITS_JOB}: running, queue \\S+, accepted 1.0 s ago, owner ${owner.id}$`,
         ),
-      ),
-      expect.stringMatching(
-        new RegExp(`^0.\\d s ago: run ${DIGITS_JOB}.0.0.0#1 off \\S+: failed$`),
-      ),
-    ]);
-    expect(code).toBe(0);
-  });
+      );
+      expect(lines.slice(1)).toEqual([
+        'step 0.0: waiting 0, ready 0, active 1, done 0',
+        'step 0.1: waiting 1, ready 0, active 0, done 0; waits for step 0 (0 of 1 done)',
+        expect.stringMatching(
+          new RegExp(
+            `^run ${DIGITS_JOB}.0.0.0#2: running on \\S+ for 0.\\d s, \\d+% done, pace 100%$`,
+          ),
+        ),
+        expect.stringMatching(
+          new RegExp(`^0.\\d s ago: run ${DIGITS_JOB}.0.0.0#1 off \\S+: failed$`),
+        ),
+      ]);
+      expect(code).toBe(0);
+    });
 
-  it('does not convert a numeric-looking id to a number', async () => {
-    const { code, stdout } = await runExplain(
-      'job',
-      EXPONENT_JOB,
-      '--json',
-      '--address',
-      await serve(owner),
-    );
-    expect(JSON.parse(stdout)).toMatchObject({ kind: 'job', job: EXPONENT_JOB, phase: 'pending' });
-    expect(code).toBe(0);
+    it('does not convert a numeric-looking id to a number', async () => {
+      const { code, stdout } = await runExplain(
+        'job',
+        EXPONENT_JOB,
+        '--json',
+        '--address',
+        await serve(owner),
+      );
+      expect(JSON.parse(stdout)).toMatchObject({
+        kind: 'job',
+        job: EXPONENT_JOB,
+        phase: 'pending',
+      });
+      expect(code).toBe(0);
+    });
   });
 
-  it('does not exit with code 0 at a follower, which only reports the owner', async () => {
-    const { code, stdout } = await runExplain(
-      'job',
-      DIGITS_JOB,
-      '--address',
-      await serve(follower),
-    );
-    expect(stdout).toBe(
-      `job ${DIGITS_JOB}: running at ${follower.id} (follower)\nowner: ${owner.id}, link address ${owner.id}:7000\n`,
-    );
-    expect(code).toBe(1);
+  describe('at a follower', () => {
+    it('does not exit with code 0 at a follower, which only reports the owner', async () => {
+      const { code, stdout } = await runExplain(
+        'job',
+        DIGITS_JOB,
+        '--address',
+        await serve(follower),
+      );
+      expect(stdout).toBe(
+        `job ${DIGITS_JOB}: running at ${follower.id} (follower)\nowner: ${owner.id}, link address ${owner.id}:7000\n`,
+      );
+      expect(code).toBe(1);
+    });
   });
 
-  it.each([
-    ['an unknown job id', ['job', 'ffffffffffffffff'], 1, 'knows no job'],
-    ['a subject other than a job', ['task', DIGITS_JOB], 2, 'use explain job <id>'],
-  ])('does not exit with code 0 for %s', async (_, args, exitCode, message) => {
-    const { code, stderr } = await runExplain(...args, '--address', await serve(owner));
-    expect(stderr).toContain(message);
-    expect(code).toBe(exitCode);
-  });
+  describe('invalid requests', () => {
+    it.each([
+      ['an unknown job id', ['job', 'ffffffffffffffff'], 1, 'knows no job'],
+      ['a subject other than a job', ['task', DIGITS_JOB], 2, 'use explain job <id>'],
+    ])('does not exit with code 0 for %s', async (_, args, exitCode, message) => {
+      const { code, stderr } = await runExplain(...args, '--address', await serve(owner));
+      expect(stderr).toContain(message);
+      expect(code).toBe(exitCode);
+    });
 
-  it.each([
-    ['a missing address', []],
-    ['an address without a port', ['--address', '127.0.0.1']],
-  ])('does not accept %s', async (_, args) => {
-    expect((await runExplain('job', DIGITS_JOB, ...args)).code).toBe(2);
-  });
+    it.each([
+      ['a missing address', []],
+      ['an address without a port', ['--address', '127.0.0.1']],
+    ])('does not accept %s', async (_, args) => {
+      expect((await runExplain('job', DIGITS_JOB, ...args)).code).toBe(2);
+    });
 
-  it('does not accept a method that could change the job', async () => {
-    const address = await serve(owner);
-    const answer = await fetch(`http://${address}/v1/explain/job/${DIGITS_JOB}`, {
-      method: 'DELETE',
+    it('does not accept a method that could change the job', async () => {
+      const address = await serve(owner);
+      const answer = await fetch(`http://${address}/v1/explain/job/${DIGITS_JOB}`, {
+        method: 'DELETE',
+      });
+      expect(answer.status).toBe(405);
+      expect(owner.state.jobs.get(DIGITS_JOB)?.phase).toBe('running');
     });
-    expect(answer.status).toBe(405);
-    expect(owner.state.jobs.get(DIGITS_JOB)?.phase).toBe('running');
   });
 });
--- a/test/lib/index.test.ts
+++ b/test/lib/index.test.ts
@@ -72,34 +72,40 @@
     rmSync(folder, { recursive: true, force: true });
   });
 
-  it('does not omit a file that package.json refers to', () => {
-    for (const name of ['lib/index.js', 'lib/index.d.ts'])
-      expect(existsSync(join(folder, 'node_modules/bramleyladder/dist', name))).toBe(true);
+  describe('package', () => {
+    it('does not omit a file that package.json refers to', () => {
+      for (const name of ['lib/index.js', 'lib/index.d.ts'])
+        expect(existsSync(join(folder, 'node_modules/bramleyladder/dist', name))).toBe(true);
+    });
   });
 
-  it('does not lose the types of the public API', () => {
-    expect(checkTypes(writeConsumer('consumer.ts', CONSUMER))).toBe('');
-  });
+  describe('types', () => {
+    it('does not lose the types of the public API', () => {
+      expect(checkTypes(writeConsumer('consumer.ts', CONSUMER))).toBe('');
+    });
 
-  it('does not widen public types to any, which would accept a wrong value', () => {
-    const text =
-      "import type { Tables } from 'bramleyladder';\nexport const tables: Tables = { routes: 1, pools: [] };\n";
-    expect(checkTypes(writeConsumer('wrong.ts', text))).toContain('TS2322');
+    it('does not widen public types to any, which would accept a wrong value', () => {
+      const text =
+        "import type { Tables } from 'bramleyladder';\nexport const tables: Tables = { routes: 1, pools: [] };\n";
+      expect(checkTypes(writeConsumer('wrong.ts', text))).toContain('TS2322');
+    });
   });
 
-  it('does not fail to load or to start an entry in Node.js without a bundler', () => {
-    const path = writeConsumer('run.ts', CONSUMER);
-    execFileSync(process.execPath, [
-      ...[TSC, '--ignoreConfig', '--strict', '--module', 'nodenext', '--target', 'es2022'],
-      ...['--skipLibCheck', '--types', 'node', path],
-    ]);
-    const output = execFileSync(process.execPath, [join(folder, 'run.js')], { encoding: 'utf8' });
-    expect(JSON.parse(output)).toEqual({
-      status: 429,
-      reply: 'unavailable',
-      isOpen: true,
-      isValid: true,
-      policy: 'function',
+  describe('module', () => {
+    it('does not fail to load or to start an entry in Node.js without a bundler', () => {
+      const path = writeConsumer('run.ts', CONSUMER);
+      execFileSync(process.execPath, [
+        ...[TSC, '--ignoreConfig', '--strict', '--module', 'nodenext', '--target', 'es2022'],
+        ...['--skipLibCheck', '--types', 'node', path],
+      ]);
+      const output = execFileSync(process.execPath, [join(folder, 'run.js')], { encoding: 'utf8' });
+      expect(JSON.parse(output)).toEqual({
+        status: 429,
+        reply: 'unavailable',
+        isOpen: true,
+        isValid: true,
+        policy: 'function',
+      });
     });
   });
 });
--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -71,50 +71,56 @@
     return { program, port };
   }
 
-  it('do not end the owner or its successor, and are logged once a version', async () => {
-    const count = writeOddEntries();
-    for (let owners = 0; owners < 2; owners += 1) {
+  describe('at the start of an owner', () => {
+    it('do not end the owner or its successor, and are logged once a version', async () => {
+      const count = writeOddEntries();
+      for (let owners = 0; owners < 2; owners += 1) {
+        const { program, port } = await startOwner();
+        await delay(SETTLE_MS);
+        expect(program.exitCode).toBeUndefined();
+        expect(program.countLines('agent_unreadable')).toBe(count);
+        expect(
+          await readMetric(
+            port,
+            'unreadable_entries_total{event="agent_unreadable"}'.replace(/[{}]/g, '\\$&'),
+          ),
+        ).toBe(count);
+        program.dispose();
+        store.expireLease(owners + 1);
+      }
+    });
+  });
+
+  describe('in a watch', () => {
+    it('do not end an owner that reads them from a watch, or keep it from other entries', async () => {
       const { program, port } = await startOwner();
+      const count = writeOddEntries();
+      store.write('in/a/valid', { address: '127.0.0.1:9', zone: 'a' });
+      await waitFor(
+        () => program.countLines('agent_unreadable') === count || program.exitCode !== undefined,
+      );
       await delay(SETTLE_MS);
       expect(program.exitCode).toBeUndefined();
-      expect(program.countLines('agent_unreadable')).toBe(count);
-      expect(
-        await readMetric(
-          port,
-          'unreadable_entries_total{event="agent_unreadable"}'.replace(/[{}]/g, '\\$&'),
-        ),
-      ).toBe(count);
-      program.dispose();
-      store.expireLease(owners + 1);
-    }
-  });
-
-  it('do not end an owner that reads them from a watch, or keep it from other entries', async () => {
-    const { program, port } = await startOwner();
-    const count = writeOddEntries();
-    store.write('in/a/valid', { address: '127.0.0.1:9', zone: 'a' });
-    await waitFor(
-      () => program.countLines('agent_unreadable') === count || program.exitCode !== undefined,
-    );
-    await delay(SETTLE_MS);
-    expect(program.exitCode).toBeUndefined();
-    expect(program.output).toContain('agent=valid');
-    expect(await readMetric(port, 'is_owner')).toBe(1);
+      expect(program.output).toContain('agent=valid');
+      expect(await readMetric(port, 'is_owner')).toBe(1);
+    });
   });
 
-  it('do not end an entry that reads an odd owner record', async () => {
-    store.write('owner/current', {
-      entryId: 'e',
-      bootId: 'b',
-      address: '127.0.0.1:99999',
-      epoch: 1,
+  describe('in place of the owner record', () => {
+    it('do not end an entry that reads an odd owner record', async () => {
+      store.write('owner/current', {
+        entryId: 'e',
+        bootId: 'b',
+        address: '127.0.0.1:99999',
+        epoch: 1,
+      });
+      store.writeBytes('owner-epoch', '1e15');
+      const { program, port } = await startOwner();
+      await delay(SETTLE_MS);
+      expect(program.exitCode).toBeUndefined();
+      expect(program.countLines('owner_unreadable')).toBe(1);
+      expect(program.countLines('epoch_unreadable')).toBe(1);
+      expect(await readMetric(port, 'is_owner')).toBe(1);
     });
-    store.writeBytes('owner-epoch', '1e15');
-    const { program, port } = await startOwner();
-    await delay(SETTLE_MS);
-    expect(program.exitCode).toBeUndefined();
-    expect(program.countLines('owner_unreadable')).toBe(1);
-    expect(program.countLines('epoch_unreadable')).toBe(1);
-    expect(await readMetric(port, 'is_owner')).toBe(1);
   });
 });
--- a/test/platform/wireAdvice.test.ts
+++ b/test/platform/wireAdvice.test.ts
@@ -35,47 +35,53 @@
     server.closeAllConnections();
   });
 
-  it('does not lose the tickets of an answer', async () => {
-    answer = { status: 200, text: '{"good":[["i-2","t-9"]]}' };
-    expect(await client.request(ADVICE_REQUEST, 1_000)).toEqual({
-      kind: 'advice',
-      tickets: [{ workerId: 'i-2', ticket: 't-9' }],
+  describe('answers', () => {
+    it('does not lose the tickets of an answer', async () => {
+      answer = { status: 200, text: '{"good":[["i-2","t-9"]]}' };
+      expect(await client.request(ADVICE_REQUEST, 1_000)).toEqual({
+        kind: 'advice',
+        tickets: [{ workerId: 'i-2', ticket: 't-9' }],
+      });
+      expect(received).toEqual([
+        {
+          path: '/bramleyladder/advise',
+          body: { step: ADVICE_REQUEST.stepKey, workers: ['i-1', 'i-2'] },
+        },
+      ]);
     });
-    expect(received).toEqual([
-      {
-        path: '/bramleyladder/advise',
-        body: { step: ADVICE_REQUEST.stepKey, workers: ['i-1', 'i-2'] },
-      },
-    ]);
-  });
 
-  it('does not mistake a full queue of the adviser for an answer', async () => {
-    answer = { status: 429, text: '' };
-    expect(await client.request(ADVICE_REQUEST, 1_000)).toEqual({ kind: 'busy' });
-  });
+    it('does not mistake a full queue of the adviser for an answer', async () => {
+      answer = { status: 429, text: '' };
+      expect(await client.request(ADVICE_REQUEST, 1_000)).toEqual({ kind: 'busy' });
+    });
 
-  it.each(['{"good":[["i-2"]]}', '{"good":7}', 'no json', ''])(
-    'does not accept %j as advice',
-    async (text) => {
-      answer = { status: 200, text };
-      expect((await client.request(ADVICE_REQUEST, 1_000)).kind).toBe('unavailable');
-    },
-  );
+    it.each(['{"good":[["i-2"]]}', '{"good":7}', 'no json', ''])(
+      'does not accept %j as advice',
+      async (text) => {
+        answer = { status: 200, text };
+        expect((await client.request(ADVICE_REQUEST, 1_000)).kind).toBe('unavailable');
+      },
+    );
+  });
 
-  it('does not send a request when no adviser is configured', async () => {
-    const unconfigured = WireAdviceClient.create('');
-    expect((await unconfigured.request(ADVICE_REQUEST, 1_000)).kind).toBe('unavailable');
-    unconfigured.dispose();
+  describe('requests', () => {
+    it('does not send a request when no adviser is configured', async () => {
+      const unconfigured = WireAdviceClient.create('');
+      expect((await unconfigured.request(ADVICE_REQUEST, 1_000)).kind).toBe('unavailable');
+      unconfigured.dispose();
+    });
   });
 
-  it('does not lose the advice policy of a queue', () => {
-    const route = { name: 'r', host: 'h', prefix: '/p/', service: 's' };
-    const advice = { decide_ms: 30, each_ms: 2, valid_ms: 4_000 };
-    const decoded = decodeConfiguration({ version: 1, routes: [{ ...route, advice }, route] });
-    const queues = decoded?.kind === 'configuration' ? decoded.configuration.queues : [];
-    expect(queues.map((queue) => queue.advice)).toEqual([
-      { decideMs: 30, perWorkerMs: 2, validMs: 4_000 },
-      undefined,
-    ]);
+  describe('configuration', () => {
+    it('does not lose the advice policy of a queue', () => {
+      const route = { name: 'r', host: 'h', prefix: '/p/', service: 's' };
+      const advice = { decide_ms: 30, each_ms: 2, valid_ms: 4_000 };
+      const decoded = decodeConfiguration({ version: 1, routes: [{ ...route, advice }, route] });
+      const queues = decoded?.kind === 'configuration' ? decoded.configuration.queues : [];
+      expect(queues.map((queue) => queue.advice)).toEqual([
+        { decideMs: 30, perWorkerMs: 2, validMs: 4_000 },
+        undefined,
+      ]);
+    });
   });
 });
--- a/test/systems/operators/operatorSystem.test.ts
+++ b/test/systems/operators/operatorSystem.test.ts
@@ -64,42 +64,48 @@
     addOwnership('east', 'entry-1');
   });
 
-  it('does not skip an owner, call itself or call an owner twice', () => {
-    explain('replica-7');
-    expect(listPeerCalls().map(({ address }) => address)).toEqual([
-      'address-entry-1',
-      'address-entry-2',
-    ]);
+  describe('calls to owners', () => {
+    it('does not skip an owner, call itself or call an owner twice', () => {
+      explain('replica-7');
+      expect(listPeerCalls().map(({ address }) => address)).toEqual([
+        'address-entry-1',
+        'address-entry-2',
+      ]);
+    });
   });
 
-  it('does not complete with an empty explanation before all owners have replied', () => {
-    explain('replica-7');
-    reply('address-entry-1', { kind: 'json', value: EMPTY_EXPLANATION });
-    expect(listAnswers()).toEqual([]);
-    reply('address-entry-2', { kind: 'json', value: KNOWN_EXPLANATION });
-    expect(listAnswers()).toEqual([KNOWN_EXPLANATION]);
-    expect(state.calls.size).toBe(0);
-  });
+  describe('answer', () => {
+    it('does not complete with an empty explanation before all owners have replied', () => {
+      explain('replica-7');
+      reply('address-entry-1', { kind: 'json', value: EMPTY_EXPLANATION });
+      expect(listAnswers()).toEqual([]);
+      reply('address-entry-2', { kind: 'json', value: KNOWN_EXPLANATION });
+      expect(listAnswers()).toEqual([KNOWN_EXPLANATION]);
+      expect(state.calls.size).toBe(0);
+    });
 
-  it('does not answer twice', () => {
-    explain('replica-7');
-    reply('address-entry-2', { kind: 'json', value: KNOWN_EXPLANATION });
-    reply('address-entry-1', { kind: 'json', value: KNOWN_EXPLANATION });
-    expect(listAnswers()).toEqual([KNOWN_EXPLANATION]);
-  });
+    it('does not answer twice', () => {
+      explain('replica-7');
+      reply('address-entry-2', { kind: 'json', value: KNOWN_EXPLANATION });
+      reply('address-entry-1', { kind: 'json', value: KNOWN_EXPLANATION });
+      expect(listAnswers()).toEqual([KNOWN_EXPLANATION]);
+    });
 
-  it('does not omit that an owner did not answer', () => {
-    explain('replica-7');
-    reply('address-entry-1', undefined);
-    reply('address-entry-2', { kind: 'json', value: EMPTY_EXPLANATION });
-    expect(listAnswers()).toMatchObject([
-      { rows: {}, note: 'shard owners that did not answer: 1' },
-    ]);
-    expect(state.calls.size).toBe(0);
+    it('does not omit that an owner did not answer', () => {
+      explain('replica-7');
+      reply('address-entry-1', undefined);
+      reply('address-entry-2', { kind: 'json', value: EMPTY_EXPLANATION });
+      expect(listAnswers()).toMatchObject([
+        { rows: {}, note: 'shard owners that did not answer: 1' },
+      ]);
+      expect(state.calls.size).toBe(0);
+    });
   });
 
-  it('does not call the owners of other shards for a job whose id contains its shard', () => {
-    explain('south:0123');
-    expect(listPeerCalls().map(({ address }) => address)).toEqual(['address-entry-2']);
+  describe('for a job', () => {
+    it('does not call the owners of other shards for a job whose id contains its shard', () => {
+      explain('south:0123');
+      expect(listPeerCalls().map(({ address }) => address)).toEqual(['address-entry-2']);
+    });
   });
 });
--- a/test/systems/scheduler/advice.test.ts
+++ b/test/systems/scheduler/advice.test.ts
@@ -24,65 +24,71 @@
 }
 
 describe('placement advice', () => {
-  it('does not start a task on a worker that the adviser does not allow', () => {
-    const { world, entry, adviser } = createAdvisedWorld((id) => id === 'worker-agent-2');
-    world.submit(entry, JOB, [{ count: 6, cpuMillis: 3_000 }]);
-    world.run(5_000);
-    expect(readPhase(world, entry)).toBe('completed');
-    for (const agent of world.agents)
-      expect(agent.runner.starts).toHaveLength(agent.id === 'agent-2' ? 6 : 0);
-    expect(adviser.requests).toHaveLength(1);
-    expect(entry.state.counters.get('start_rejections', { reason: 'ticket' })).toBe(0);
-  });
+  describe('tickets', () => {
+    it('does not start a task on a worker that the adviser does not allow', () => {
+      const { world, entry, adviser } = createAdvisedWorld((id) => id === 'worker-agent-2');
+      world.submit(entry, JOB, [{ count: 6, cpuMillis: 3_000 }]);
+      world.run(5_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      for (const agent of world.agents)
+        expect(agent.runner.starts).toHaveLength(agent.id === 'agent-2' ? 6 : 0);
+      expect(adviser.requests).toHaveLength(1);
+      expect(entry.state.counters.get('start_rejections', { reason: 'ticket' })).toBe(0);
+    });
 
-  it('does not start a task with an expired ticket', () => {
-    const { world, entry, adviser } = createAdvisedWorld(() => true, 800, 1);
-    world.submit(entry, JOB, [{ count: 4, cpuMillis: 5_000 }]);
-    world.run(7_000);
-    expect(readPhase(world, entry)).toBe('completed');
-    expect(adviser.requests.length).toBeGreaterThanOrEqual(4);
+    it('does not start a task with an expired ticket', () => {
+      const { world, entry, adviser } = createAdvisedWorld(() => true, 800, 1);
+      world.submit(entry, JOB, [{ count: 4, cpuMillis: 5_000 }]);
+      world.run(7_000);
+      expect(readPhase(world, entry)).toBe('completed');
+      expect(adviser.requests.length).toBeGreaterThanOrEqual(4);
+    });
   });
 
-  it('does not ask again about workers that a step may not use', () => {
-    const { world, entry, adviser } = createAdvisedWorld(() => false, 500);
-    world.submit(entry, JOB, [{ count: 2 }]);
-    world.run(5_000);
-    expect(adviser.requests).toHaveLength(1);
-    expect(readPhase(world, entry)).toBe('pending');
-  });
+  describe('requests', () => {
+    it('does not ask again about workers that a step may not use', () => {
+      const { world, entry, adviser } = createAdvisedWorld(() => false, 500);
+      world.submit(entry, JOB, [{ count: 2 }]);
+      world.run(5_000);
+      expect(adviser.requests).toHaveLength(1);
+      expect(readPhase(world, entry)).toBe('pending');
+    });
 
-  it('does not flood a busy adviser with requests, and continues once it answers', () => {
-    const { world, entry, adviser } = createAdvisedWorld(() => true);
-    adviser.isBusy = true;
-    world.submit(entry, JOB, [{ count: 2 }]);
-    world.run(6_000);
-    expect(adviser.requests.length).toBeLessThan(9);
-    adviser.isBusy = false;
-    world.run(4_000);
-    expect(readPhase(world, entry)).toBe('completed');
+    it('does not flood a busy adviser with requests, and continues once it answers', () => {
+      const { world, entry, adviser } = createAdvisedWorld(() => true);
+      adviser.isBusy = true;
+      world.submit(entry, JOB, [{ count: 2 }]);
+      world.run(6_000);
+      expect(adviser.requests.length).toBeLessThan(9);
+      adviser.isBusy = false;
+      world.run(4_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
   });
 
-  it('does not delay queues without a policy while the adviser does not answer', () => {
-    const { world, entry } = createAdvisedWorld(() => true);
-    world.adviser = undefined;
-    for (const { runner } of world.agents) runner.isTicketValid = () => true;
-    world.submit(entry, JOB, [{ count: 1 }]);
-    world.run(500);
-    writeWorldConfiguration(world.store, 3);
-    world.run(3_000);
-    expect(readPhase(world, entry)).toBe('completed');
-  });
+  describe('with an adviser that is silent or disagrees', () => {
+    it('does not delay queues without a policy while the adviser does not answer', () => {
+      const { world, entry } = createAdvisedWorld(() => true);
+      world.adviser = undefined;
+      for (const { runner } of world.agents) runner.isTicketValid = () => true;
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(500);
+      writeWorldConfiguration(world.store, 3);
+      world.run(3_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
 
-  it('does not count a rejected ticket as a fault of the worker', () => {
-    const { world, entry } = createAdvisedWorld(() => true, 5_000, 1);
-    let rejections = 2;
-    world.agents[0]!.runner.isTicketValid = () => {
-      rejections -= 1;
-      return rejections < 0;
-    };
-    world.submit(entry, JOB, [{ count: 1 }]);
-    world.run(1_000);
-    expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
-    expect(world.logs.some(({ event }) => event === 'worker_troubled')).toBe(false);
+    it('does not count a rejected ticket as a fault of the worker', () => {
+      const { world, entry } = createAdvisedWorld(() => true, 5_000, 1);
+      let rejections = 2;
+      world.agents[0]!.runner.isTicketValid = () => {
+        rejections -= 1;
+        return rejections < 0;
+      };
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(1_000);
+      expect(world.listStarts(`${JOB}.0.0.0`)).toHaveLength(1);
+      expect(world.logs.some(({ event }) => event === 'worker_troubled')).toBe(false);
+    });
   });
 });
--- a/test/systems/scheduler/falseHeartbeats.test.ts
+++ b/test/systems/scheduler/falseHeartbeats.test.ts
@@ -26,35 +26,39 @@
 }
 
 describe('a heartbeat of another writer', () => {
-  it.each([
-    ['another id and a later start', { id: 'odd', bornMs: 5_000 }],
-    ['the same id and a later start', { bornMs: 5_000 }],
-    ['another id, at an address that nobody serves', { id: 'silent', bornMs: 5_000 }],
-    ['another id, and a service that does not exist', { id: 'odd', bornMs: 5_000, service: 'x' }],
-  ])('with %s does not start running work again elsewhere', (_, fields) => {
-    const { world, entry } = createWorld(1, 2);
-    world.behave = () => ({ durationMs: 9_000, end: 'done' });
-    world.submit(entry, JOB, [{ count: 1 }]);
-    world.run(500);
-    const agent = world.agents.find(({ runner }) => runner.running.has(TASK))!;
-    sendFalseHeartbeat(world, agent, fields);
-    expect(runWithHeartbeats(world, 5)).toBe(1);
-    expect(world.listStarts(TASK)).toHaveLength(1);
-    expect(agent.state.worker?.id).toBe(`worker-${agent.id}`);
-    expect(agent.state.worker?.bornMs).toBe(agent.runner.startedMs);
-    expect(runWithHeartbeats(world, 2)).toBe(1);
-    expect(readPhase(world, entry)).toBe('completed');
+  describe('beside running work', () => {
+    it.each([
+      ['another id and a later start', { id: 'odd', bornMs: 5_000 }],
+      ['the same id and a later start', { bornMs: 5_000 }],
+      ['another id, at an address that nobody serves', { id: 'silent', bornMs: 5_000 }],
+      ['another id, and a service that does not exist', { id: 'odd', bornMs: 5_000, service: 'x' }],
+    ])('with %s does not start running work again elsewhere', (_, fields) => {
+      const { world, entry } = createWorld(1, 2);
+      world.behave = () => ({ durationMs: 9_000, end: 'done' });
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(500);
+      const agent = world.agents.find(({ runner }) => runner.running.has(TASK))!;
+      sendFalseHeartbeat(world, agent, fields);
+      expect(runWithHeartbeats(world, 5)).toBe(1);
+      expect(world.listStarts(TASK)).toHaveLength(1);
+      expect(agent.state.worker?.id).toBe(`worker-${agent.id}`);
+      expect(agent.state.worker?.bornMs).toBe(agent.runner.startedMs);
+      expect(runWithHeartbeats(world, 2)).toBe(1);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
   });
 
-  it('does not keep a new incarnation of the worker from being used', () => {
-    const { world, entry } = createWorld(1, 1);
-    const agent = world.agents[0]!;
-    sendFalseHeartbeat(world, agent, { id: 'odd', bornMs: 5_000 });
-    world.run(300);
-    world.restartRunner(agent);
-    runWithHeartbeats(world, 2);
-    world.submit(entry, JOB, [{ count: 1 }]);
-    world.run(2_500);
-    expect(readPhase(world, entry)).toBe('completed');
+  describe('before a restart', () => {
+    it('does not keep a new incarnation of the worker from being used', () => {
+      const { world, entry } = createWorld(1, 1);
+      const agent = world.agents[0]!;
+      sendFalseHeartbeat(world, agent, { id: 'odd', bornMs: 5_000 });
+      world.run(300);
+      world.restartRunner(agent);
+      runWithHeartbeats(world, 2);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(2_500);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
   });
 });
--- a/test/systems/scheduler/oddEntries.test.ts
+++ b/test/systems/scheduler/oddEntries.test.ts
@@ -96,74 +96,80 @@
 }
 
 describe('odd entries in the store', () => {
-  it('change nothing for the other entries, before or after a takeover', () => {
-    fc.assert(
-      fc.property(oddKey, oddRecord, (key, value) => {
-        const { world, entry } = createWorld(2, 2);
-        world.addInstances();
-        write(world, key, value);
-        world.submit(entry, JOB, [{ count: 2 }]);
-        world.run(2_500);
-        expect(readPhase(world, entry)).toBe('completed');
-        world.kill(world.owner!);
-        world.run(5_000);
-        const owner = world.owner!;
-        world.submit(owner, createJobId(2), [{ count: 2 }]);
-        world.run(2_500);
-        expect(readPhase(world, owner, createJobId(2))).toBe('completed');
-      }),
-      { numRuns: RUNS, seed: SEED },
-    );
+  describe('of any kind', () => {
+    it('change nothing for the other entries, before or after a takeover', () => {
+      fc.assert(
+        fc.property(oddKey, oddRecord, (key, value) => {
+          const { world, entry } = createWorld(2, 2);
+          world.addInstances();
+          write(world, key, value);
+          world.submit(entry, JOB, [{ count: 2 }]);
+          world.run(2_500);
+          expect(readPhase(world, entry)).toBe('completed');
+          world.kill(world.owner!);
+          world.run(5_000);
+          const owner = world.owner!;
+          world.submit(owner, createJobId(2), [{ count: 2 }]);
+          world.run(2_500);
+          expect(readPhase(world, owner, createJobId(2))).toBe('completed');
+        }),
+        { numRuns: RUNS, seed: SEED },
+      );
+    });
   });
 
-  it('of a wave do not take a phase from the members of every object', () => {
-    const { world } = createWorld(1, 1);
-    world.addInstances();
-    write(world, OPERATOR_KEYS.wave('1'), {
-      kind: 'wave',
-      wave: { number: 1, instances: ['constructor', 'toString'], withinMs: 60_000, maxDown: 2 },
-    });
-    write(world, STORE_KEYS.waveProgress('1'), {
-      change: 1,
-      startedAtMs: 1,
-      isCompleted: false,
-      instances: {},
+  describe('with names or numbers out of range', () => {
+    it('of a wave do not take a phase from the members of every object', () => {
+      const { world } = createWorld(1, 1);
+      world.addInstances();
+      write(world, OPERATOR_KEYS.wave('1'), {
+        kind: 'wave',
+        wave: { number: 1, instances: ['constructor', 'toString'], withinMs: 60_000, maxDown: 2 },
+      });
+      write(world, STORE_KEYS.waveProgress('1'), {
+        change: 1,
+        startedAtMs: 1,
+        isCompleted: false,
+        instances: {},
+      });
+      world.run(2_000);
+      const phases = [...world.owner!.state.fleet.maintenance.values()].map(({ phase }) => phase);
+      expect(phases).toHaveLength(2);
+      for (const phase of phases) expect(phase).toEqual(expect.any(String));
     });
-    world.run(2_000);
-    const phases = [...world.owner!.state.fleet.maintenance.values()].map(({ phase }) => phase);
-    expect(phases).toHaveLength(2);
-    for (const phase of phases) expect(phase).toEqual(expect.any(String));
-  });
 
-  it('of one job do not exhaust the memory of every owner', () => {
-    const { world, entry } = createWorld(1, 1);
-    const step = { ...createJobSpec([{}], {}).steps[0]!, count: 100_000 };
-    const spec = { payload: '', steps: [step, step], occurrences: 100_000 };
-    write(world, STORE_KEYS.job(JOB), {
-      queue: 'queue',
-      service: 'svc',
-      spec: { ...spec, startAtMs: 0, intervalMs: 0 },
-      acceptedAtMs: 1,
+    it('of one job do not exhaust the memory of every owner', () => {
+      const { world, entry } = createWorld(1, 1);
+      const step = { ...createJobSpec([{}], {}).steps[0]!, count: 100_000 };
+      const spec = { payload: '', steps: [step, step], occurrences: 100_000 };
+      write(world, STORE_KEYS.job(JOB), {
+        queue: 'queue',
+        service: 'svc',
+        spec: { ...spec, startAtMs: 0, intervalMs: 0 },
+        acceptedAtMs: 1,
+      });
+      world.run(1_000);
+      expect(entry.state.tasks.size).toBe(0);
+      expect(world.logs.filter(({ event }) => event === 'job_unreadable')).toHaveLength(1);
     });
-    world.run(1_000);
-    expect(entry.state.tasks.size).toBe(0);
-    expect(world.logs.filter(({ event }) => event === 'job_unreadable')).toHaveLength(1);
   });
 
-  it('are not logged again with each list of the store', () => {
-    const { world, entry } = createWorld(1, 1);
-    write(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:99999', zone: 'a' });
-    world.run(500);
-    for (let lists = 0; lists < 3; lists += 1) {
-      entry.state.intake.listAt = world.clock.now;
-      world.run(1_000);
-    }
-    const count = (): number =>
-      world.logs.filter(({ event }) => event === 'agent_unreadable').length;
-    expect(count()).toBe(1);
-    write(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:-1', zone: 'a' });
-    world.run(500);
-    expect(count()).toBe(2);
-    expect(entry.state.counters.get('unreadable_entries', { event: 'agent_unreadable' })).toBe(2);
+  describe('in repeated lists', () => {
+    it('are not logged again with each list of the store', () => {
+      const { world, entry } = createWorld(1, 1);
+      write(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:99999', zone: 'a' });
+      world.run(500);
+      for (let lists = 0; lists < 3; lists += 1) {
+        entry.state.intake.listAt = world.clock.now;
+        world.run(1_000);
+      }
+      const count = (): number =>
+        world.logs.filter(({ event }) => event === 'agent_unreadable').length;
+      expect(count()).toBe(1);
+      write(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:-1', zone: 'a' });
+      world.run(500);
+      expect(count()).toBe(2);
+      expect(entry.state.counters.get('unreadable_entries', { event: 'agent_unreadable' })).toBe(2);
+    });
   });
 });
--- a/test/systems/scheduler/paceReset.test.ts
+++ b/test/systems/scheduler/paceReset.test.ts
@@ -38,25 +38,27 @@
 }
 
 describe('pace of best-effort tasks', () => {
-  it('does not stay low after the owner that throttled them is killed', () => {
-    const { world, setSlack } = createSlowedWorld();
-    expect(listPaces(world)).toEqual([0, 0, 0, 0]);
-    world.kill(world.owner!);
-    world.run(3_000);
-    setSlack(3);
-    world.run(3_000);
-    expect(listPaces(world)).toEqual([100, 100, 100, 100]);
-  });
+  describe('after a change of the owner', () => {
+    it('does not stay low after the owner that throttled them is killed', () => {
+      const { world, setSlack } = createSlowedWorld();
+      expect(listPaces(world)).toEqual([0, 0, 0, 0]);
+      world.kill(world.owner!);
+      world.run(3_000);
+      setSlack(3);
+      world.run(3_000);
+      expect(listPaces(world)).toEqual([100, 100, 100, 100]);
+    });
 
-  it('does not stay low when the serving task ends while there is no owner', () => {
-    const { world } = createSlowedWorld();
-    world.kill(world.owner!);
-    world.call(
-      world.entries.find(({ isUp }) => isUp)!,
-      SERVING,
-      { kind: 'cancel' },
-    );
-    world.run(6_000);
-    expect(listPaces(world)).toEqual([100, 100, 100, 100]);
+    it('does not stay low when the serving task ends while there is no owner', () => {
+      const { world } = createSlowedWorld();
+      world.kill(world.owner!);
+      world.call(
+        world.entries.find(({ isUp }) => isUp)!,
+        SERVING,
+        { kind: 'cancel' },
+      );
+      world.run(6_000);
+      expect(listPaces(world)).toEqual([100, 100, 100, 100]);
+    });
   });
 });
--- a/test/systems/scheduler/preemption.test.ts
+++ b/test/systems/scheduler/preemption.test.ts
@@ -31,51 +31,55 @@
 }
 
 describe('preemption', () => {
-  it('does not let an urgent job wait for batch work that saves its progress', () => {
-    const { world, entry } = createFullWorld({ savesProgress: true });
-    expect(countRunning(world, BATCH)).toBe(8);
-    world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
-    world.run(1_500);
-    expect(world.listStarts(`${URGENT}.0.0.0`)).toHaveLength(1);
-    expect(entry.state.counters.get('preemptions')).toBe(2);
-  });
+  describe('of work that saves its progress', () => {
+    it('does not let an urgent job wait for batch work that saves its progress', () => {
+      const { world, entry } = createFullWorld({ savesProgress: true });
+      expect(countRunning(world, BATCH)).toBe(8);
+      world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
+      world.run(1_500);
+      expect(world.listStarts(`${URGENT}.0.0.0`)).toHaveLength(1);
+      expect(entry.state.counters.get('preemptions')).toBe(2);
+    });
 
-  it('does not lose the preempted work', () => {
-    const { world, entry } = createFullWorld({ savesProgress: true });
-    world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
-    world.run(25_000);
-    expect(entry.state.jobs.get(BATCH)?.phase).toBe('completed');
-  });
+    it('does not lose the preempted work', () => {
+      const { world, entry } = createFullWorld({ savesProgress: true });
+      world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
+      world.run(25_000);
+      expect(entry.state.jobs.get(BATCH)?.phase).toBe('completed');
+    });
 
-  it.each([
-    { name: 'long-running tasks', step: { longRunning: true } },
-    { name: 'members of a gang', step: { gang: true } },
-  ])('does not stop $name', ({ step }) => {
-    const { world, entry } = createFullWorld(step);
-    world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
-    world.run(3_000);
-    expect(countRunning(world, BATCH)).toBe(8);
+    it.each([
+      { name: 'long-running tasks', step: { longRunning: true } },
+      { name: 'members of a gang', step: { gang: true } },
+    ])('does not stop $name', ({ step }) => {
+      const { world, entry } = createFullWorld(step);
+      world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
+      world.run(3_000);
+      expect(countRunning(world, BATCH)).toBe(8);
+    });
   });
 
-  it('does not stop work with much progress that is not saved', () => {
-    const { world, entry } = createFullWorld({});
-    world.run(3_000);
-    world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
-    world.run(2_000);
-    expect(countRunning(world, BATCH)).toBe(8);
-  });
+  describe('of other work', () => {
+    it('does not stop work with much progress that is not saved', () => {
+      const { world, entry } = createFullWorld({});
+      world.run(3_000);
+      world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
+      world.run(2_000);
+      expect(countRunning(world, BATCH)).toBe(8);
+    });
 
-  it('does not stop anything for a queue of the same urgency, or where capacity is free', () => {
-    const { world, entry } = createFullWorld({ savesProgress: true, cpuMillis: 1_000 });
-    world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
-    world.submit(
-      entry,
-      createJobId(3),
-      [{ count: 9, cpuMillis: 1_000 }],
-      {},
-      { prefix: '/batch/' },
-    );
-    world.run(3_000);
-    expect(entry.state.counters.get('preemptions')).toBe(0);
+    it('does not stop anything for a queue of the same urgency, or where capacity is free', () => {
+      const { world, entry } = createFullWorld({ savesProgress: true, cpuMillis: 1_000 });
+      world.submit(entry, URGENT, [{ count: 1, cpuMillis: 3_000 }]);
+      world.submit(
+        entry,
+        createJobId(3),
+        [{ count: 9, cpuMillis: 1_000 }],
+        {},
+        { prefix: '/batch/' },
+      );
+      world.run(3_000);
+      expect(entry.state.counters.get('preemptions')).toBe(0);
+    });
   });
 });
