Share the waits and store writes of tests

Cause: two tests wrote again what others had.

Change: waitForProgram and writeValue stand in test/support. The wait of one test is 10 s instead of 15 s.

--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -6,21 +6,13 @@
   createEntrySettings,
   findPorts,
   PlatformProgram,
+  waitForProgram as waitFor,
 } from '../support/platformProgram.ts';
 import { PlatformStoreStandIn } from '../support/platformStandIn.ts';
 
-const WAIT_TIMEOUT_MS = 15_000;
 /** An owner opens the links of all agents within this time, and again after their backoff. */
 const SETTLE_MS = 1_500;
 
-async function waitFor(check: () => boolean | Promise<boolean>): Promise<void> {
-  const deadline = performance.now() + WAIT_TIMEOUT_MS;
-  while (!(await check())) {
-    if (performance.now() > deadline) throw new Error('the condition did not become true');
-    await delay(20);
-  }
-}
-
 async function readMetric(port: number, name: string): Promise<number> {
   const response = await fetch(`http://127.0.0.1:${port}/metrics`).catch(() => undefined);
   const text = (await response?.text()) ?? '';
--- a/test/platform/programs.test.ts
+++ b/test/platform/programs.test.ts
@@ -6,10 +6,10 @@
   createEntrySettings,
   findPorts,
   PlatformProgram,
+  waitForProgram as waitFor,
 } from '../support/platformProgram.ts';
 import { PlatformStoreStandIn } from '../support/platformStandIn.ts';
 
-const WAIT_TIMEOUT_MS = 10_000;
 /** Interval of the balancer's readiness check; a blocked process does not answer within it. */
 const RESPONSE_TIMEOUT_MS = 1_000;
 
@@ -26,14 +26,6 @@
   return { status: response.status, text: await response.text(), retryAfter };
 }
 
-async function waitFor(check: () => boolean | Promise<boolean>): Promise<void> {
-  const deadline = performance.now() + WAIT_TIMEOUT_MS;
-  while (!(await check())) {
-    if (performance.now() > deadline) throw new Error('the condition did not become true');
-    await delay(20);
-  }
-}
-
 async function readGauge(port: number, name: string): Promise<number> {
   const { text } = await call(port, '/metrics');
   return Number(new RegExp(`^bramleyladder_${name} (.*)$`, 'm').exec(text)?.[1]);
--- a/test/support/jobWorld.ts
+++ b/test/support/jobWorld.ts
@@ -24,6 +24,13 @@
   return answer?.kind === 'phase' ? answer.phase : (answer?.kind ?? 'none');
 }
 
+/** Overwrites the value of a key, as another writer may. */
+export function writeValue(world: SchedulerWorld, key: string, value: unknown): void {
+  const read = world.store.handle({ op: 'read', key });
+  const expectedVersion = read.kind === 'entry' ? read.entry.version : 0;
+  world.store.handle({ op: 'write', key, expectedVersion, value });
+}
+
 export function createJobId(index: number): string {
   return index.toString(16).padStart(16, '0');
 }
--- a/test/support/platformProgram.ts
+++ b/test/support/platformProgram.ts
@@ -4,11 +4,23 @@
 import { open } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import { dirname, join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 import { BOUNDS } from './worldNodes.ts';
 
 export const CACHE_FOLDER = 'node_modules/.cache/bramleyladder';
 export const BUNDLE_FOLDER = `${CACHE_FOLDER}/programs`;
 
+const WAIT_TIMEOUT_MS = 10_000;
+
+/** Waits until a condition about running programs holds. */
+export async function waitForProgram(check: () => boolean | Promise<boolean>): Promise<void> {
+  const deadline = performance.now() + WAIT_TIMEOUT_MS;
+  while (!(await check())) {
+    if (performance.now() > deadline) throw new Error('the condition did not become true');
+    await delay(20);
+  }
+}
+
 /** Builds the two bundles of the users' platform into a separate folder. */
 export function buildPrograms(folder = BUNDLE_FOLDER): void {
   execFileSync(process.execPath, ['tools/buildPlatform.mjs', folder]);
--- a/test/systems/scheduler/oddEntries.test.ts
+++ b/test/systems/scheduler/oddEntries.test.ts
@@ -3,8 +3,7 @@
 import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
 import { OPERATOR_KEYS } from '../../../src/model/scheduler/queueConfiguration.ts';
 import { buildNestedJson, INVALID_ADDRESSES } from '../../support/invalidValues.ts';
-import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
-import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import { createJobId, createWorld, JOB, readPhase, writeValue } from '../../support/jobWorld.ts';
 import { createJobSpec } from '../../support/worldNodes.ts';
 
 const RUNS = 40;
@@ -89,12 +88,6 @@
   )
   .map(([prefix, id]) => prefix + id);
 
-function write(world: SchedulerWorld, key: string, value: unknown): void {
-  const read = world.store.handle({ op: 'read', key });
-  const expectedVersion = read.kind === 'entry' ? read.entry.version : 0;
-  world.store.handle({ op: 'write', key, expectedVersion, value });
-}
-
 describe('odd entries in the store', () => {
   describe('of any kind', () => {
     it('change nothing for the other entries, before or after a takeover', () => {
@@ -102,7 +95,7 @@
         fc.property(oddKey, oddRecord, (key, value) => {
           const { world, entry } = createWorld(2, 2);
           world.addInstances();
-          write(world, key, value);
+          writeValue(world, key, value);
           world.submit(entry, JOB, [{ count: 2 }]);
           world.run(2_500);
           expect(readPhase(world, entry)).toBe('completed');
@@ -122,11 +115,11 @@
     it('of a wave do not take a phase from the members of every object', () => {
       const { world } = createWorld(1, 1);
       world.addInstances();
-      write(world, OPERATOR_KEYS.wave('1'), {
+      writeValue(world, OPERATOR_KEYS.wave('1'), {
         kind: 'wave',
         wave: { number: 1, instances: ['constructor', 'toString'], withinMs: 60_000, maxDown: 2 },
       });
-      write(world, STORE_KEYS.waveProgress('1'), {
+      writeValue(world, STORE_KEYS.waveProgress('1'), {
         change: 1,
         startedAtMs: 1,
         isCompleted: false,
@@ -142,7 +135,7 @@
       const { world, entry } = createWorld(1, 1);
       const step = { ...createJobSpec([{}], {}).steps[0]!, count: 100_000 };
       const spec = { payload: '', steps: [step, step], occurrences: 100_000 };
-      write(world, STORE_KEYS.job(JOB), {
+      writeValue(world, STORE_KEYS.job(JOB), {
         queue: 'queue',
         service: 'svc',
         spec: { ...spec, startAtMs: 0, intervalMs: 0 },
@@ -157,7 +150,7 @@
   describe('in repeated lists', () => {
     it('are not logged again with each list of the store', () => {
       const { world, entry } = createWorld(1, 1);
-      write(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:99999', zone: 'a' });
+      writeValue(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:99999', zone: 'a' });
       world.run(500);
       for (let lists = 0; lists < 3; lists += 1) {
         entry.state.intake.listAt = world.clock.now;
@@ -166,7 +159,7 @@
       const count = (): number =>
         world.logs.filter(({ event }) => event === 'agent_unreadable').length;
       expect(count()).toBe(1);
-      write(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:-1', zone: 'a' });
+      writeValue(world, STORE_KEYS.agent('odd'), { address: '10.0.0.1:-1', zone: 'a' });
       world.run(500);
       expect(count()).toBe(2);
       expect(entry.state.counters.get('unreadable_entries', { event: 'agent_unreadable' })).toBe(2);
--- a/test/systems/scheduler/storeValues.test.ts
+++ b/test/systems/scheduler/storeValues.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { OPERATOR_KEYS } from '../../../src/model/scheduler/queueConfiguration.ts';
 import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
-import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import { createJobId, createWorld, JOB, readPhase, writeValue } from '../../support/jobWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 
 /** Values that a process of this version never writes. */
@@ -14,13 +14,6 @@
   { phase: 'asleep', tasks: 3 },
 ];
 
-/** Overwrites the value of a key. */
-function write(world: SchedulerWorld, key: string, value: unknown): void {
-  const read = world.store.handle({ op: 'read', key });
-  const expectedVersion = read.kind === 'entry' ? read.entry.version : 0;
-  world.store.handle({ op: 'write', key, expectedVersion, value });
-}
-
 function countLogs(world: SchedulerWorld, event: string): number {
   return world.logs.filter((log) => log.event === event).length;
 }
@@ -30,7 +23,7 @@
     it('do not block other jobs, before or after a takeover', () => {
       const { world, entry } = createWorld(2, 2);
       for (const [index, value] of UNREADABLE_VALUES.entries())
-        write(world, STORE_KEYS.job(createJobId(100 + index)), value);
+        writeValue(world, STORE_KEYS.job(createJobId(100 + index)), value);
       world.submit(entry, JOB, [{ count: 2 }]);
       world.run(3_000);
       expect(readPhase(world, entry)).toBe('completed');
@@ -47,7 +40,7 @@
     it('do not remove a known agent or block the others', () => {
       const { world, entry } = createWorld(1, 2);
       for (const [index, value] of UNREADABLE_VALUES.entries())
-        write(world, STORE_KEYS.agent(index === 0 ? 'agent-0' : `stranger-${index}`), value);
+        writeValue(world, STORE_KEYS.agent(index === 0 ? 'agent-0' : `stranger-${index}`), value);
       world.run(1_000);
       world.submit(entry, JOB, [{ count: 2, cpuMillis: 8_000 }]);
       world.run(3_000);
@@ -64,7 +57,7 @@
         const { world, entry } = createWorld(2, 2);
         world.submit(entry, JOB, [{ count: 2 }]);
         world.run(300);
-        write(world, STORE_KEYS.progress(JOB), value);
+        writeValue(world, STORE_KEYS.progress(JOB), value);
         world.kill(world.owner!);
         world.run(25_000);
         expect(countLogs(world, 'progress_unreadable')).toBeGreaterThan(0);
@@ -78,7 +71,7 @@
       const { world } = createWorld(2, 1);
       const before = world.owner!.state.ownership.epoch;
       world.kill(world.owner!);
-      write(world, STORE_KEYS.owner, value);
+      writeValue(world, STORE_KEYS.owner, value);
       world.run(10_000);
       expect(world.owner?.state.ownership.epoch).toBeGreaterThan(before);
     });
@@ -87,7 +80,7 @@
   describe("the operator's keys", () => {
     it.each(UNREADABLE_VALUES)('%j does not replace the configuration in force', (value) => {
       const { world, entry } = createWorld(1, 1);
-      write(world, OPERATOR_KEYS.configuration, value);
+      writeValue(world, OPERATOR_KEYS.configuration, value);
       world.run(2_000);
       expect(countLogs(world, 'configuration_unreadable')).toBe(1);
       world.submit(entry, JOB, [{ count: 1 }]);
