Play paused agents in the tests' world

Cause: no test stopped an agent between the receipt of a command and the answer of its worker.

Conclusion: nothing to mend was found.

--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -141,6 +141,16 @@
     });
   }
 
+  /** Freezes an agent, as SIGSTOP does; it then receives everything at once. */
+  freezeAgent(agent: AgentNode, durationMs: number): void {
+    agent.frozenArrivals = [];
+    this.events.schedule(durationMs, () => {
+      for (const arrival of agent.frozenArrivals ?? []) agent.loop.receive(arrival);
+      agent.frozenArrivals = undefined;
+      this.runAgentTick(agent);
+    });
+  }
+
   /** Advances the clock and runs all events that are due. */
   run(durationMs: number): void {
     this.events.run(durationMs, () => {
@@ -258,11 +268,21 @@
 
   deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void {
     this.events.schedule(delayMs, () => {
+      if (agent.frozenArrivals !== undefined) {
+        agent.frozenArrivals.push(arrival);
+        return;
+      }
       agent.loop.receive(arrival);
-      this.events.wake(agent.id, agent.loop.runTick(), () => agent.loop.runTick());
+      this.runAgentTick(agent);
     });
   }
 
+  private runAgentTick(agent: AgentNode): void {
+    const runTick = (): number =>
+      agent.frozenArrivals === undefined ? agent.loop.runTick() : Number.POSITIVE_INFINITY;
+    this.events.wake(agent.id, runTick(), runTick);
+  }
+
   private runTick(entry: EntryNode): void {
     const runTick = (): number =>
       entry.isUp && entry.frozenArrivals === undefined
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -53,6 +53,8 @@
   lossyLinkId?: string;
   /** Number of the next commands that the worker neither executes nor answers. */
   commandsToDrop: number;
+  /** Arrivals of a frozen process, which it receives when it wakes; undefined while it runs. */
+  frozenArrivals: RunnerAgentArrival[] | undefined;
   /** Time until which the agent's messages to owners are delayed. */
   delayedUntil: number;
   /** Returns the fault of a call to the worker; undefined for none. */
@@ -135,6 +137,7 @@
     links: new Map(),
     isReachable: true,
     commandsToDrop: 0,
+    frozenArrivals: undefined,
     getFault: () => undefined,
     delayedUntil: 0,
     hasTerminated: false,
