--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -147,7 +147,7 @@
     this.events.schedule(durationMs, () => {
       for (const arrival of agent.frozenArrivals ?? []) agent.loop.receive(arrival);
       agent.frozenArrivals = undefined;
-      this.runAgentTick(agent);
+      this.runTick(agent);
     });
   }
 
@@ -273,22 +273,18 @@
         return;
       }
       agent.loop.receive(arrival);
-      this.runAgentTick(agent);
+      this.runTick(agent);
     });
   }
 
-  private runAgentTick(agent: AgentNode): void {
-    const runTick = (): number =>
-      agent.frozenArrivals === undefined ? agent.loop.runTick() : Number.POSITIVE_INFINITY;
-    this.events.wake(agent.id, runTick(), runTick);
-  }
-
-  private runTick(entry: EntryNode): void {
-    const runTick = (): number =>
-      entry.isUp && entry.frozenArrivals === undefined
-        ? entry.loop.runTick() + entry.suspendedMs
-        : Number.POSITIVE_INFINITY;
-    this.events.wake(entry.id, runTick(), runTick);
+  private runTick(node: EntryNode | AgentNode): void {
+    const isEntry = 'suspendedMs' in node;
+    const runTick = (): number => {
+      if (node.frozenArrivals !== undefined || (isEntry && !node.isUp))
+        return Number.POSITIVE_INFINITY;
+      return node.loop.runTick() + (isEntry ? node.suspendedMs : 0);
+    };
+    this.events.wake(node.id, runTick(), runTick);
   }
 
   private handleEntryEffect(entry: EntryNode, effect: SchedulerEffect): void {
