Count a run of a gang once when several of its members fail

The attempt limit added up the failures of all members, so two members that failed on one worker used both attempts. Ends `stopped` did not count: on the code before, a gang with one failing member in each run ran twice. Change: the first member of a gang carries its failed runs, with the number of the latest one, which is stored, so that a member reported as failed after a takeover finds its run counted. Stored progress has a format; an earlier build reads the sum it expects, and its records are read with the largest number of one member. All members avoid a worker on which one failed. A completed task no longer fails its job through a copy that is reported as failed later. `attempt_failed` and `explain job` tell what used the attempts. Conclusion: a run counts once whatever the number of failing members, so the limit still acts after the allowed runs. Which workers a task avoids is still forgotten at a takeover.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -30,14 +30,24 @@
 export const taskRecordSchema = z.object({
   lastRun: z.int(),
   failures: z.optional(z.int()),
+  /** Latest failed run of a gang, on its first member. */
+  failedRun: z.optional(z.int()),
   done: z.optional(z.boolean()),
   checkpoint: z.optional(z.string()),
   open: z.optional(z.array(openRunSchema)),
 });
 export type TaskRecord = z.infer<typeof taskRecordSchema>;
 
+/**
+ * Version of the stored progress. Format 1, of records without the field, has the failed runs of a
+ * gang on each member that failed. Format 2 has them on the first member, once for each run; an
+ * owner that knows only format 1 adds up the members and gets the same number.
+ */
+export const PROGRESS_FORMAT = 2;
+
 /** Progress of a job as its owner stores it. Task names are relative to the job: `K.STEP.INDEX`. */
 export const jobProgressSchema = z.object({
+  format: z.optional(z.int()),
   phase: jobPhaseSchema,
   /** Epoch of the owner that wrote the record, and the number of its change; they identify the owner's own writes. */
   epoch: z.int(),
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -37,7 +37,10 @@
   /** `waiting` for earlier steps, `ready` to be placed, `active` with an open run, or `done`. */
   readonly phase: 'waiting' | 'ready' | 'active' | 'done';
   readonly lastRun: number;
+  /** Failed runs that count against the attempts; those of a gang are on its first member. */
   readonly failures: number;
+  /** Latest failed run of the gang, on its first member; 0 without one. */
+  readonly lastFailedRun: number;
   readonly checkpoint: string;
   /** Time since which the task has been ready, owner's clock ms. */
   readonly readyAt: number;
--- a/src/systems/scheduler/attemptLimit.ts
+++ b/src/systems/scheduler/attemptLimit.ts
@@ -1,7 +1,28 @@
 import type { TaskRow } from '../../model/scheduler/rows.ts';
 import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { getFailureCarrier } from './gangs.ts';
 import { setJobPhase } from './jobChanges.ts';
+import { logEvent } from './storeCalls.ts';
+
+/**
+ * Counts a failed run against the attempts of its task. Several members of a gang may fail in one
+ * run, which is one failed attempt of the gang.
+ */
+export function recordFailedRun(state: SchedulerState, task: TaskRow, run: number): void {
+  const carrier = getFailureCarrier(state, task);
+  const isGangRunCounted = task.step.gang && run <= carrier.lastFailedRun;
+  // A copy of a completed task may fail before its stop arrives.
+  if (task.phase === 'done' || isGangRunCounted) return;
+  const failures = carrier.failures + 1;
+  state.tasks.update(carrier.id, { failures, lastFailedRun: task.step.gang ? run : 0 });
+  logEvent(state, 'info', 'attempt_failed', {
+    task: task.id,
+    run,
+    failures,
+    attempts: getAttempts(state, task) ?? 0,
+  });
+}
 
 /**
  * Fails the job of a task that has used up the attempts of its queue, and returns whether it did.
@@ -10,19 +31,28 @@
  */
 export function applyAttemptLimit(state: SchedulerState, task: TaskRow): boolean {
   const job = state.jobs.get(task.jobId);
-  if (task.step.longRunning || job === undefined) return false;
-  const attempts = state.operator.queues.get(job.job.queue)?.attempts;
-  if (attempts === undefined || countFailures(state, task) < attempts) return false;
+  if (job === undefined || !hasUsedAttempts(state, task)) return false;
   setJobPhase(state, job, 'failed');
   return true;
 }
 
-/** Counts the failures of a task, or of all members of its gang, which share their attempts. */
-function countFailures(state: SchedulerState, task: TaskRow): number {
-  if (!task.step.gang) return task.failures;
-  const stepKey = formatStepKey(task);
-  let failures = 0;
-  for (const member of state.tasksByJob.list(task.jobId))
-    if (formatStepKey(member) === stepKey) failures += member.failures;
-  return failures;
+/** Explains which task or gang made a job fail; empty if the job failed under an earlier owner. */
+export function explainFailedJob(state: SchedulerState, jobId: string): string[] {
+  for (const task of state.tasksByJob.values(jobId)) {
+    if (!hasUsedAttempts(state, task)) continue;
+    const subject = task.step.gang ? `gang ${formatStepKey(task)}` : `task ${task.id}`;
+    return [`${subject} has used its ${getAttempts(state, task) ?? 0} attempts`];
+  }
+  return [];
+}
+
+function hasUsedAttempts(state: SchedulerState, task: TaskRow): boolean {
+  const attempts = getAttempts(state, task);
+  if (task.phase === 'done' || task.step.longRunning || attempts === undefined) return false;
+  return getFailureCarrier(state, task).failures >= attempts;
+}
+
+function getAttempts(state: SchedulerState, task: TaskRow): number | undefined {
+  const queue = state.jobs.get(task.jobId)?.job.queue ?? '';
+  return state.operator.queues.get(queue)?.attempts;
 }
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -2,7 +2,12 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { JobProgress, TaskRecord } from '../../model/scheduler/jobRecord.ts';
-import { isFinalPhase, jobProgressSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import {
+  isFinalPhase,
+  jobProgressSchema,
+  PROGRESS_FORMAT,
+  STORE_KEYS,
+} from '../../model/scheduler/jobRecord.ts';
 import type { JobRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
@@ -210,12 +215,14 @@
     tasks[task.id.slice(job.id.length + 1)] = {
       lastRun: task.lastRun,
       ...(task.failures === 0 ? {} : { failures: task.failures }),
+      ...(task.lastFailedRun === 0 ? {} : { failedRun: task.lastFailedRun }),
       ...(task.phase === 'done' ? { done: true } : {}),
       ...(task.checkpoint === '' ? {} : { checkpoint: task.checkpoint }),
       ...(openRuns.length === 0 ? {} : { open: openRuns }),
     };
   }
   return {
+    format: PROGRESS_FORMAT,
     phase: job.phase,
     epoch: state.ownership.epoch,
     change: job.change,
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -1,8 +1,9 @@
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { JobPhase } from '../../model/scheduler/jobRecord.ts';
-import type { JobRow, RunRow } from '../../model/scheduler/rows.ts';
+import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { listGangMembers } from './gangs.ts';
 import { recordMove } from './moves.ts';
 import { logEvent } from './storeCalls.ts';
 
@@ -77,18 +78,12 @@
   if (task === undefined) return;
   recordJobChange(state, run.jobId);
   const checkpoint = outcome.checkpoint ?? run.checkpoint;
-  const workerId = parseWorkerKey(run.workerKey).workerId;
-  const avoidedWorkerIds = outcome.failed
-    ? [...task.avoidedWorkerIds.filter((id) => id !== workerId), workerId].slice(
-        -MAX_AVOIDED_WORKERS,
-      )
-    : task.avoidedWorkerIds;
+  if (outcome.failed === true)
+    recordAvoidedWorker(state, task, parseWorkerKey(run.workerKey).workerId);
   const jobPhase = state.jobs.get(run.jobId)?.phase ?? 'cancelled';
   const isReady =
     task.phase === 'active' && !isFinalPhase(jobPhase) && state.runsByTask.count(task.id) === 0;
   state.tasks.update(task.id, {
-    avoidedWorkerIds,
-    failures: task.failures + (outcome.failed ? 1 : 0),
     checkpoint: checkpoint === '' ? task.checkpoint : checkpoint,
     phase: isReady ? 'ready' : task.phase,
     readyAt: isReady && outcome.now !== undefined ? outcome.now : task.readyAt,
@@ -106,6 +101,18 @@
   if (run.step.gang) stopGang(state, run, reason);
 }
 
+/** Records a worker that the next runs of the task, or of all members of its gang, avoid. */
+function recordAvoidedWorker(state: SchedulerState, task: TaskRow, workerId: string): void {
+  if (task.avoidedWorkerIds.at(-1) === workerId) return;
+  for (const { id, avoidedWorkerIds } of task.step.gang ? listGangMembers(state, task) : [task])
+    state.tasks.update(id, {
+      avoidedWorkerIds: [
+        ...avoidedWorkerIds.filter((avoided) => avoided !== workerId),
+        workerId,
+      ].slice(-MAX_AVOIDED_WORKERS),
+    });
+}
+
 /** Stops the other members of a gang, which cannot continue without the released one. */
 function stopGang(state: SchedulerState, run: RunRow, reason: string): void {
   const task = state.tasks.get(run.taskId);
--- a/src/systems/scheduler/jobExplanation.ts
+++ b/src/systems/scheduler/jobExplanation.ts
@@ -6,6 +6,7 @@
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { explainFailedJob } from './attemptLimit.ts';
 import { computeDueAt, countOccurrences } from './jobTables.ts';
 import type { WorkerCapacity } from './taskPlacementPolicy.ts';
 import { explainReadyTask } from './waitReasons.ts';
@@ -77,6 +78,7 @@
   if (job.change > job.storedChange) why.push('the latest change is not stored yet');
   if (isFinalPhase(job.phase)) {
     const openRuns = state.runsByJob.count(job.id);
+    if (job.phase === 'failed') why.push(...explainFailedJob(state, job.id));
     if (openRuns > 0) why.push(`${openRuns} runs have not ended yet`);
     return why;
   }
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -114,6 +114,7 @@
         phase: isDone ? 'done' : openRuns.length > 0 ? 'active' : 'waiting',
         lastRun: record?.lastRun ?? 0,
         failures: record?.failures ?? 0,
+        lastFailedRun: record?.failedRun ?? 0,
         checkpoint: record?.checkpoint ?? '',
         readyAt: now,
         avoidedWorkerIds: [],
--- a/src/systems/scheduler/runEndSystem.ts
+++ b/src/systems/scheduler/runEndSystem.ts
@@ -4,7 +4,8 @@
 import type { ReportedEnd, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import { formatRunId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { applyAttemptLimit } from './attemptLimit.ts';
+import { applyAttemptLimit, recordFailedRun } from './attemptLimit.ts';
+import { listGangMembers } from './gangs.ts';
 import { recordJobChange, releaseRun, requestStop } from './jobChanges.ts';
 import { recordMove } from './moves.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
@@ -75,9 +76,7 @@
     this.markDone(state, task);
     if (!task.step.gang) return;
     // The end of one member completes all members of a gang.
-    for (const member of state.tasksByJob.list(task.jobId))
-      if (member.stepIndex === task.stepIndex && member.occurrence === task.occurrence)
-        this.markDone(state, member);
+    for (const member of listGangMembers(state, task)) this.markDone(state, member);
   }
 
   private markDone(state: SchedulerState, task: TaskRow): void {
@@ -104,6 +103,7 @@
     });
     const job = state.jobs.get(task.jobId);
     if (!failed || job === undefined || isFinalPhase(job.phase)) return;
+    recordFailedRun(state, state.tasks.get(task.id) ?? task, run.run);
     applyAttemptLimit(state, state.tasks.get(task.id) ?? task);
   }
 
--- a/src/systems/scheduler/takeoverSystem.ts
+++ b/src/systems/scheduler/takeoverSystem.ts
@@ -8,12 +8,14 @@
   submittedJobSchema,
 } from '../../model/scheduler/jobRecord.ts';
 import type { JobProgress } from '../../model/scheduler/jobRecord.ts';
+import type { JobSpec } from '../../model/scheduler/jobSpec.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { applyStoredAgent } from './agentTables.ts';
 import { applyCancel } from './jobChanges.ts';
 import type { StoredProgress } from './jobTables.ts';
 import { addJob } from './jobTables.ts';
+import { updateProgressFormat } from './progressFormat.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 import { recordUnreadableEntry } from './unreadableEntries.ts';
 
@@ -113,10 +115,14 @@
       recordUnreadableEntry(state, 'job_unreadable', entry, { job: id });
       return;
     }
-    addJob(state, id, job, now, this.findProgress(state, id));
+    addJob(state, id, job, now, this.findProgress(state, id, job.spec));
   }
 
-  private findProgress(state: SchedulerState, id: string): StoredProgress | undefined {
+  private findProgress(
+    state: SchedulerState,
+    id: string,
+    spec: JobSpec,
+  ): StoredProgress | undefined {
     const entry = state.load.entries.get(STORE_KEYS.progress(id));
     if (entry === undefined) return undefined;
     const progress = parseValue(jobProgressSchema, entry.value).toMaybe().extract();
@@ -128,6 +134,6 @@
       // succeeds.
       return { version: entry.version, progress: EMPTY_PROGRESS };
     }
-    return { version: entry.version, progress };
+    return { version: entry.version, progress: updateProgressFormat(progress, spec) };
   }
 }
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -4,6 +4,7 @@
 import type { TaskRow } from '../../model/scheduler/rows.ts';
 import { createRunRow, formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { listGangMembers } from './gangs.ts';
 import { recordJobChange } from './jobChanges.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
 import { RejectedDemands } from './rejectedDemands.ts';
@@ -182,9 +183,7 @@
     candidates: readonly WorkerCapacity[],
     now: number,
   ): void {
-    const members = state.tasksByJob
-      .list(task.jobId)
-      .filter((member) => formatStepKey(member) === formatStepKey(task));
+    const members = listGangMembers(state, task);
     if (members.some((member) => member.phase !== 'ready')) return;
     if (applyAttemptLimit(state, task)) return;
     const checkpoint =
--- a/src/systems/scheduler/waitReasons.ts
+++ b/src/systems/scheduler/waitReasons.ts
@@ -3,6 +3,7 @@
 import type { TaskRow } from '../../model/scheduler/rows.ts';
 import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { listGangMembers } from './gangs.ts';
 import type { WorkerCapacity } from './taskPlacementPolicy.ts';
 import {
   canRun,
@@ -92,9 +93,7 @@
   task: TaskRow,
   capacities: readonly WorkerCapacity[],
 ): string {
-  const members = state.tasksByJob
-    .list(task.jobId)
-    .filter((member) => formatStepKey(member) === formatStepKey(task));
+  const members = listGangMembers(state, task);
   const open = members.filter(({ phase }) => phase !== 'ready').length;
   if (open > 0) return `gang: ${open} of ${members.length} members are not ready yet`;
   const reserved: { readonly capacity: WorkerCapacity; readonly member: TaskRow }[] = [];
--- a/test/systems/scheduler/jobExplanation.test.ts
+++ b/test/systems/scheduler/jobExplanation.test.ts
@@ -85,6 +85,19 @@
     });
   });
 
+  describe('of a failed job', () => {
+    it.each([
+      { step: {}, why: `task ${JOB}.0.0.0 has used its 3 attempts` },
+      { step: { gang: true }, why: `gang ${JOB}.0.0 has used its 3 attempts` },
+    ])('does not omit what used the attempts of $step', ({ step, why }) => {
+      const { world, entry } = createWorld(1, 3);
+      world.behave = () => ({ durationMs: 100, end: 'failed' });
+      world.submit(entry, JOB, [step]);
+      world.run(2_000);
+      expect(explainOwned(world)).toMatchObject({ phase: 'failed', why: [why] });
+    });
+  });
+
   describe('reasons for waiting', () => {
     it('does not explain a full pool as a closed one', () => {
       expect(explainWait({ cpuMillis: 900_000 })).toMatch(
