Count jobs as waiting until a worker has started one of their tasks

A job became `running` in the tick of its first placement, before any worker had answered, and a rejected start did not set it back. Change: a job is running once a worker has answered a start, or has listed a run or an end of one of its tasks. job_first_start_duration_ms measures up to that proof. Conclusion: an answer to a start decides, not the intention. One write more a job at most; its cost is not measured yet.

--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -6,7 +6,7 @@
 import { PENDING_COMMAND } from '../../model/scheduler/runTables.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { getRunLeaseMs } from './agentLinkSystem.ts';
-import { releaseRun } from './jobChanges.ts';
+import { recordJobStart, releaseRun } from './jobChanges.ts';
 import { MAX_CLOCK_DRIFT_FACTOR, LEASE_MARGIN_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
@@ -139,10 +139,12 @@
     if (run === undefined || worker?.agentId !== agentId) return;
     if (worker.identity.bornMs !== result.bornMs) return;
     const isStarting = run.phase === 'starting';
+    const hasStarted = result.outcome === 'started' || result.outcome === 'listed';
+    if (hasStarted) recordJobStart(state, run.jobId, now);
     if (isStarting && result.outcome === 'started')
       state.runs.update(run.id, { phase: 'running', progressAt: now });
     // The worker lists the run, so the end that it lists decides.
-    if (result.outcome === 'started' || result.outcome === 'listed') return;
+    if (hasStarted) return;
     // A rejection of an earlier attempt says nothing about the attempt sent after it.
     if (result.attempt !== 0 && result.attempt !== run.startAttempts) return;
     if (isStarting) this.releaseRejected(state, run, worker, result.outcome, now);
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -5,7 +5,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { listGangMembers } from './gangs.ts';
 import { recordMove } from './moves.ts';
-import { logEvent } from './storeCalls.ts';
+import { logEvent, recordDuration } from './storeCalls.ts';
 
 /** Workers that a task avoids after failures; more would leave small pools without a candidate. */
 const MAX_AVOIDED_WORKERS = 3;
@@ -36,6 +36,17 @@
   for (const run of state.runsByJob.list(job.id)) requestStop(state, run, `job ${phase}`);
 }
 
+/**
+ * Records that a worker has started a task of the job. Until a worker has answered a start or has
+ * listed the run or its end, the job is pending: starts are rejected, lost and executed late.
+ */
+export function recordJobStart(state: SchedulerState, jobId: string, now: number): void {
+  const job = state.jobs.get(jobId);
+  if (job?.phase !== 'pending') return;
+  setJobPhase(state, job, 'running');
+  recordDuration(state, 'job_first_start_duration_ms', now - job.acceptedAt);
+}
+
 /** Cancels a job at its owner unless the job is final. */
 export function applyCancel(state: SchedulerState, jobId: string): void {
   const job = state.jobs.get(jobId);
--- a/src/systems/scheduler/jobProgressSystem.ts
+++ b/src/systems/scheduler/jobProgressSystem.ts
@@ -47,9 +47,6 @@
     if (job.openTaskCount === 0 && job.addedOccurrences >= countOccurrences(job.job)) {
       setJobPhase(state, job, 'completed');
       this.recordCompletion(state, job, now);
-    } else if (job.phase === 'pending' && state.runsByJob.count(jobId) > 0) {
-      setJobPhase(state, job, 'running');
-      recordDuration(state, 'job_first_start_duration_ms', now - job.acceptedAt);
     }
   }
 
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -5,7 +5,7 @@
 import { formatRunId, formatWorkerKey, parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseRunsOfTerminatedWorker } from './agentTables.ts';
-import { releaseRun, requestStop } from './jobChanges.ts';
+import { recordJobStart, releaseRun, requestStop } from './jobChanges.ts';
 import {
   GRANT_WINDOW_MS,
   LEASE_MARGIN_MS,
@@ -112,6 +112,8 @@
       const id = formatRunId(listedRun.task, listedRun.run);
       listedIds.add(id);
       const run = state.runs.get(id);
+      if (run?.phase !== 'running')
+        recordJobStart(state, state.tasks.get(listedRun.task)?.jobId ?? '', now);
       if (run?.workerKey !== worker.id) {
         unknownRunCount += 1;
         this.stopUnknownRun(state, worker, listedRun.task, listedRun.run);
--- a/src/systems/scheduler/runEndSystem.ts
+++ b/src/systems/scheduler/runEndSystem.ts
@@ -6,7 +6,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { applyAttemptLimit, recordFailedRun } from './attemptLimit.ts';
 import { listGangMembers } from './gangs.ts';
-import { recordJobChange, releaseRun, requestStop } from './jobChanges.ts';
+import { recordJobChange, recordJobStart, releaseRun, requestStop } from './jobChanges.ts';
 import { recordMove } from './moves.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
 import { clearBackoff, recordFailure } from './workerBackoff.ts';
@@ -48,6 +48,7 @@
     if (end.how === 'done') clearBackoff(state, workerKey);
     else if (end.how === 'failed') recordFailure(state, workerKey, now);
     if (task !== undefined) {
+      recordJobStart(state, task.jobId, now);
       if (end.how === 'done') this.applyDone(state, task, run, now);
       else if (run?.workerKey === workerKey) this.applyUnfinished(state, task, run, end, now);
     }
--- a/test/support/jobWorld.ts
+++ b/test/support/jobWorld.ts
@@ -24,6 +24,13 @@
   return answer?.kind === 'phase' ? answer.phase : (answer?.kind ?? 'none');
 }
 
+/** Kills the owner and advances the clock until another entry has loaded the tables. */
+export function replaceOwner(world: SchedulerWorld): EntryNode {
+  world.kill(world.owner!);
+  while (world.owner === undefined) world.run(10);
+  return world.owner;
+}
+
 /** Overwrites the value of a key, as another writer may. */
 export function writeValue(world: SchedulerWorld, key: string, value: unknown): void {
   const read = world.store.handle({ op: 'read', key });
--- a/test/systems/scheduler/attemptLimit.test.ts
+++ b/test/systems/scheduler/attemptLimit.test.ts
@@ -1,6 +1,13 @@
 import { describe, expect, it } from 'vitest';
 import { jobProgressSchema, STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
-import { createWorld, JOB, readPhase, TASK, writeValue } from '../../support/jobWorld.ts';
+import {
+  createWorld,
+  JOB,
+  readPhase,
+  replaceOwner,
+  TASK,
+  writeValue,
+} from '../../support/jobWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { EntryNode } from '../../support/worldNodes.ts';
 import { createJobSpec, writeWorldConfiguration } from '../../support/worldNodes.ts';
@@ -29,13 +36,6 @@
   return tasks.reduce((sum, { failures }) => sum + failures, 0);
 }
 
-/** Kills the owner and waits until another entry has loaded the tables. */
-function replaceOwner(world: SchedulerWorld): EntryNode {
-  world.kill(world.owner!);
-  while (world.owner === undefined) world.run(10);
-  return world.owner;
-}
-
 /** Adds an entry that cannot read the operator's keys until the returned `configure` is called. */
 function addUnconfiguredEntry(world: SchedulerWorld): { entry: EntryNode; configure: () => void } {
   const entry = world.addEntry('unconfigured');
--- a/test/systems/scheduler/waitingCounts.test.ts
+++ b/test/systems/scheduler/waitingCounts.test.ts
@@ -1,8 +1,10 @@
 import { describe, expect, it } from 'vitest';
 import type { QueueAnswer } from '../../../src/model/scheduler/queueCall.ts';
-import { createJobId, createWorld } from '../../support/jobWorld.ts';
+import type { StepSpec } from '../../../src/model/scheduler/jobSpec.ts';
+import type { RunnerCall } from '../../../src/model/scheduler/runnerCall.ts';
+import { createJobId, createWorld, readPhase, replaceOwner } from '../../support/jobWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
-import type { EntryNode } from '../../support/worldNodes.ts';
+import type { EntryNode, RunnerCallFault } from '../../support/worldNodes.ts';
 
 const JOBS = 4;
 
@@ -26,6 +28,42 @@
   return entry.answers.get(callId);
 }
 
+/** Makes all workers treat start commands with a fault. */
+function setFault(world: SchedulerWorld, fault: RunnerCallFault): void {
+  for (const agent of world.agents)
+    agent.getFault = (call) => (call.op === 'start' ? fault : undefined);
+}
+
+function clearFaults(world: SchedulerWorld): void {
+  for (const agent of world.agents) agent.getFault = () => undefined;
+}
+
+function createFaultyWorld(fault: RunnerCallFault): { world: SchedulerWorld; entry: EntryNode } {
+  const created = createWorld(4, 2);
+  setFault(created.world, fault);
+  return created;
+}
+
+function submitJobs(
+  world: SchedulerWorld,
+  entry: EntryNode,
+  steps: readonly Partial<StepSpec>[] = [{ count: 1 }],
+): void {
+  for (let index = 1; index <= JOBS; index += 1) world.submit(entry, createJobId(index), steps);
+}
+
+/** Counts the jobs of which a worker has started a task. */
+function countStarted(world: SchedulerWorld): number {
+  const starts = world.agents.flatMap(({ runner }) => runner.starts);
+  return new Set(starts.map(({ task }) => task.split('.')[0])).size;
+}
+
+/** Checks the count at every entry that is up. */
+function expectWaiting(world: SchedulerWorld, waiting: number): void {
+  for (const entry of world.entries.filter(({ isUp }) => isUp))
+    expect(countWaiting(world, entry)).toEqual({ kind: 'count', waiting });
+}
+
 describe('count of waiting jobs', () => {
   describe('at an entry connected to the owner', () => {
     it('does not omit jobs that another entry accepted', () => {
@@ -75,4 +113,105 @@
       expect(countWaiting(world, owner)).toMatchObject({ kind: 'refused', error: 'no_owner' });
     });
   });
+
+  describe('of jobs whose starts have no effect', () => {
+    it.each(['refused', 'dropped', 'late'] as const)(
+      'does not omit those whose starts are %s until they begin',
+      (fault) => {
+        const { world, entry } = createFaultyWorld(fault);
+        submitJobs(world, entry);
+        world.run(4_000);
+        expect(countStarted(world)).toBe(0);
+        expectWaiting(world, JOBS);
+        expect(readPhase(world, entry, createJobId(1))).toBe('pending');
+        clearFaults(world);
+        world.run(15_000);
+        expect(countStarted(world)).toBe(JOBS);
+        expectWaiting(world, 0);
+      },
+    );
+
+    it('does not omit them after two takeovers', () => {
+      const { world, entry } = createFaultyWorld('refused');
+      submitJobs(world, entry);
+      world.run(1_000);
+      replaceOwner(world);
+      world.run(3_000);
+      replaceOwner(world);
+      world.run(3_000);
+      expectWaiting(world, JOBS);
+    });
+
+    it('does not omit them while their worker is gone', () => {
+      const { world, entry } = createWorld(2, 2);
+      for (const agent of world.agents) agent.getFault = () => 'dropped';
+      submitJobs(world, entry);
+      world.run(1_000);
+      for (const agent of world.agents) world.disconnectAgent(agent);
+      world.run(10_000);
+      expectWaiting(world, JOBS);
+    });
+
+    it('does not omit a gang whose members are all rejected', () => {
+      const { world, entry } = createFaultyWorld('refused');
+      world.submit(entry, createJobId(1), [{ count: 4, gang: true }]);
+      world.run(4_000);
+      expectWaiting(world, 1);
+    });
+  });
+
+  describe('of jobs that have begun', () => {
+    it.each(['silent', 'lost'] as const)(
+      'does not contain those whose start answers are %s',
+      (fault) => {
+        const { world, entry } = createFaultyWorld(fault);
+        submitJobs(world, entry);
+        world.run(4_000);
+        expect(countStarted(world)).toBe(JOBS);
+        expectWaiting(world, 0);
+      },
+    );
+
+    it('does not contain them when a later start of them is rejected', () => {
+      const { world, entry } = createWorld(2, 2);
+      world.behave = () => ({ durationMs: 500, end: 'done' });
+      submitJobs(world, entry, [{ count: 1 }, { count: 1, after: [0] }]);
+      world.run(300);
+      setFault(world, 'refused');
+      world.run(3_000);
+      expectWaiting(world, 0);
+      expect(readPhase(world, entry, createJobId(1))).toBe('running');
+    });
+
+    it('does not contain them when one of several tasks has started', () => {
+      const { world, entry } = createWorld(2, 2);
+      const isRefused = (call: RunnerCall): boolean =>
+        call.op === 'start' && !call.task.endsWith('.0');
+      for (const agent of world.agents)
+        agent.getFault = (call) => (isRefused(call) ? 'refused' : undefined);
+      submitJobs(world, entry, [{ count: 3 }]);
+      world.run(800);
+      expectWaiting(world, 0);
+    });
+
+    it('does not contain them after two takeovers within their first run', () => {
+      const { world, entry } = createWorld(4, 2);
+      world.behave = () => ({ durationMs: 60_000, end: 'done' });
+      submitJobs(world, entry);
+      world.run(500);
+      replaceOwner(world);
+      world.run(1_000);
+      replaceOwner(world);
+      world.run(1_000);
+      expectWaiting(world, 0);
+    });
+
+    it('does not contain those that ended before the answer to their start was read', () => {
+      const { world, entry } = createFaultyWorld('silent');
+      world.behave = () => ({ durationMs: 20, end: 'failed' });
+      submitJobs(world, entry, [{ count: 1, longRunning: true }]);
+      world.run(1_500);
+      expectWaiting(world, 0);
+    });
+  });
 });
