Keep the parameters of a queue with its jobs when the queue is removed

The parameters of a queue were read from the present configuration at each use, with a fallback in each place: no limit on failed runs, the highest priority, no ticket, no part in preemption. The failures themselves were kept: the limit acted again once the queue was back. Change: a job carries the parameters of its queue. The submission stores them, each configuration with the queue updates them, and the progress stores them when they differ. All systems read them from the job. A job that an earlier build accepted gets them from the first owner that knows its queue; without one, a task that has failed waits for the queue, and `explain job` says so. Conclusion: one rule in place of five fallbacks; it holds after takeovers, for unread entries of the configuration, and forth and back. The new fields are optional; an earlier build ignores them.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod/mini';
 import { addressSchema } from '../address.ts';
 import { jobSpecSchema } from './jobSpec.ts';
+import { queueTermsSchema } from './queueConfiguration.ts';
 
 export const jobPhaseSchema = z.enum(['pending', 'running', 'completed', 'failed', 'cancelled']);
 export type JobPhase = z.infer<typeof jobPhaseSchema>;
@@ -19,6 +20,8 @@
   spec: jobSpecSchema,
   /** Wall-clock time of acceptance at the entry, milliseconds since 1970. */
   acceptedAtMs: z.number(),
+  /** Parameters of the queue at acceptance; absent in jobs that an earlier build accepted. */
+  terms: z.optional(queueTermsSchema),
 });
 export type SubmittedJob = z.infer<typeof submittedJobSchema>;
 
@@ -49,6 +52,8 @@
 export const jobProgressSchema = z.object({
   format: z.optional(z.int()),
   phase: jobPhaseSchema,
+  /** Parameters of the queue in the last configuration with it, if they differ from the accepted ones. */
+  terms: z.optional(queueTermsSchema),
   /** Epoch of the owner that wrote the record, and the number of its change; they identify the owner's own writes. */
   epoch: z.int(),
   change: z.int(),
--- a/src/model/scheduler/queueConfiguration.ts
+++ b/src/model/scheduler/queueConfiguration.ts
@@ -11,12 +11,8 @@
 });
 export type AdvicePolicy = z.infer<typeof advicePolicySchema>;
 
-/** A queue: the route of its jobs and their scheduling parameters. */
-export const queueSchema = z.object({
-  name: z.string(),
-  host: z.string(),
-  /** Path prefix that ends before the job id. */
-  prefix: z.string(),
+/** Scheduling parameters of a queue, which its jobs keep when the queue is removed. */
+export const queueTermsSchema = z.object({
   service: z.string(),
   /** 0 is the highest priority. */
   priority: z.number(),
@@ -28,6 +24,15 @@
   /** Set when starts need a ticket of the adviser. */
   advice: z.optional(advicePolicySchema),
 });
+export type QueueTerms = z.infer<typeof queueTermsSchema>;
+
+/** A queue: the route of its jobs and their scheduling parameters. */
+export const queueSchema = z.extend(queueTermsSchema, {
+  name: z.string(),
+  host: z.string(),
+  /** Path prefix that ends before the job id. */
+  prefix: z.string(),
+});
 export type Queue = z.infer<typeof queueSchema>;
 
 /** A pool of instances that runs the workers of one service. */
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -1,11 +1,17 @@
 import type { JobPhase, SubmittedJob } from './jobRecord.ts';
 import type { StepSpec } from './jobSpec.ts';
 import type { EndedRun, WorkerIdentity } from './linkMessages.ts';
+import type { QueueTerms } from './queueConfiguration.ts';
 
 /** A job in the owner's memory. */
 export interface JobRow {
   readonly id: string;
   readonly job: SubmittedJob;
+  /**
+   * Parameters of the queue in the last configuration with it; undefined for a job of an earlier
+   * build whose queue was removed before.
+   */
+  readonly terms: QueueTerms | undefined;
   readonly phase: JobPhase;
   readonly isCancelRequested: boolean;
   /** Number of the latest change; a change is valid once {@link storedChange} has reached it. */
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -11,7 +11,7 @@
 import { createOwnership } from './ownership.ts';
 import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
 import type { QueueCall } from './queueCall.ts';
-import type { Queue, QueueConfiguration } from './queueConfiguration.ts';
+import type { Queue, QueueConfiguration, QueueTerms } from './queueConfiguration.ts';
 import type { JobStatus, EntryMessage } from './linkMessages.ts';
 import type { SystemTimers } from './systemTimers.ts';
 import { createSystemTimers } from './systemTimers.ts';
@@ -26,7 +26,8 @@
   readonly call: QueueCall;
   readonly jobId: string;
   readonly queue: string;
-  readonly service: string;
+  /** Parameters of the queue when the call arrived. */
+  readonly terms: QueueTerms;
   readonly deadlineAt: number;
   readonly startedAt: number;
   /** Number of store calls made for the call. */
@@ -68,7 +69,10 @@
   configuration: QueueConfiguration | undefined;
   /** Queues of the configuration by name. */
   queues: ReadonlyMap<string, Queue>;
-  /** Whether the starts of any queue need an adviser's ticket. */
+  /**
+   * Whether any queue has needed an adviser's ticket since the entry started; jobs of a removed queue
+   * still need theirs.
+   */
   hasAdvice: boolean;
   /** Versions of the operator's keys, which a store call compares to verify that they are current. */
   readonly versions: Map<string, number>;
--- a/src/systems/scheduler/adviceSystem.ts
+++ b/src/systems/scheduler/adviceSystem.ts
@@ -57,12 +57,12 @@
     for (const stepKey of state.readyTasksByStep.keys()) {
       const task = state.readyTasksByStep.getFirst(stepKey);
       const job = state.jobs.get(task?.jobId ?? '');
-      const queue = state.operator.queues.get(job?.job.queue ?? '');
-      if (task === undefined || job === undefined || queue?.advice === undefined) continue;
+      const terms = job?.terms;
+      if (task === undefined || job === undefined || terms?.advice === undefined) continue;
       if (job.acceptedAt >= oldestAcceptedAt) continue;
-      const workers = this.listWorkersWithoutAdvice(state, task, queue.service, now);
+      const workers = this.listWorkersWithoutAdvice(state, task, terms.service, now);
       if (workers.length === 0) continue;
-      oldest = { task, policy: queue.advice, workers: workers.slice(0, WORKERS_PER_REQUEST) };
+      oldest = { task, policy: terms.advice, workers: workers.slice(0, WORKERS_PER_REQUEST) };
       oldestAcceptedAt = job.acceptedAt;
     }
     return oldest;
--- a/src/systems/scheduler/attemptLimit.ts
+++ b/src/systems/scheduler/attemptLimit.ts
@@ -26,8 +26,8 @@
 
 /**
  * Fails the job of a task that has used up the attempts of its queue, and returns whether it did.
- * The limit is unknown until the queue's configuration is loaded, so it is applied at each failure
- * and again before each placement.
+ * The limit may change with the configuration, so it is applied at each failure and again before
+ * each placement.
  */
 export function applyAttemptLimit(state: SchedulerState, task: TaskRow): boolean {
   const job = state.jobs.get(task.jobId);
@@ -52,7 +52,15 @@
   return getFailureCarrier(state, task).failures >= attempts;
 }
 
+/**
+ * Whether a task that has failed must not start again because its limit is unknown: its queue was
+ * removed, and the job was accepted by a build that did not store the queue's parameters.
+ */
+export function isRetryBlocked(state: SchedulerState, task: TaskRow): boolean {
+  if (task.step.longRunning || getAttempts(state, task) !== undefined) return false;
+  return getFailureCarrier(state, task).failures > 0;
+}
+
 function getAttempts(state: SchedulerState, task: TaskRow): number | undefined {
-  const queue = state.jobs.get(task.jobId)?.job.queue ?? '';
-  return state.operator.queues.get(queue)?.attempts;
+  return state.jobs.get(task.jobId)?.terms?.attempts;
 }
--- a/src/systems/scheduler/callReplies.ts
+++ b/src/systems/scheduler/callReplies.ts
@@ -11,7 +11,7 @@
 import type { StoreEntry, StoreReply } from '../../model/store.ts';
 import { answerCall, refuseCall } from './callAnswers.ts';
 import { forwardCall } from './callForwarding.ts';
-import { TOMBSTONE_TTL_MS } from './nextStoreCall.ts';
+import { buildSubmittedJob, TOMBSTONE_TTL_MS } from './nextStoreCall.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
 import { STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
@@ -107,12 +107,7 @@
   });
   recordDuration(state, 'job_submit_duration_ms', now - call.startedAt);
   if (reply.kind === 'written') {
-    const job = {
-      queue: call.queue,
-      service: call.service,
-      spec: call.call.spec,
-      acceptedAtMs: Math.round(call.startedAt + state.wallOffsetMs),
-    };
+    const job = buildSubmittedJob(state, call, call.call.spec);
     sendEntryMessage(state, { kind: 'jobStored', id: jobId, version: reply.version, job });
   } else if (reply.kind === 'mismatch') {
     const [entry] = reply.entries;
--- a/src/systems/scheduler/callSystem.ts
+++ b/src/systems/scheduler/callSystem.ts
@@ -9,6 +9,7 @@
 import { applyForwardedAnswer, forwardCall, resumeForwardedCalls } from './callForwarding.ts';
 import { receiveCallReply } from './callReplies.ts';
 import { sendNextStoreCall } from './nextStoreCall.ts';
+import { getQueueTerms } from './queueTerms.ts';
 import { isStoreUnavailable, STORE_RETRY_AFTER_MS } from './storeHealth.ts';
 
 type QueueCallArrival = Extract<SchedulerArrival, { kind: 'queueCall' }>;
@@ -110,7 +111,7 @@
       call: arrival.call,
       jobId,
       queue: queue.name,
-      service: queue.service,
+      terms: getQueueTerms(queue),
       deadlineAt:
         now +
         arrival.deadlineMs -
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -224,6 +224,7 @@
   return {
     format: PROGRESS_FORMAT,
     phase: job.phase,
+    ...(job.terms === undefined || job.terms === job.job.terms ? {} : { terms: job.terms }),
     epoch: state.ownership.epoch,
     change: job.change,
     ...(job.endedAtWallMs === undefined ? {} : { endedAtMs: job.endedAtWallMs }),
--- a/src/systems/scheduler/jobProgressSystem.ts
+++ b/src/systems/scheduler/jobProgressSystem.ts
@@ -57,7 +57,7 @@
   private recordCompletion(state: SchedulerState, job: JobRow, now: number): void {
     if (job.job.spec.occurrences > 0) return;
     const { queue: name } = job.job;
-    const objectiveMs = estimateObjectiveMs(job, state.operator.queues.get(name));
+    const objectiveMs = estimateObjectiveMs(job);
     const tookMs = now - job.acceptedAt;
     const objective = tookMs <= objectiveMs ? 'met' : 'missed';
     recordDuration(state, 'job_duration_ms', tookMs, { queue: name, objective });
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -3,6 +3,7 @@
 import type { JobRow, TaskRow } from '../../model/scheduler/rows.ts';
 import { createRunRow, formatTaskId } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { updateJobTerms } from './queueTerms.ts';
 
 /** Progress of a job as the store holds it, with its store version. */
 export interface StoredProgress {
@@ -22,6 +23,7 @@
   const row: JobRow = {
     id,
     job,
+    terms: stored?.progress.terms ?? job.terms,
     phase,
     isCancelRequested: false,
     change: stored === undefined ? 0 : 1,
@@ -38,6 +40,8 @@
   state.statuses.set({ id, queue: job.queue, phase });
   state.changedStatuses.add(id);
   if (isFinalPhase(phase)) return row;
+  updateJobTerms(state, row);
+  if (row.terms?.advice !== undefined) state.operator.hasAdvice = true;
   addDueOccurrences(state, id, now, stored?.progress.tasks ?? {});
   state.jobsToAdvance.add(id);
   return state.jobs.get(id) ?? row;
--- a/src/systems/scheduler/nextStoreCall.ts
+++ b/src/systems/scheduler/nextStoreCall.ts
@@ -1,5 +1,6 @@
 import type { SubmittedJob } from '../../model/scheduler/jobRecord.ts';
 import { STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import type { JobSpec } from '../../model/scheduler/jobSpec.ts';
 import type { CallRow, SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreCall } from '../../model/store.ts';
 import { sendStoreCall } from './storeCalls.ts';
@@ -36,17 +37,22 @@
     );
 }
 
+/** Builds the stored job of a submission. */
+export function buildSubmittedJob(
+  state: SchedulerState,
+  { queue, terms, startedAt }: CallRow,
+  spec: JobSpec,
+): SubmittedJob {
+  const acceptedAtMs = Math.round(startedAt + state.wallOffsetMs);
+  return { queue, service: terms.service, spec, acceptedAtMs, terms };
+}
+
 /** Builds the write of a submission, which fails if the job was cancelled before. */
 function buildSubmission(state: SchedulerState, call: CallRow): StoreCall {
   if (call.call.kind !== 'submit')
     throw new TypeError(`call is not a submission: ${call.call.kind}`);
   const { jobId } = call;
-  const job: SubmittedJob = {
-    queue: call.queue,
-    service: call.service,
-    spec: call.call.spec,
-    acceptedAtMs: Math.round(call.startedAt + state.wallOffsetMs),
-  };
+  const job = buildSubmittedJob(state, call, call.call.spec);
   const key = STORE_KEYS.job(jobId);
   return buildInsert([key, STORE_KEYS.cancel(jobId)], { key, value: job });
 }
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -3,6 +3,7 @@
 import { System } from '../../base/common/system.ts';
 import { OPERATOR_KEYS, operatorKeySchema } from '../../model/scheduler/queueConfiguration.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { updateJobTerms } from './queueTerms.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 import { recordUnreadableEntry } from './unreadableEntries.ts';
 
@@ -196,7 +197,9 @@
     if (parsed.configuration.version < (operator.configuration?.version ?? 0)) return;
     operator.configuration = parsed.configuration;
     operator.queues = new Map(parsed.configuration.queues.map((queue) => [queue.name, queue]));
-    operator.hasAdvice = parsed.configuration.queues.some(({ advice }) => advice !== undefined);
+    operator.hasAdvice ||= parsed.configuration.queues.some(({ advice }) => advice !== undefined);
+    // Configurations change rarely, so a pass over all jobs of the owner is cheap.
+    for (const job of state.jobs.list()) updateJobTerms(state, job);
     logEvent(state, 'info', 'configuration_in_force', {
       version: parsed.configuration.version,
       queues: parsed.configuration.queues.length,
--- a/src/systems/scheduler/preemptionSystem.ts
+++ b/src/systems/scheduler/preemptionSystem.ts
@@ -1,6 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
+import type { QueueTerms } from '../../model/scheduler/queueConfiguration.ts';
 import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
@@ -25,7 +25,7 @@
 const PREEMPTED = 'a more urgent task needs the room';
 
 interface WaitingStep extends ReadyTask {
-  readonly queue: Queue;
+  readonly terms: QueueTerms;
 }
 
 /** A run that may be stopped, with the priority of its queue. */
@@ -70,12 +70,12 @@
     const capacities = collectCapacities(state, tick.now);
     const rejected = RejectedDemands.create();
     for (const ready of waiting) {
-      const { queue } = ready;
-      if (queue.priority >= candidates.leastUrgentPriority) continue;
-      const demandGroup = `${queue.service}@${queue.priority}`;
+      const { terms } = ready;
+      if (terms.priority >= candidates.leastUrgentPriority) continue;
+      const demandGroup = `${terms.service}@${terms.priority}`;
       if (rejected.hasRejected(demandGroup, ready)) continue;
       const serviceCapacities = capacities.filter(
-        ({ worker }) => worker.identity.service === queue.service,
+        ({ worker }) => worker.identity.service === terms.service,
       );
       if (!this.evictForStep(state, ready, serviceCapacities, candidates, tick.now))
         rejected.add(demandGroup, ready);
@@ -88,9 +88,9 @@
     for (const stepKey of state.readyTasksByStep.keys()) {
       const task = state.readyTasksByStep.getFirst(stepKey);
       const job = state.jobs.get(task?.jobId ?? '');
-      const queue = state.operator.queues.get(job?.job.queue ?? '');
-      if (task === undefined || job === undefined || queue === undefined) continue;
-      if (!task.step.gang && now - task.readyAt >= MIN_WAIT_MS) waiting.push({ task, job, queue });
+      const terms = job?.terms;
+      if (task === undefined || job === undefined || terms === undefined) continue;
+      if (!task.step.gang && now - task.readyAt >= MIN_WAIT_MS) waiting.push({ task, job, terms });
     }
     return waiting;
   }
@@ -107,12 +107,12 @@
       if (run.stopReason === PREEMPTED)
         return { byWorker: new Map(), leastUrgentPriority: Number.NEGATIVE_INFINITY };
       if (!isStoppable(run)) continue;
-      const queue = state.operator.queues.get(state.jobs.get(run.jobId)?.job.queue ?? '');
-      if (queue === undefined) continue;
-      leastUrgentPriority = Math.max(leastUrgentPriority, queue.priority);
+      const priority = state.jobs.get(run.jobId)?.terms?.priority;
+      if (priority === undefined) continue;
+      leastUrgentPriority = Math.max(leastUrgentPriority, priority);
       const others = byWorker.get(run.workerKey);
-      if (others === undefined) byWorker.set(run.workerKey, [{ run, priority: queue.priority }]);
-      else others.push({ run, priority: queue.priority });
+      if (others === undefined) byWorker.set(run.workerKey, [{ run, priority }]);
+      else others.push({ run, priority });
     }
     for (const candidates of byWorker.values())
       candidates.sort((left, right) => left.run.percent - right.run.percent);
@@ -124,14 +124,14 @@
    */
   private evictForStep(
     state: SchedulerState,
-    { task: first, queue }: WaitingStep,
+    { task: first, terms }: WaitingStep,
     capacities: readonly WorkerCapacity[],
     { byWorker }: Candidates,
     now: number,
   ): boolean {
     for (const task of state.readyTasksByStep.list(formatStepKey(first))) {
       if (now - task.readyAt < MIN_WAIT_MS) continue;
-      if (!this.evictFor(state, task, queue, capacities, byWorker)) return false;
+      if (!this.evictFor(state, task, terms, capacities, byWorker)) return false;
     }
     return true;
   }
@@ -142,7 +142,7 @@
   private evictFor(
     state: SchedulerState,
     task: TaskRow,
-    queue: Queue,
+    terms: QueueTerms,
     capacities: readonly WorkerCapacity[],
     byWorker: Candidates['byWorker'],
   ): boolean {
@@ -150,7 +150,7 @@
       { readonly capacity: WorkerCapacity; readonly victims: readonly RunRow[] } | undefined;
     for (const capacity of capacities) {
       const candidates = byWorker.get(capacity.worker.id) ?? [];
-      const victims = this.findVictims(state, task, queue, capacity, candidates);
+      const victims = this.findVictims(state, task, terms, capacity, candidates);
       if (victims === undefined) continue;
       if (best === undefined || victims.length < best.victims.length) best = { capacity, victims };
       if (victims.length === 0) break;
@@ -179,7 +179,7 @@
   private findVictims(
     state: SchedulerState,
     task: TaskRow,
-    queue: Queue,
+    terms: QueueTerms,
     capacity: WorkerCapacity,
     candidates: readonly Candidate[],
   ): readonly RunRow[] | undefined {
@@ -188,7 +188,7 @@
       if (canRun(capacity, task) || victims.length >= MAX_STOPS_PER_TASK) break;
       // An earlier task of this evaluation may have preempted the run already.
       const isStopping = state.runs.get(run.id)?.stopReason !== undefined;
-      if (priority <= queue.priority || isStopping) continue;
+      if (priority <= terms.priority || isStopping) continue;
       victims.push(run);
       this.releaseCapacity(state, capacity, run);
     }
--- a/src/systems/scheduler/rejectedDemands.ts
+++ b/src/systems/scheduler/rejectedDemands.ts
@@ -23,7 +23,7 @@
     // A label, a limit per worker or missing advice may be the reason, which says nothing about
     // other steps.
     const isLimitedByCapacity = step.requiredLabel === '' && step.maxPerWorker === 0;
-    if (step.fills || !isLimitedByCapacity || ready.queue?.advice !== undefined) return;
+    if (step.fills || !isLimitedByCapacity || ready.job.terms?.advice !== undefined) return;
     const known = this.demands.get(service);
     if (known === undefined) this.demands.set(service, [step]);
     else known.push(step);
--- a/src/systems/scheduler/stepTimes.ts
+++ b/src/systems/scheduler/stepTimes.ts
@@ -35,10 +35,9 @@
 
 function recordStep(state: SchedulerState, job: JobRow, stepIndex: number, tookMs: number): void {
   const { queue: name, spec } = job.job;
-  const queue = state.operator.queues.get(name);
   const objectiveMs =
-    (spec.steps[stepIndex]?.estimatedMs ?? 0) * (queue?.stretch ?? 1) +
-    (queue?.latencyObjectiveMs ?? 0);
+    (spec.steps[stepIndex]?.estimatedMs ?? 0) * (job.terms?.stretch ?? 1) +
+    (job.terms?.latencyObjectiveMs ?? 0);
   recordDuration(state, 'step_duration_ms', tookMs, {
     queue: name,
     objective: tookMs <= objectiveMs ? 'met' : 'missed',
--- a/src/systems/scheduler/taskOrder.ts
+++ b/src/systems/scheduler/taskOrder.ts
@@ -1,11 +1,9 @@
 import type { JobRow, TaskRow } from '../../model/scheduler/rows.ts';
-import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
 
-/** A ready task with the job and the queue that its position depends on. */
+/** A ready task with the job that its position depends on. */
 export interface ReadyTask {
   readonly task: TaskRow;
   readonly job: JobRow;
-  readonly queue: Queue | undefined;
 }
 
 /** The order in which ready tasks get capacity. */
@@ -50,11 +48,11 @@
 
   override sort(ready: ReadyTask[], now: number): ReadyTask[] {
     const keys = new Map<JobRow, number>();
-    const getKey = ({ job, queue }: ReadyTask): number => {
+    const getKey = ({ job }: ReadyTask): number => {
       let key = keys.get(job);
       if (key === undefined) {
         const isLongRunning = job.job.spec.steps.some((step) => step.longRunning);
-        const isOverdue = now > job.acceptedAt + OVERDUE_FACTOR * estimateObjectiveMs(job, queue);
+        const isOverdue = now > job.acceptedAt + OVERDUE_FACTOR * estimateObjectiveMs(job);
         key = isLongRunning ? 0 : isOverdue ? Number.MAX_SAFE_INTEGER : estimateRemainingWork(job);
         keys.set(job, key);
       }
@@ -79,18 +77,19 @@
   return (work * openTaskCount) / Math.max(1, tasks);
 }
 
-function getPriority({ queue }: ReadyTask): number {
-  return queue?.priority ?? 0;
+/** A job whose queue is unknown must not go ahead of others. */
+function getPriority({ job }: ReadyTask): number {
+  return job.terms?.priority ?? Number.MAX_SAFE_INTEGER;
 }
 
 /**
  * Estimates the time that a job may take by its queue's objective and the submitter's figures, ms.
  */
-export function estimateObjectiveMs(job: JobRow, queue: Queue | undefined): number {
+export function estimateObjectiveMs({ job, terms }: JobRow): number {
   const chains: number[] = [];
-  for (const step of job.job.spec.steps)
+  for (const step of job.spec.steps)
     chains.push(
       step.estimatedMs + Math.max(0, ...step.after.map((earlier) => chains[earlier] ?? 0)),
     );
-  return Math.max(0, ...chains) * (queue?.stretch ?? 1) + (queue?.latencyObjectiveMs ?? 0);
+  return Math.max(0, ...chains) * (terms?.stretch ?? 1) + (terms?.latencyObjectiveMs ?? 0);
 }
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -7,12 +7,13 @@
 import { listGangMembers } from './gangs.ts';
 import { recordJobChange } from './jobChanges.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
+import { getService } from './queueTerms.ts';
 import { RejectedDemands } from './rejectedDemands.ts';
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerCapacity } from './taskPlacementPolicy.ts';
 import { canRun, getSpareCpu, reserveCapacity } from './taskPlacementPolicy.ts';
 import { findTicket } from './tickets.ts';
-import { applyAttemptLimit } from './attemptLimit.ts';
+import { applyAttemptLimit, isRetryBlocked } from './attemptLimit.ts';
 import { collectCapacities } from './workerCapacities.ts';
 
 /**
@@ -88,7 +89,7 @@
     const byService = collectByService(collectCapacities(state, tick.now));
     const rejected = RejectedDemands.create();
     for (const ready of this.order.sort(this.listReadySteps(state), tick.now)) {
-      const service = ready.queue?.service ?? ready.job.job.service;
+      const service = getService(ready.job);
       if (ready.task.step.gang) {
         const candidates = this.listAdvised(state, ready, byService.get(service) ?? [], tick.now);
         this.placeGang(state, ready.task, candidates, tick.now);
@@ -109,6 +110,7 @@
   ): boolean {
     for (const task of state.readyTasksByStep.list(formatStepKey(first))) {
       if (task.failures > 0 && applyAttemptLimit(state, task)) return true;
+      if (isRetryBlocked(state, task)) continue;
       const capacity =
         this.policy.choose(task, candidates) ?? this.chooseForDelayed(state, task, candidates, now);
       if (capacity === undefined) return false;
@@ -121,11 +123,11 @@
   /** Lists the workers that the adviser of the queue allows; all of them without an adviser. */
   private listAdvised(
     state: SchedulerState,
-    { task, queue }: ReadyTask,
+    { task, job }: ReadyTask,
     capacities: readonly WorkerCapacity[],
     now: number,
   ): readonly WorkerCapacity[] {
-    if (queue?.advice === undefined) return capacities;
+    if (job.terms?.advice === undefined) return capacities;
     const stepKey = formatStepKey(task);
     return capacities.filter(
       ({ worker }) => findTicket(state, stepKey, worker.id, now) !== undefined,
@@ -164,8 +166,7 @@
       const task = state.readyTasksByStep.getFirst(stepKey);
       const job = task === undefined ? undefined : state.jobs.get(task.jobId);
       if (task === undefined) continue;
-      if (job !== undefined && !isFinalPhase(job.phase))
-        ready.push({ task, job, queue: state.operator.queues.get(job.job.queue) });
+      if (job !== undefined && !isFinalPhase(job.phase)) ready.push({ task, job });
       else
         for (const { id } of state.readyTasksByStep.list(stepKey))
           state.tasks.update(id, { phase: 'waiting' });
@@ -185,7 +186,7 @@
   ): void {
     const members = listGangMembers(state, task);
     if (members.some((member) => member.phase !== 'ready')) return;
-    if (applyAttemptLimit(state, task)) return;
+    if (applyAttemptLimit(state, task) || isRetryBlocked(state, task)) return;
     const checkpoint =
       members
         .map((member) => member.checkpoint)
--- a/src/systems/scheduler/waitReasons.ts
+++ b/src/systems/scheduler/waitReasons.ts
@@ -1,9 +1,11 @@
 import { formatAdviceId } from '../../model/scheduler/placementAdvice.ts';
-import type { Queue } from '../../model/scheduler/queueConfiguration.ts';
+import type { QueueTerms } from '../../model/scheduler/queueConfiguration.ts';
 import type { TaskRow } from '../../model/scheduler/rows.ts';
 import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { isRetryBlocked } from './attemptLimit.ts';
 import { listGangMembers } from './gangs.ts';
+import { getService } from './queueTerms.ts';
 import type { WorkerCapacity } from './taskPlacementPolicy.ts';
 import {
   canRun,
@@ -37,12 +39,13 @@
   const confirmedAgeMs = Math.round(now - ownership.confirmedAt);
   if (confirmedAgeMs > MAX_CONFIRMATION_AGE_MS)
     return `the store last confirmed the ownership ${confirmedAgeMs} ms ago`;
-  const job = state.jobs.get(task.jobId)?.job;
-  const queue = operator.queues.get(job?.queue ?? '');
-  const service = queue?.service ?? job?.service ?? '';
+  if (isRetryBlocked(state, task))
+    return 'it has failed, and its queue, which sets the attempts, is not in the configuration';
+  const job = state.jobs.get(task.jobId);
+  const service = job === undefined ? '' : getService(job);
   const open = capacities.filter(({ worker }) => worker.identity.service === service);
   if (open.length === 0) return explainNoWorker(state, service, now);
-  const advised = listAdvised(state, task, queue, open, now);
+  const advised = listAdvised(state, task, job?.terms, open, now);
   if (advised.length === 0) return explainNoAdvice(state, task, open);
   if (task.step.gang) return explainGang(state, task, advised);
   const fitting = advised.filter((capacity) => canRun(capacity, task));
@@ -67,11 +70,11 @@
 function listAdvised(
   state: SchedulerState,
   task: TaskRow,
-  queue: Queue | undefined,
+  terms: QueueTerms | undefined,
   open: readonly WorkerCapacity[],
   now: number,
 ): readonly WorkerCapacity[] {
-  if (queue?.advice === undefined) return open;
+  if (terms?.advice === undefined) return open;
   const stepKey = formatStepKey(task);
   return open.filter(({ worker }) => findTicket(state, stepKey, worker.id, now) !== undefined);
 }
--- a/test/systems/scheduler/bestEffortTasks.test.ts
+++ b/test/systems/scheduler/bestEffortTasks.test.ts
@@ -97,10 +97,7 @@
     ...more,
   });
   const spec = jobSpecSchema.parse({ steps: [step] });
-  const queue = {
-    name: 'queue',
-    host: 'host',
-    prefix: '/q/',
+  const terms = {
     service: 'svc',
     priority,
     attempts: 3,
@@ -110,8 +107,7 @@
   const job = { queue: 'queue', service: 'svc', spec, acceptedAtMs: 0 };
   return {
     task: { id: `${id}.0.0.0`, jobId: id, step } as TaskRow,
-    job: { id, job, openTaskCount: tasks, acceptedAt } as JobRow,
-    queue,
+    job: { id, job, terms, openTaskCount: tasks, acceptedAt } as JobRow,
   };
 }
 
