--- a/test/systems/scheduler/removedQueues.test.ts
+++ b/test/systems/scheduler/removedQueues.test.ts
@@ -37,6 +37,12 @@
   while (world.owner === undefined) world.run(10);
 }
 
+/** Checks that the task has run as often as allowed and its job has failed. */
+function expectFailedAfter(world: SchedulerWorld, runs: number): void {
+  expect(world.listStarts(TASK)).toHaveLength(runs);
+  expect(readOwnedPhase(world)).toBe('failed');
+}
+
 function readOwnedPhase(world: SchedulerWorld): string | undefined {
   return world.owner?.state.jobs.get(JOB)?.phase;
 }
@@ -58,8 +64,7 @@
         world.run(300);
         writeQueues(world, 3);
         world.run(8_000);
-        expect(world.listStarts(TASK)).toHaveLength(ATTEMPTS);
-        expect(readOwnedPhase(world)).toBe('failed');
+        expectFailedAfter(world, ATTEMPTS);
       },
     );
 
@@ -71,8 +76,7 @@
       replaceByNewEntry(world);
       world.addAgent('agent-late', { labels: ['late'] });
       world.run(8_000);
-      expect(world.listStarts(TASK)).toHaveLength(ATTEMPTS);
-      expect(readOwnedPhase(world)).toBe('failed');
+      expectFailedAfter(world, ATTEMPTS);
     });
 
     it('do not become unlimited after two takeovers', () => {
@@ -85,8 +89,7 @@
       world.run(1_500);
       replaceByNewEntry(world);
       world.run(12_000);
-      expect(world.listStarts(TASK)).toHaveLength(ATTEMPTS);
-      expect(readOwnedPhase(world)).toBe('failed');
+      expectFailedAfter(world, ATTEMPTS);
     });
 
     it('do not become unlimited when the entry of the queue cannot be read any more', () => {
@@ -120,8 +123,7 @@
         writeQueues(world, 4);
         if (hasTakeover) replaceByNewEntry(world);
         world.run(15_000);
-        expect(world.listStarts(TASK)).toHaveLength(3);
-        expect(readOwnedPhase(world)).toBe('failed');
+        expectFailedAfter(world, 3);
       },
     );
 
@@ -134,8 +136,7 @@
       replaceByNewEntry(world);
       writeQueues(world, 4, { attempts: 4 });
       world.run(20_000);
-      expect(world.listStarts(TASK)).toHaveLength(4);
-      expect(readOwnedPhase(world)).toBe('failed');
+      expectFailedAfter(world, 4);
     });
   });
 
@@ -148,8 +149,7 @@
       writeQueues(world, 3);
       replaceByNewEntry(world);
       world.run(12_000);
-      expect(world.listStarts(TASK)).toHaveLength(ATTEMPTS);
-      expect(readOwnedPhase(world)).toBe('failed');
+      expectFailedAfter(world, ATTEMPTS);
     });
 
     it('does not start again after a failure while no owner has known its queue', () => {
@@ -161,8 +161,7 @@
       expect(readOwnedPhase(world)).toBe('running');
       writeQueues(world, 4, { attempts: 3 });
       world.run(6_000);
-      expect(world.listStarts(TASK)).toHaveLength(3);
-      expect(readOwnedPhase(world)).toBe('failed');
+      expectFailedAfter(world, 3);
     });
   });
 
