Limit the wait for one answer of the adviser

Cause: a job now stores the adviser's decision times of its queue, so a number out of range may come from the store as well as from the configuration. Nothing limited the wait for an answer by it; one request is sent at a time, so the requests of all queues stop. Change: the wait is 30 s at most. Figures: the new test of advice.test.ts fails on the code before and passes now.

--- a/src/systems/scheduler/adviceSystem.ts
+++ b/src/systems/scheduler/adviceSystem.ts
@@ -14,6 +14,11 @@
 const WORKERS_PER_REQUEST = 30;
 /** Time for the answer beyond the decision times of the queue's policy. */
 const ANSWER_MARGIN_MS = 1_000;
+/**
+ * Longest wait for one answer. The decision times come from the operator's configuration or from a
+ * stored job; a number out of range must not block the requests of other queues for ever.
+ */
+const MAX_ANSWER_MS = 30_000;
 const RETRY_INITIAL_MS = 100;
 const RETRY_MAX_MS = 2_000;
 
@@ -103,7 +108,10 @@
       kind: 'requestAdvice',
       callId: adviceCall.callId,
       request: { stepKey, workerIds: [...adviceCall.workerKeys.keys()] },
-      timeoutMs: policy.decideMs + workers.length * policy.perWorkerMs + ANSWER_MARGIN_MS,
+      timeoutMs: Math.min(
+        MAX_ANSWER_MS,
+        policy.decideMs + workers.length * policy.perWorkerMs + ANSWER_MARGIN_MS,
+      ),
     });
   }
 
--- a/test/systems/scheduler/advice.test.ts
+++ b/test/systems/scheduler/advice.test.ts
@@ -67,6 +67,19 @@
   });
 
   describe('with an adviser that is silent or disagrees', () => {
+    it('does not wait for ever when the decision time is out of range', () => {
+      const { world, entry, adviser } = createAdvisedWorld(() => true);
+      const advice = { decideMs: 1e308, perWorkerMs: 1e308, validMs: 5_000 };
+      writeWorldConfiguration(world.store, 3, 'svc', { advice });
+      world.adviser = undefined;
+      world.run(1_500);
+      world.submit(entry, JOB, [{ count: 1 }]);
+      world.run(500);
+      world.adviser = adviser;
+      world.run(35_000);
+      expect(readPhase(world, entry)).toBe('completed');
+    });
+
     it('does not delay queues without a policy while the adviser does not answer', () => {
       const { world, entry } = createAdvisedWorld(() => true);
       world.adviser = undefined;
