--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -20,7 +20,7 @@
 
 /**
  * Sends the start commands of runs whose placement is stored, and stop commands. Reads `runs` and
- * start results; writes the phases of `runs`. Runs after the commit.
+ * start results; writes the phases of `runs` and `jobs`. Runs after the commit.
  */
 export class CommandSystem extends System<SchedulerState> {
   override readonly name = 'order';
--- a/src/systems/scheduler/operatorKeysSystem.ts
+++ b/src/systems/scheduler/operatorKeysSystem.ts
@@ -25,8 +25,8 @@
 
 /**
  * Keeps the operator's keys (configuration, zones out of service, maintenance waves) current: lists
- * them once, then watches them and compares their versions. Reads store replies; writes `operator`.
- * Runs after the clock system.
+ * them once, then watches them and compares their versions. Reads store replies; writes `operator`
+ * and the queue terms of `jobs`. Runs after the clock system.
  */
 export class OperatorKeysSystem extends System<SchedulerState> {
   override readonly name = 'operatorKeys';
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -28,7 +28,7 @@
 
 /**
  * Applies the agents' reports: the worker's current incarnation, its runs and its ends. Reads
- * reports; writes `workers`, `runs` and the reported ends, and releases the runs of dead incarnations
+ * reports; writes `workers`, `runs`, `jobs` and the reported ends, and releases the runs of dead incarnations
  * and of expired leases. Runs before the ends are applied.
  */
 export class ReportSystem extends System<SchedulerState> {
@@ -112,6 +112,7 @@
       const id = formatRunId(listedRun.task, listedRun.run);
       listedIds.add(id);
       const run = state.runs.get(id);
+      // The list proves a start, also of a run that this owner does not know.
       if (run?.phase !== 'running')
         recordJobStart(state, state.tasks.get(listedRun.task)?.jobId ?? '', now);
       if (run?.workerKey !== worker.id) {
