--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -28,8 +28,8 @@
 
 /**
  * Applies the agents' reports: the worker's current incarnation, its runs and its ends. Reads
- * reports; writes `workers`, `runs`, `jobs` and the reported ends, and releases the runs of dead incarnations
- * and of expired leases. Runs before the ends are applied.
+ * reports; writes `workers`, `runs`, `jobs` and the reported ends, and releases the runs of dead
+ * incarnations and of expired leases. Runs before the ends are applied.
  */
 export class ReportSystem extends System<SchedulerState> {
   override readonly name = 'report';
