Log, explain and count the wait for the lease of a silent worker

No line said that a run counts as running on a silent worker, since when and until when, or why a ready long-running task has no worker. Change: lease_awaited, lease_wait_ended and task_waiting, each with the epoch; run_released has the epoch as well. explain job shows the wait of a run, two gauges its number and longest rest. The release of expired runs moved from the report system to one of its own, unchanged. Conclusion: a wait that a takeover starts anew now shows as the same worker in lease_awaited of two epochs.

--- a/src/daemons/schedulerGauges.ts
+++ b/src/daemons/schedulerGauges.ts
@@ -28,6 +28,7 @@
       'instances that are emptied for maintenance or down for it',
       state.fleet.maintenance.list().filter(isCountedAsDown).length,
     ),
+    ...listLeaseWaitGauges(state, now),
     ...listQueueGauges(state),
     ...listCapacityGauges(state, now),
   ];
@@ -86,6 +87,19 @@
   return gauges;
 }
 
+/** Lists the silent workers with open runs and the longest time that their leases may last. */
+function listLeaseWaitGauges({ leaseWaits }: SchedulerState, now: number): GaugeSample[] {
+  const leftMs = leaseWaits.list().map(({ endsAt }) => endsAt - now);
+  return [
+    buildGauge('lease_waits', 'silent workers whose open runs count as running', leaseWaits.size),
+    buildGauge(
+      'lease_wait_left_ms',
+      'longest time until the runs of a silent worker are released',
+      Math.max(0, ...leftMs),
+    ),
+  ];
+}
+
 function countReadyTasks({ readyTasksByStep }: SchedulerState): number {
   let count = 0;
   for (const stepKey of readyTasksByStep.keys()) count += readyTasksByStep.count(stepKey);
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -6,6 +6,7 @@
 import type { SchedulerArrival, SchedulerEffect } from './schedulerMessages.ts';
 import type { FleetState } from './fleet.ts';
 import { createFleet } from './fleet.ts';
+import type { LeaseWaitRow } from './leaseWait.ts';
 import type { MaintenanceWave } from './maintenanceWave.ts';
 import type { Ownership } from './ownership.ts';
 import { createOwnership } from './ownership.ts';
@@ -161,6 +162,8 @@
   readonly movesByJob: TableIndex<MoveRow>;
   readonly workers: Table<WorkerRow>;
   readonly agents: Table<AgentRow>;
+  /** Silent workers with open runs. */
+  readonly leaseWaits: Table<LeaseWaitRow>;
   readonly slacks: Table<SlackRow>;
   readonly servingLoads: Table<ServingLoadRow>;
   readonly advice: Table<AdviceRow>;
@@ -232,6 +235,7 @@
     movesByJob: moves.addIndex((move) => move.jobId),
     workers: Table.create<WorkerRow>('workers'),
     agents: Table.create<AgentRow>('agents'),
+    leaseWaits: Table.create<LeaseWaitRow>('leaseWaits'),
     slacks: Table.create<SlackRow>('slacks'),
     servingLoads: Table.create<ServingLoadRow>('servingLoads'),
     advice,
--- a/src/model/scheduler/systemTimers.ts
+++ b/src/model/scheduler/systemTimers.ts
@@ -7,6 +7,7 @@
   lastDelayedStartAt: number;
   placementAt: number;
   preemptionAt: number;
+  taskWaitLogAt: number;
   retentionAt: number;
   statusUpdateSentAt: number;
   /** Time since which the link to the owner has been opening. */
@@ -26,6 +27,7 @@
     lastDelayedStartAt: NEVER,
     placementAt: NEVER,
     preemptionAt: NEVER,
+    taskWaitLogAt: NEVER,
     retentionAt: NEVER,
     statusUpdateSentAt: NEVER,
     ownerLinkOpeningSince: NEVER,
--- a/src/systems/scheduler/jobChanges.ts
+++ b/src/systems/scheduler/jobChanges.ts
@@ -108,6 +108,7 @@
     worker: run.workerKey,
     phase: run.phase,
     reason,
+    epoch: state.ownership.epoch,
   });
   if (run.step.gang) stopGang(state, run, reason);
 }
--- a/src/systems/scheduler/jobExplanation.ts
+++ b/src/systems/scheduler/jobExplanation.ts
@@ -4,6 +4,7 @@
   StepExplanation,
 } from '../../model/scheduler/jobExplanation.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
+import type { LeaseWaitRow } from '../../model/scheduler/leaseWait.ts';
 import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { explainFailedJob } from './attemptLimit.ts';
@@ -17,8 +18,8 @@
 const FULL_PACE_PERCENT = 100;
 
 /**
- * Explains a job from the owner's tables. Reads `jobs`, `tasks`, `runs`, `moves`, `workers` and the
- * operator's keys, on a follower `statuses`; writes nothing. Runs on request only, between ticks.
+ * Explains a job from the owner's tables. Reads `jobs`, `tasks`, `runs`, `moves`, `workers`,
+ * `leaseWaits` and the operator's keys, on a follower `statuses`; writes nothing. Runs on request only, between ticks.
  */
 export function buildJobExplanation(
   state: SchedulerState,
@@ -54,7 +55,7 @@
     ageMs: Math.round(now - job.acceptedAt),
     why: explainJob(state, job, now),
     steps: shownSteps.slice(0, MAX_ROWS),
-    runs: runs.slice(0, MAX_ROWS).map((run) => explainRun(run, now)),
+    runs: runs.slice(0, MAX_ROWS).map((run) => explainRun(state, run, now)),
     moves: moves.slice(-MAX_ROWS).map(({ id, workerId, reason, movedAt }) => ({
       id,
       worker: workerId,
@@ -137,7 +138,7 @@
   return `waits for ${open.join(', ')}`;
 }
 
-function explainRun(run: RunRow, now: number): RunExplanation {
+function explainRun(state: SchedulerState, run: RunRow, now: number): RunExplanation {
   return {
     id: run.id,
     worker: run.workerKey.split('|')[1] ?? '',
@@ -145,17 +146,26 @@
     percent: run.percent,
     pacePercent: run.pacePercent,
     ageMs: Math.round(now - run.placedAt),
-    why: explainRunState(run),
+    why: explainRunState(state, run, now),
   };
 }
 
-function explainRunState(run: RunRow): string {
+function explainRunState(state: SchedulerState, run: RunRow, now: number): string {
+  const wait = state.leaseWaits.get(run.workerKey);
+  if (wait !== undefined) return explainLeaseWait(wait, now);
   if (run.stopReason !== undefined) return `being stopped: ${run.stopReason}`;
   if (run.phase === 'placed') return 'starts when its placement is stored';
   if (run.phase === 'unknown') return "an earlier owner's run; the worker has not listed it yet";
   return run.pacePercent < FULL_PACE_PERCENT ? 'slowed for a serving task' : '';
 }
 
+function explainLeaseWait({ silentSince, endsAt, grantedBy }: LeaseWaitRow, now: number): string {
+  const silentMs = Math.round(now - silentSince);
+  const leftMs = Math.max(0, Math.round(endsAt - now));
+  const granter = grantedBy === 'thisOwner' ? 'this owner' : 'an earlier owner';
+  return `its worker is silent for ${silentMs} ms; a lease of ${granter} may last for ${leftMs} ms`;
+}
+
 function formatStepId(occurrence: number, stepIndex: number): string {
   return `${occurrence}.${stepIndex}`;
 }
--- /dev/null
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -0,0 +1,106 @@
+import type { Tick } from '../../base/common/system.ts';
+import { System } from '../../base/common/system.ts';
+import type { LeaseWaitRow } from '../../model/scheduler/leaseWait.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { releaseRun } from './jobChanges.ts';
+import {
+  GRANT_WINDOW_MS,
+  LEASE_MARGIN_MS,
+  MAX_CLOCK_DRIFT_FACTOR,
+  MAX_REPORT_AGE_MS,
+  RUN_LEASE_MS,
+} from './ownershipTimes.ts';
+import { logEvent } from './storeCalls.ts';
+
+/**
+ * Releases the runs of silent workers once their lease has certainly ended. Reads `workers`; writes
+ * `leaseWaits` and releases `runs`. Runs after the reports.
+ */
+export class LeaseExpirySystem extends System<SchedulerState> {
+  override readonly name = 'leaseExpiry';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): LeaseExpirySystem {
+    return new LeaseExpirySystem();
+  }
+
+  override run(state: SchedulerState, tick: Tick): void {
+    if (state.ownership.role !== 'owner') return;
+    for (const { id } of state.leaseWaits.list())
+      if (state.runsByWorker.count(id) === 0) state.leaseWaits.remove(id);
+    for (const workerKey of [...state.runsByWorker.keys()]) {
+      const wait = computeLeaseWait(state, workerKey);
+      if (tick.now > wait.endsAt) {
+        this.releaseRuns(state, workerKey, tick.now);
+        continue;
+      }
+      this.updateWait(state, wait, tick.now);
+      if (wait.endsAt - tick.now < RUN_LEASE_MS) tick.wakeAt(wait.endsAt + 1);
+    }
+  }
+
+  private updateWait(state: SchedulerState, wait: LeaseWaitRow, now: number): void {
+    const isSilent = now - wait.silentSince > MAX_REPORT_AGE_MS;
+    const isLogged = state.leaseWaits.has(wait.id);
+    if (isSilent) state.leaseWaits.set(wait);
+    else if (isLogged) this.closeWait(state, wait.id, 'reported', now);
+    if (!isSilent || isLogged) return;
+    const runs = state.runsByWorker.list(wait.id);
+    logEvent(state, 'warn', 'lease_awaited', {
+      worker: wait.id,
+      runs: runs.length,
+      task: runs[0]?.taskId ?? '',
+      grantedBy: wait.grantedBy,
+      silentMs: Math.round(now - wait.silentSince),
+      leftMs: Math.round(wait.endsAt - now),
+      epoch: state.ownership.epoch,
+    });
+  }
+
+  private releaseRuns(state: SchedulerState, workerKey: string, now: number): void {
+    this.closeWait(state, workerKey, 'expired', now);
+    for (const run of state.runsByWorker.list(workerKey))
+      if (run.phase !== 'placed') releaseRun(state, run, 'lease lapsed', { now });
+  }
+
+  private closeWait(
+    state: SchedulerState,
+    workerKey: string,
+    outcome: 'reported' | 'expired',
+    now: number,
+  ): void {
+    const wait = state.leaseWaits.get(workerKey);
+    if (wait === undefined) return;
+    state.leaseWaits.remove(workerKey);
+    logEvent(state, 'info', 'lease_wait_ended', {
+      worker: workerKey,
+      outcome,
+      silentMs: Math.round(now - wait.silentSince),
+      epoch: state.ownership.epoch,
+    });
+  }
+}
+
+/** Computes until when the runs of a worker may hold a lease. */
+function computeLeaseWait(state: SchedulerState, workerKey: string): LeaseWaitRow {
+  const { loadedAt } = state.ownership;
+  const worker = state.workers.get(workerKey);
+  if (worker !== undefined)
+    return {
+      id: workerKey,
+      silentSince: worker.hasFencedReport ? worker.lastReportAt : loadedAt,
+      endsAt: worker.leaseEndsAt,
+      grantedBy: worker.hasFencedReport ? 'thisOwner' : 'earlierOwner',
+    };
+  // The previous owner may have granted leases until the end of its grant window.
+  const leaseMs = RUN_LEASE_MS * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
+  return {
+    id: workerKey,
+    silentSince: loadedAt,
+    endsAt: loadedAt + GRANT_WINDOW_MS + leaseMs,
+    grantedBy: 'earlierOwner',
+  };
+}
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -6,12 +6,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseRunsOfTerminatedWorker } from './agentTables.ts';
 import { recordJobStart, releaseRun, requestStop } from './jobChanges.ts';
-import {
-  GRANT_WINDOW_MS,
-  LEASE_MARGIN_MS,
-  MAX_CLOCK_DRIFT_FACTOR,
-  RUN_LEASE_MS,
-} from './ownershipTimes.ts';
+import { LEASE_MARGIN_MS, MAX_CLOCK_DRIFT_FACTOR } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 /** Reason of releases and stops after a worker restarted as a new incarnation. */
@@ -29,7 +24,7 @@
 /**
  * Applies the agents' reports: the worker's current incarnation, its runs and its ends. Reads
  * reports; writes `workers`, `runs`, `jobs` and the reported ends, and releases the runs of dead
- * incarnations and of expired leases. Runs before the ends are applied.
+ * incarnations. Runs before the ends are applied.
  */
 export class ReportSystem extends System<SchedulerState> {
   override readonly name = 'report';
@@ -50,7 +45,6 @@
       state.agents.update(agentId, { lastMessageAt: tick.now, failures: 0 });
       if (message.kind === 'report') this.applyReport(state, agentId, message, tick.now);
     }
-    this.releaseExpiredRuns(state, tick);
   }
 
   private applyReport(state: SchedulerState, agentId: string, report: Report, now: number): void {
@@ -195,30 +189,6 @@
     for (const other of state.workers.list())
       if (other.agentId === agentId && other.id !== workerKey) state.workers.remove(other.id);
   }
-
-  private releaseExpiredRuns(state: SchedulerState, tick: Tick): void {
-    for (const workerKey of [...state.runsByWorker.keys()]) {
-      const endsAt = this.computeLeaseEnd(state, workerKey);
-      if (tick.now <= endsAt) {
-        if (endsAt - tick.now < RUN_LEASE_MS) tick.wakeAt(endsAt + 1);
-        continue;
-      }
-      for (const run of state.runsByWorker.list(workerKey))
-        if (run.phase !== 'placed') releaseRun(state, run, 'lease lapsed', { now: tick.now });
-    }
-  }
-
-  private computeLeaseEnd(state: SchedulerState, workerKey: string): number {
-    const worker = state.workers.get(workerKey);
-    if (worker !== undefined) return worker.leaseEndsAt;
-    // The previous owner may have granted leases until the end of its grant window.
-    return (
-      state.ownership.loadedAt +
-      GRANT_WINDOW_MS +
-      RUN_LEASE_MS * MAX_CLOCK_DRIFT_FACTOR +
-      LEASE_MARGIN_MS
-    );
-  }
 }
 
 /**
--- a/src/systems/scheduler/resetToFollower.ts
+++ b/src/systems/scheduler/resetToFollower.ts
@@ -21,6 +21,7 @@
     state.moves,
     state.workers,
     state.agents,
+    state.leaseWaits,
     state.servingLoads,
     state.advice,
   ])
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -27,6 +27,7 @@
 import { StatusUpdateSystem } from './statusUpdateSystem.ts';
 import { StopSystem } from './stopSystem.ts';
 import { TakeoverSystem } from './takeoverSystem.ts';
+import { LeaseExpirySystem } from './leaseExpirySystem.ts';
 import { LeastWorkOrder } from './taskOrder.ts';
 import {
   CpuLimitedTaskPlacement,
@@ -34,6 +35,7 @@
   SlackLimitedTaskPlacement,
 } from './taskPlacementPolicy.ts';
 import { TaskPlacementSystem } from './taskPlacementSystem.ts';
+import { TaskWaitLogSystem } from './taskWaitLogSystem.ts';
 import { TransferSystem } from './transferSystem.ts';
 import { WaveSystem } from './waveSystem.ts';
 
@@ -49,6 +51,7 @@
     CallSystem.create(),
     IntakeSystem.create(),
     ReportSystem.create(),
+    LeaseExpirySystem.create(),
     RunEndSystem.create(),
     JobProgressSystem.create(),
     StallSystem.create(),
@@ -67,6 +70,7 @@
       SeparatingTaskPlacement.create(),
       LeastWorkOrder.create(),
     ),
+    TaskWaitLogSystem.create(),
     PreemptionSystem.create(),
     CommitSystem.create(),
     CommandSystem.create(),
--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -18,6 +18,7 @@
 import { handleAgentEffect } from './worldAgentEffects.ts';
 import { WorldEvents } from './worldEvents.ts';
 import { WorldInstances } from './worldInstances.ts';
+import type { WorldLog } from './worldLog.ts';
 import { LINK_DELAY_MS, WorldLinks } from './worldLinks.ts';
 import type { AgentNode, CallOptions, EntryNode, TaskStart, WorkerOptions } from './worldNodes.ts';
 import {
@@ -42,7 +43,7 @@
   readonly store = MemoryStore.create(this.clock);
   readonly entries: EntryNode[] = [];
   readonly agents: AgentNode[] = [];
-  readonly logs: { readonly node: string; readonly event: string }[] = [];
+  readonly logs: WorldLog[] = [];
   readonly durations: Extract<SchedulerEffect, { kind: 'duration' }>[] = [];
   readonly events = WorldEvents.create(this.clock);
   readonly storeLink = WorldStore.create(this.store, this.events, this.clock);
@@ -293,7 +294,7 @@
       'agentId' in effect ? this.agents.find(({ id }) => id === effect.agentId) : undefined;
     switch (effect.kind) {
       case 'log':
-        this.logs.push({ node: entry.id, event: effect.event });
+        this.logs.push({ node: entry.id, event: effect.event, fields: effect.fields });
         return;
       case 'duration':
         this.durations.push(effect);
--- a/test/support/worldAgentEffects.ts
+++ b/test/support/worldAgentEffects.ts
@@ -6,6 +6,7 @@
 import type { WorldEvents } from './worldEvents.ts';
 import type { WorldLinks } from './worldLinks.ts';
 import { LINK_DELAY_MS } from './worldLinks.ts';
+import type { WorldLog } from './worldLog.ts';
 import type { AgentNode, EntryNode } from './worldNodes.ts';
 import { answerRunnerCall, findLinkedEntry, LATE_CALL_DELAY_MS } from './worldNodes.ts';
 import type { WorldStore } from './worldStore.ts';
@@ -17,7 +18,7 @@
   readonly entries: readonly EntryNode[];
   readonly events: WorldEvents;
   readonly links: WorldLinks;
-  readonly logs: { readonly node: string; readonly event: string }[];
+  readonly logs: WorldLog[];
   readonly storeLink: WorldStore;
   deliver(delayMs: number, entry: EntryNode, arrival: SchedulerArrival): void;
   deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void;
@@ -31,7 +32,7 @@
 ): void {
   switch (effect.kind) {
     case 'log':
-      world.logs.push({ node: agent.id, event: effect.event });
+      world.logs.push({ node: agent.id, event: effect.event, fields: effect.fields });
       return;
     case 'callRunner': {
       const { callId, call, timeoutMs, workerId } = effect;
