--- a/test/support/schedulerWorld.ts
+++ b/test/support/schedulerWorld.ts
@@ -8,14 +8,12 @@
 import type { QueueCall } from '../../src/model/scheduler/queueCall.ts';
 import type { JobSpec, StepSpec } from '../../src/model/scheduler/jobSpec.ts';
 import type { RunnerAgentArrival } from '../../src/model/scheduler/runnerAgentState.ts';
-import { createRunnerAgentState } from '../../src/model/scheduler/runnerAgentState.ts';
 import type { MemoryRunner, RunBehaviour } from '../../src/standins/memoryRunner.ts';
 import type { MemoryAdviser } from '../../src/standins/memoryAdviser.ts';
 import { MemoryStore } from '../../src/standins/memoryStore.ts';
-import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import { createSchedulerSystems } from '../../src/systems/scheduler/schedulerSystems.ts';
 import { EntryClock } from './entryClock.ts';
-import { handleAgentEffect } from './worldAgentEffects.ts';
+import { createAgentProcess } from './worldAgentEffects.ts';
 import { WorldEvents } from './worldEvents.ts';
 import { WorldInstances } from './worldInstances.ts';
 import type { WorldLog } from './worldLog.ts';
@@ -29,7 +27,6 @@
   createEntryParts,
   createWorldRunner,
   createWorldWorker,
-  formatWorldAddress,
   listTaskStarts,
   writeWorldConfiguration,
 } from './worldNodes.ts';
@@ -181,20 +178,9 @@
   }
 
   addAgent(id: string, shape: WorkerOptions = {}): AgentNode {
-    const state = createRunnerAgentState(id, 'a');
-    state.self.address = formatWorldAddress(id);
     const agent: AgentNode = {
       id,
-      state,
-      loop: Loop.create({
-        state,
-        systems: createRunnerAgentSystems(),
-        clock: this.clock,
-        random: this.random,
-        handleEffect: (effect) => {
-          handleAgentEffect(this, agent, effect);
-        },
-      }),
+      ...createAgentProcess(this, this.random, id, () => agent),
       runner: createWorldRunner(this.clock, (task, run) => this.behave(task, run)),
       ...createAgentParts(),
       shape,
@@ -205,6 +191,22 @@
     return agent;
   }
 
+  /** Kills the process of an agent and starts another one after a time; the worker runs on. */
+  restartAgent(agent: AgentNode, downMs: number): void {
+    this.disconnectAgent(agent);
+    agent.frozenArrivals = [];
+    this.events.schedule(downMs, () => {
+      Object.assign(
+        agent,
+        createAgentProcess(this, this.random, agent.id, () => agent),
+      );
+      agent.frozenArrivals = undefined;
+      agent.isReachable = true;
+      if (!agent.hasTerminated) this.sendHeartbeat(agent);
+      this.runTick(agent);
+    });
+  }
+
   /** Replaces an agent's worker by a new incarnation with the same id; its runs are lost. */
   restartRunner(agent: AgentNode, beatAfterMs = 0): void {
     agent.runner.running.clear();
--- a/test/support/worldAgentEffects.ts
+++ b/test/support/worldAgentEffects.ts
@@ -1,14 +1,23 @@
+import { Loop } from '../../src/base/common/loop.ts';
+import type { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import type {
   RunnerAgentArrival,
   RunnerAgentEffect,
 } from '../../src/model/scheduler/runnerAgentState.ts';
+import { createRunnerAgentState } from '../../src/model/scheduler/runnerAgentState.ts';
 import type { SchedulerArrival } from '../../src/model/scheduler/schedulerMessages.ts';
+import { createRunnerAgentSystems } from '../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import type { WorldEvents } from './worldEvents.ts';
 import type { WorldLinks } from './worldLinks.ts';
 import { LINK_DELAY_MS } from './worldLinks.ts';
 import type { WorldLog } from './worldLog.ts';
 import type { AgentNode, EntryNode } from './worldNodes.ts';
-import { answerRunnerCall, findLinkedEntry, LATE_CALL_DELAY_MS } from './worldNodes.ts';
+import {
+  answerRunnerCall,
+  findLinkedEntry,
+  formatWorldAddress,
+  LATE_CALL_DELAY_MS,
+} from './worldNodes.ts';
 import type { WorldStore } from './worldStore.ts';
 import type { Clock } from '../../src/base/common/clock.ts';
 
@@ -24,6 +33,29 @@
   deliverToAgent(delayMs: number, agent: AgentNode, arrival: RunnerAgentArrival): void;
 }
 
+/** Creates the process of an agent, which knows nothing of an earlier one. */
+export function createAgentProcess(
+  world: WorldParts,
+  random: SeededRandom,
+  id: string,
+  getAgent: () => AgentNode,
+): Pick<AgentNode, 'state' | 'loop'> {
+  const state = createRunnerAgentState(id, 'a');
+  state.self.address = formatWorldAddress(id);
+  // Replies to the calls of an earlier process have other ids.
+  state.nextCall = Math.round(world.clock.now);
+  const loop = Loop.create({
+    state,
+    systems: createRunnerAgentSystems(),
+    clock: world.clock,
+    random,
+    handleEffect: (effect: RunnerAgentEffect) => {
+      handleAgentEffect(world, getAgent(), effect);
+    },
+  });
+  return { state, loop };
+}
+
 /** Executes one effect of an agent in the world. */
 export function handleAgentEffect(
   world: WorldParts,
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -42,8 +42,9 @@
 
 export interface AgentNode {
   readonly id: string;
-  readonly state: RunnerAgentState;
-  readonly loop: Loop<RunnerAgentArrival, RunnerAgentEffect, RunnerAgentState>;
+  /** State and loop of the present process. */
+  state: RunnerAgentState;
+  loop: Loop<RunnerAgentArrival, RunnerAgentEffect, RunnerAgentState>;
   runner: MemoryRunner;
   /** Link ids of owners by entry id. */
   readonly links: Map<string, string>;
