End the wait for earlier leases on the proof of the agent

Cause: callers saw tasks that last without a run for 11 to 37 s after the loss of a worker and of one owner or several (LOST). A new owner does not know the last lease of a worker that does not answer, so it waited for the longest one there could be, from its own start on: 10.45 s with leases of up to 10 s, 15.35 s without a report of the agent. Each takeover started that wait anew. Change: leases reach a worker through the agent of its instance only, so the agent records until when any of them may last, those of an earlier process of its own included, and reports what is left. A rest of 0 ends the wait, for as many owners as there were. A worker that has received the fence of the owner has only leases of at most 5 s from then on. An agent that has not reported is waited for as before, and one of an earlier build too. Open: an agent that is gone for good with its worker, beside several lost owners.

--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -56,6 +56,12 @@
     worker: z.optional(workerIdentitySchema),
     /** Whether the incarnation announced its end and has refused connections since; nothing runs there. */
     isGone: z.optional(z.boolean()),
+    /**
+     * Longest time, ms, that a lease of this instance's workers may still last, whoever granted it and
+     * whichever process passed it on; 0 proves that every run started before has ended. Reports
+     * with lists and those of earlier builds lack it.
+     */
+    leaseLeftMs: z.optional(z.number()),
     /** Sample of the worker's monotonic clock, not younger than the lists. */
     clockMs: z.number(),
     running: z.array(runningRunSchema),
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -116,7 +116,10 @@
   readonly id: string;
   readonly agentId: string;
   readonly identity: WorkerIdentity;
-  /** Time until which a run on the worker may hold its lease, owner's clock ms. */
+  /**
+   * Time until which a run on the worker may hold its lease, owner's clock ms; valid once the worker
+   * has received the owner's fence, before that {@link AgentRow.earlierLeasesEndAt} is.
+   */
   readonly leaseEndsAt: number;
   readonly lastReportAt: number;
   /** Worker's clock in the latest report, ms. */
@@ -143,6 +146,8 @@
   /** Incarnation that the agent last reported. */
   readonly workerKey: string | undefined;
   readonly grantedAt: number;
+  /** Time until which leases of earlier owners may last on the instance, owner's clock ms. */
+  readonly earlierLeasesEndAt: number;
   /** When the latest message was received, owner's clock ms. */
   readonly lastMessageAt: number;
   /** Consecutive failed attempts to open the link. */
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -100,7 +100,16 @@
     lastMessageAt: number;
   };
   /** Lease of the worker's runs on the worker's clock, and the number of the last acknowledged end. */
-  readonly lease: { workerStartedMs: number; untilMs: number; acknowledgedEnd: number };
+  readonly lease: {
+    workerStartedMs: number;
+    untilMs: number;
+    acknowledgedEnd: number;
+    /**
+     * Time until which any lease may last on this instance, agent's clock ms, also one that an earlier
+     * process passed on; undefined before the first tick.
+     */
+    endsAt: number | undefined;
+  };
   /** The long poll of the worker. */
   readonly poll: {
     callId: string;
@@ -111,6 +120,8 @@
     /** Highest number of an end in the worker's lists. */
     lastListedEnd: number;
     clockMs: number;
+    /** When {@link clockMs} was received, agent's clock ms. */
+    clockReadAt: number;
     failures: number;
     /** Whether a poll that does not wait for an end must follow immediately. */
     isUrgent: boolean;
@@ -158,7 +169,7 @@
     workerSequence: 0,
     workerExit: 'none',
     owner: { epoch: 0, linkId: '', reportAt: NEVER, lastMessageAt: NEVER },
-    lease: { workerStartedMs: 0, untilMs: 0, acknowledgedEnd: 0 },
+    lease: { workerStartedMs: 0, untilMs: 0, acknowledgedEnd: 0, endsAt: undefined },
     poll: {
       callId: '',
       epoch: 0,
@@ -166,6 +177,7 @@
       nextAt: NEVER,
       lastListedEnd: 0,
       clockMs: 0,
+      clockReadAt: NEVER,
       failures: 0,
       isUrgent: false,
       isWaiting: false,
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -4,6 +4,7 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { isWorkerConfirmed } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, resetOwnerLink, sendOwner } from './agentCalls.ts';
+import { computeLeaseLeft, recordLease, recordProcessStart } from './agentLease.ts';
 
 type WorkerCommand = Exclude<OwnerCommand, { kind: 'hello' | 'grant' | 'heartbeat' }>;
 
@@ -33,6 +34,7 @@
   }
 
   override run(state: RunnerAgentState, tick: Tick): void {
+    recordProcessStart(state, tick.now);
     for (const { linkId, command } of state.inbox.list('ownerOrder'))
       this.receiveCommand(state, linkId, command, tick.now);
     for (const { linkId, isOpen } of state.inbox.list('ownerLink')) {
@@ -47,24 +49,29 @@
       return;
     }
     tick.wakeAt(state.owner.lastMessageAt + OWNER_SILENCE_TIMEOUT_MS + 1);
-    if (tick.now >= state.owner.reportAt) {
-      state.owner.reportAt = tick.now + REPORT_INTERVAL_MS;
-      sendOwner(state, {
-        kind: 'report',
-        epoch: 0,
-        ...(state.worker === undefined || !isWorkerConfirmed(state)
-          ? {}
-          : { worker: state.worker }),
-        ...(state.workerExit === 'gone' ? { isGone: true } : {}),
-        clockMs: state.poll.clockMs,
-        running: [],
-        ended: [],
-        isComplete: false,
-      });
-    }
+    if (tick.now >= state.owner.reportAt) this.sendReport(state, tick.now);
     tick.wakeAt(state.owner.reportAt);
   }
 
+  /** Sends a report without lists. */
+  private sendReport(state: RunnerAgentState, now: number): void {
+    const leaseLeftMs = computeLeaseLeft(state, now);
+    // The owner may release the runs of a silent worker as soon as their leases have ended.
+    const isEndNext = leaseLeftMs > 0 && leaseLeftMs < REPORT_INTERVAL_MS;
+    state.owner.reportAt = now + (isEndNext ? leaseLeftMs : REPORT_INTERVAL_MS);
+    sendOwner(state, {
+      kind: 'report',
+      epoch: 0,
+      ...(state.worker === undefined || !isWorkerConfirmed(state) ? {} : { worker: state.worker }),
+      ...(state.workerExit === 'gone' ? { isGone: true } : {}),
+      leaseLeftMs,
+      clockMs: state.poll.clockMs,
+      running: [],
+      ended: [],
+      isComplete: false,
+    });
+  }
+
   /** Closes the link, so that the owner opens a new one for its commands. */
   private dropSilentLink(state: RunnerAgentState, now: number): void {
     logAgentEvent(state, 'warn', 'owner_lost', { epoch: state.owner.epoch, link: 'silent' });
@@ -88,11 +95,12 @@
       if (command.bornMs !== state.worker?.bornMs) return;
       state.lease.workerStartedMs = command.bornMs;
       state.lease.untilMs = Math.max(state.lease.untilMs, command.leaseUntilMs);
+      recordLease(state, command.bornMs, command.leaseUntilMs, now);
       state.lease.acknowledgedEnd = Math.max(state.lease.acknowledgedEnd, command.lastSeen);
       if (state.lease.acknowledgedEnd >= state.poll.lastListedEnd) state.poll.nextAt = now;
       return;
     }
-    this.addCommand(state, command);
+    this.addCommand(state, command, now);
   }
 
   private receiveHello(
@@ -141,8 +149,9 @@
     return true;
   }
 
-  private addCommand(state: RunnerAgentState, command: WorkerCommand): void {
+  private addCommand(state: RunnerAgentState, command: WorkerCommand, now: number): void {
     if (command.bornMs !== state.worker?.bornMs) return;
+    if (command.kind === 'start') recordLease(state, command.bornMs, command.leaseUntilMs, now);
     const id = `${command.kind}:${command.task}#${command.run}`;
     const pending = state.commands.get(id);
     if (pending !== undefined && command.kind !== 'pace') {
--- a/src/systems/runnerAgent/workerPollSystem.ts
+++ b/src/systems/runnerAgent/workerPollSystem.ts
@@ -156,6 +156,7 @@
       [...reply.running, ...reply.ended].map(({ task, run }) => formatRunId(task, run)),
     );
     poll.clockMs = reply.clockMs;
+    poll.clockReadAt = now;
     poll.lastListedEnd = reply.ended.reduce((last, end) => Math.max(last, end.number), 0);
     poll.nextAt = poll.lastListedEnd > lease.acknowledgedEnd ? now + UNACKNOWLEDGED_PAUSE_MS : now;
     sendOwner(state, {
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -3,9 +3,8 @@
 import type { AgentRow, WorkerRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import {
+  computeLeaseDuration,
   GRANT_WINDOW_MS,
-  LEASE_MARGIN_MS,
-  MAX_CLOCK_DRIFT_FACTOR,
   MAX_REPORT_AGE_MS,
   RUN_LEASE_MS,
 } from './ownershipTimes.ts';
@@ -148,7 +147,7 @@
       ),
       leaseEndsAt: Math.max(
         worker.leaseEndsAt,
-        worker.lastReportAt + leaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+        worker.lastReportAt + computeLeaseDuration(leaseMs),
       ),
     });
     state.outbox.append({
--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -7,7 +7,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { getRunLeaseMs } from './agentLinkSystem.ts';
 import { recordJobStart, releaseRun } from './jobChanges.ts';
-import { MAX_CLOCK_DRIFT_FACTOR, LEASE_MARGIN_MS } from './ownershipTimes.ts';
+import { computeLeaseDuration } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
 import { explainClosedWorker, findClosingReason } from './workerCapacities.ts';
@@ -68,7 +68,7 @@
     state.workers.update(worker.id, {
       leaseEndsAt: Math.max(
         worker.leaseEndsAt,
-        worker.lastReportAt + leaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+        worker.lastReportAt + computeLeaseDuration(leaseMs),
       ),
     });
     state.outbox.append({
--- a/src/systems/scheduler/leaseExpirySystem.ts
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -1,20 +1,16 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { LeaseWaitRow } from '../../model/scheduler/leaseWait.ts';
+import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { computeEarlierLeaseEnd } from './agentTables.ts';
 import { releaseRun } from './jobChanges.ts';
-import {
-  GRANT_WINDOW_MS,
-  LEASE_MARGIN_MS,
-  MAX_CLOCK_DRIFT_FACTOR,
-  MAX_REPORT_AGE_MS,
-  RUN_LEASE_MS,
-} from './ownershipTimes.ts';
+import { MAX_REPORT_AGE_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 /**
- * Releases the runs of silent workers once their lease has certainly ended. Reads `workers`; writes
- * `leaseWaits` and releases `runs`. Runs after the reports.
+ * Releases the runs of silent workers once their lease has certainly ended. Reads `workers` and `agents`;
+ * writes `leaseWaits` and releases `runs`. Runs after the reports.
  */
 export class LeaseExpirySystem extends System<SchedulerState> {
   override readonly name = 'leaseExpiry';
@@ -86,21 +82,19 @@
 
 /** Computes until when the runs of a worker may hold a lease. */
 function computeLeaseWait(state: SchedulerState, workerKey: string): LeaseWaitRow {
-  const { loadedAt } = state.ownership;
   const worker = state.workers.get(workerKey);
-  if (worker !== undefined)
+  if (worker?.hasFencedReport === true)
     return {
       id: workerKey,
-      silentSince: worker.hasFencedReport ? worker.lastReportAt : loadedAt,
+      silentSince: worker.lastReportAt,
       endsAt: worker.leaseEndsAt,
-      grantedBy: worker.hasFencedReport ? 'thisOwner' : 'earlierOwner',
+      grantedBy: 'thisOwner',
     };
-  // The previous owner may have granted leases until the end of its grant window.
-  const leaseMs = RUN_LEASE_MS * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
+  const agent = state.agents.get(parseWorkerKey(workerKey).agentId);
   return {
     id: workerKey,
-    silentSince: loadedAt,
-    endsAt: loadedAt + GRANT_WINDOW_MS + leaseMs,
+    silentSince: state.ownership.loadedAt,
+    endsAt: agent?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
     grantedBy: 'earlierOwner',
   };
 }
--- a/src/systems/scheduler/ownershipTimes.ts
+++ b/src/systems/scheduler/ownershipTimes.ts
@@ -22,10 +22,18 @@
 export const OWNER_KEY_CHECK_INTERVAL_MS = 1_000;
 
 /** Factor by which a worker's clock may run slow. */
-export const MAX_CLOCK_DRIFT_FACTOR = 1.02;
+const MAX_CLOCK_DRIFT_FACTOR = 1.02;
 
 /** Allowance for rounding and for the time from a worker's clock reading to its answer, ms. */
-export const LEASE_MARGIN_MS = 250;
+const LEASE_MARGIN_MS = 250;
+
+/**
+ * Computes the longest time that a lease may last once the worker's clock has been read, ms. Leases
+ * are counted from such a reading.
+ */
+export function computeLeaseDuration(leaseMs: number): number {
+  return leaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
+}
 
 /** Age of a report beyond which its worker gets no new work and no lease, ms. */
 export const MAX_REPORT_AGE_MS = 2_500;
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -5,8 +5,9 @@
 import { formatRunId, formatWorkerKey, parseWorkerKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseRunsOfTerminatedWorker } from './agentTables.ts';
+import { getRunLeaseMs } from './agentLinkSystem.ts';
 import { recordJobStart, releaseRun, requestStop } from './jobChanges.ts';
-import { LEASE_MARGIN_MS, MAX_CLOCK_DRIFT_FACTOR } from './ownershipTimes.ts';
+import { computeLeaseDuration } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 /** Reason of releases and stops after a worker restarted as a new incarnation. */
@@ -43,10 +44,32 @@
       if (!state.agents.has(agentId)) continue;
       // An agent that accepts links and closes them without a message stays in backoff.
       state.agents.update(agentId, { lastMessageAt: tick.now, failures: 0 });
-      if (message.kind === 'report') this.applyReport(state, agentId, message, tick.now);
+      if (message.kind !== 'report') continue;
+      this.applyLeaseLeft(state, agentId, message, tick.now);
+      this.applyReport(state, agentId, message, tick.now);
     }
   }
 
+  /**
+   * Shortens the wait for the leases of earlier owners. The agent has accepted this owner's epoch, so
+   * it passes on none of theirs any more. A process that replaces the agent might, so only the end
+   * of all leases counts.
+   */
+  private applyLeaseLeft(
+    state: SchedulerState,
+    agentId: string,
+    report: Report,
+    now: number,
+  ): void {
+    const { leaseLeftMs, epoch, worker } = report;
+    const isEarlierBuild = leaseLeftMs === undefined && epoch === 0 && worker !== undefined;
+    if (leaseLeftMs !== 0 && !isEarlierBuild) return;
+    const endsAt = isEarlierBuild ? now + computeLeaseDuration(state.bounds.holdMaxMs) : now;
+    const agent = state.agents.get(agentId);
+    if (agent !== undefined && endsAt < agent.earlierLeasesEndAt)
+      state.agents.update(agentId, { earlierLeasesEndAt: endsAt });
+  }
+
   private applyReport(state: SchedulerState, agentId: string, report: Report, now: number): void {
     const identity = report.worker;
     if (identity === undefined) return;
@@ -76,10 +99,11 @@
       id: workerKey,
       agentId,
       identity,
-      // An earlier owner may have granted a lease up to now; the fence ends its grants.
+      // The fence ends the grants of earlier owners, which have read the worker's clock before.
       leaseEndsAt:
-        previous?.leaseEndsAt ??
-        now + state.bounds.holdMaxMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+        isFenced && previous?.hasFencedReport !== true
+          ? now + computeLeaseDuration(getRunLeaseMs(state))
+          : (previous?.leaseEndsAt ?? Number.NEGATIVE_INFINITY),
       lastReportAt: isFenced ? now : (previous?.lastReportAt ?? now),
       clockMs: isFenced ? report.clockMs : (previous?.clockMs ?? report.clockMs),
       hasFencedReport: isFenced || (previous?.hasFencedReport ?? false),
