--- a/test/support/worldAgentEffects.ts
+++ b/test/support/worldAgentEffects.ts
@@ -1,5 +1,6 @@
 import { Loop } from '../../src/base/common/loop.ts';
 import type { SeededRandom } from '../../src/base/common/seededRandom.ts';
+import type { AgentMessage } from '../../src/model/scheduler/linkMessages.ts';
 import type {
   RunnerAgentArrival,
   RunnerAgentEffect,
@@ -83,7 +84,7 @@
         world.deliver(Math.max(LINK_DELAY_MS, agent.delayedUntil - world.clock.now), entry, {
           kind: 'agentMessage',
           agentId: agent.id,
-          message: effect.message,
+          message: agent.isEarlierBuild ? removeNewFields(effect.message) : effect.message,
         });
       return;
     }
@@ -95,3 +96,8 @@
     default:
   }
 }
+
+/** Removes the fields of a report that agents of earlier builds do not send. */
+function removeNewFields(message: AgentMessage): AgentMessage {
+  return message.kind === 'report' ? { ...message, leaseLeftMs: undefined } : message;
+}
--- a/test/support/worldNodes.ts
+++ b/test/support/worldNodes.ts
@@ -64,6 +64,8 @@
   hasTerminated: boolean;
   /** Number of heartbeats that the worker has sent. */
   heartbeats: number;
+  /** Whether its reports lack what earlier builds do not report. */
+  isEarlierBuild: boolean;
   /** Labels and capacity that the worker reports. */
   shape: WorkerOptions;
 }
@@ -142,6 +144,7 @@
     getFault: () => undefined,
     delayedUntil: 0,
     hasTerminated: false,
+    isEarlierBuild: false,
     heartbeats: 0,
   };
 }
--- a/test/systems/scheduler/lostWorkers.test.ts
+++ b/test/systems/scheduler/lostWorkers.test.ts
@@ -68,6 +68,24 @@
     });
   });
 
+  describe('beside an agent of an earlier build', () => {
+    it('does not wait longer than before for its lost worker', () => {
+      const { world, agent } = createLastingWorld(holdMaxMs);
+      agent.isEarlierBuild = true;
+      loseWorker(agent);
+      replaceOwners(1)(world, agent);
+      expect(measureIdleTime(world, 30_000)).toBeLessThan(holdMaxMs + 1_000);
+    });
+
+    it('does not run twice when its worker is only cut off', () => {
+      const { world, agent } = createLastingWorld(holdMaxMs);
+      agent.isEarlierBuild = true;
+      cutOffWorker(agent);
+      replaceOwners(2)(world, agent);
+      expect(countPeakRuns(world, 25_000)).toBe(1);
+    });
+  });
+
   describe('of a worker that is only cut off', () => {
     it.each([
       ['the owner stays', replaceOwners(0)],
