--- a/test/systems/scheduler/lostWorkers.test.ts
+++ b/test/systems/scheduler/lostWorkers.test.ts
@@ -134,6 +134,18 @@
   });
 });
 
+describe('a long-running task of a lost worker whose agent is gone for good', () => {
+  it('does not wait anew at the loss of one owner', () => {
+    const { world, agent } = createLastingWorld(6_000);
+    loseWorker(agent);
+    world.disconnectAgent(agent);
+    agent.frozenArrivals = [];
+    world.run(300);
+    restartEntry(world, world.owner!);
+    expect(measureIdleTime(world, 30_000)).toBeLessThan(IDLE_AFTER_DISRUPTION_MS);
+  });
+});
+
 type Act = (world: SchedulerWorld, agent: AgentNode) => void;
 
 function loseOnlyWorker(_world: SchedulerWorld, agent: AgentNode): void {
