Count the stops of an earlier owner before evicting more tasks of a step

Cause: an owner knows only the stops that it requested itself. After a fast handoff (SIGTERM, a larger entry) the worker still lists a run that the previous owner has stopped, for up to the longest duration of a stop. The new owner took it for available and stopped another task of the step, so that a step of which one task may be unavailable had two ended by orders (AVAIL).

Change: canEvict counts a run of an earlier owner as available only once its worker has listed it for longer than a stop takes, counted from the first list read under this owner's fence, which ends the stops of earlier owners. Runs that this owner has started count as before.

Stops of tasks that end are still requested anew by each owner.

--- a/src/systems/scheduler/availability.ts
+++ b/src/systems/scheduler/availability.ts
@@ -1,5 +1,6 @@
-import type { TaskRow } from '../../model/scheduler/rows.ts';
+import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { LEASE_MARGIN_MS } from './ownershipTimes.ts';
 
 /** Progress that the worker of an available long-running task reports. */
 const AVAILABLE_PERCENT = 100;
@@ -24,6 +25,20 @@
     .list(taskId)
     .some(
       (run) =>
-        run.phase === 'running' && run.stopReason === undefined && run.percent >= AVAILABLE_PERCENT,
+        run.phase === 'running' &&
+        run.stopReason === undefined &&
+        run.percent >= AVAILABLE_PERCENT &&
+        !isPossiblyStopping(state, run),
     );
 }
+
+/**
+ * Whether an earlier owner may have stopped the run, which its worker lists until it ends. The first
+ * list read under this owner's fence ends the stops of earlier owners; a run that is still listed
+ * after the longest duration of a stop has not been stopped.
+ */
+function isPossiblyStopping({ workers, bounds }: SchedulerState, run: RunRow): boolean {
+  if (run.startAttempts > 0) return false;
+  const lastReportAt = workers.get(run.workerKey)?.lastReportAt ?? Number.NEGATIVE_INFINITY;
+  return lastReportAt < run.progressAt + bounds.stopMs + LEASE_MARGIN_MS;
+}
