Store the workers that a task avoids

The next owner placed the task on the failing worker again, which used up the attempts of a job that could be done, and counted the moves of a stalled task from zero.

Change: the stored progress of a task has the ids of its avoided workers, at most three, and a new owner continues from them. They are optional: progress without them is read as before, and an earlier build ignores them. They are stored for up to 500 unfinished tasks of a job, because the progress of a job with the most tasks already takes the 1 MB of a value.

Conclusion: a failed run costs no second one on the same worker after a takeover. The backoff of a failing worker itself is still known to one owner only, so a new owner tries it again with other tasks.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -37,6 +37,8 @@
   failedRun: z.optional(z.int()),
   done: z.optional(z.boolean()),
   checkpoint: z.optional(z.string()),
+  /** Ids of the latest few workers on which a run of the task failed or stalled. */
+  avoided: z.optional(z.array(z.string())),
   open: z.optional(z.array(openRunSchema)),
 });
 export type TaskRecord = z.infer<typeof taskRecordSchema>;
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -28,6 +28,11 @@
  * Answers take 10 ms, those of a slow store 130 ms.
  */
 const LOST_ANSWER_TIMEOUT_MS = 300;
+/**
+ * Tasks of a job whose avoided workers are stored, up to three ids of about 40 bytes each. The
+ * progress of a job with the most tasks fills the store's limit of 1 MB without them.
+ */
+const MAX_TASKS_WITH_AVOIDED_WORKERS = 500;
 
 /**
  * Writes the progress of changed jobs to the store on the condition that the owner key is
@@ -205,6 +210,7 @@
 export function buildProgress(state: SchedulerState, job: JobRow): JobProgress {
   const tasks: Record<string, TaskRecord> = {};
   const isFinal = isFinalPhase(job.phase);
+  let tasksWithAvoidedWorkers = 0;
   for (const task of state.tasksByJob.values(job.id)) {
     if (task.lastRun === 0) continue;
     const openRuns = state.runsByTask.list(task.id).map(({ run, workerKey }) => ({
@@ -212,12 +218,18 @@
       worker: workerKey,
     }));
     if (isFinal && openRuns.length === 0) continue;
+    const hasAvoidedWorkers =
+      task.phase !== 'done' &&
+      task.avoidedWorkerIds.length > 0 &&
+      tasksWithAvoidedWorkers < MAX_TASKS_WITH_AVOIDED_WORKERS;
+    if (hasAvoidedWorkers) tasksWithAvoidedWorkers += 1;
     tasks[task.id.slice(job.id.length + 1)] = {
       lastRun: task.lastRun,
       ...(task.failures === 0 ? {} : { failures: task.failures }),
       ...(task.lastFailedRun === 0 ? {} : { failedRun: task.lastFailedRun }),
       ...(task.phase === 'done' ? { done: true } : {}),
       ...(task.checkpoint === '' ? {} : { checkpoint: task.checkpoint }),
+      ...(hasAvoidedWorkers ? { avoided: [...task.avoidedWorkerIds] } : {}),
       ...(openRuns.length === 0 ? {} : { open: openRuns }),
     };
   }
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -121,7 +121,7 @@
         lastFailedRun: record?.failedRun ?? 0,
         checkpoint: record?.checkpoint ?? '',
         readyAt: now,
-        avoidedWorkerIds: [],
+        avoidedWorkerIds: record?.avoided ?? [],
       };
       state.tasks.set(task);
       if (!isDone) openTaskCount += 1;
--- a/test/systems/scheduler/takeoverStops.test.ts
+++ b/test/systems/scheduler/takeoverStops.test.ts
@@ -1,6 +1,10 @@
 import { describe, expect, it } from 'vitest';
 import { createJobId, JOB } from '../../support/jobWorld.ts';
-import { createMaintenanceWorld, readWaveState, writeWave } from '../../support/maintenanceWorld.ts';
+import {
+  createMaintenanceWorld,
+  readWaveState,
+  writeWave,
+} from '../../support/maintenanceWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import { toInstanceId } from '../../support/worldInstances.ts';
 import type { AgentNode } from '../../support/worldNodes.ts';
