Date an adopted claim by the store call that found it

Cause: an entry whose claim got no answer finds its own record with the next call, and counted the ownership as confirmed at the time at which it handled the reply. An entry that pauses before that counted a confirmation from before the pause as fresh, for up to the whole grant window of 10 s.

Change: the claim counts as confirmed from when the call was sent, as claims, renewals and commits do.

Conclusion: an entry that pauses for longer than the grant window with such a reply gives the ownership up at once.

--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -136,19 +136,20 @@
 
   private receiveProbe(state: SchedulerState, now: number): void {
     const { ownership } = state;
-    for (const { reply } of listStoreReplies(state, 'probe')) {
+    for (const { reply, sentAt } of listStoreReplies(state, 'probe')) {
       if (ownership.role !== 'follower') continue;
       ownership.claimAt = now + CLAIM_INTERVAL_MS;
-      if (reply.kind === 'mismatch') this.applyOwnerRecord(state, reply.entries, now);
+      if (reply.kind === 'mismatch') this.applyOwnerRecord(state, reply.entries, now, sentAt);
       else if (reply.kind === 'written') this.tryClaim(state, now);
     }
   }
 
-  /** Updates the known owner and epoch from the entries of a failed comparison. */
+  /** Updates the known owner and epoch from the entries of a failed comparison sent at `sentAt`. */
   private applyOwnerRecord(
     state: SchedulerState,
     entries: readonly StoreEntry[],
     now: number,
+    sentAt: number,
   ): void {
     const { ownership } = state;
     this.applyEpochRecord(state, entries);
@@ -168,7 +169,7 @@
       // The latest claim of this process, whose reply was lost. An earlier claim, or one of a dead
       // process with the same id, is attached to a lease that nobody renews.
       if (owner.bootId === state.self.bootId && owner.leaseId === ownership.leaseId)
-        this.acceptClaim(state, owner.epoch, entry.version, now);
+        this.acceptClaim(state, owner.epoch, entry.version, sentAt);
       else this.startClaim(state, entry.version);
       return;
     }
--- a/test/systems/scheduler/ownership.test.ts
+++ b/test/systems/scheduler/ownership.test.ts
@@ -31,6 +31,33 @@
     });
   });
 
+  describe('with a claim whose answer is lost', () => {
+    it.each([300, 8_000, 12_000])(
+      'is not confirmed later than the store was asked when the entry pauses for %i ms',
+      (pauseMs) => {
+        const world = SchedulerWorld.create(2, 1);
+        const [entry, other] = world.entries;
+        other!.store = 'silent';
+        const { ownership } = entry!.state;
+        while (entry!.state.ownership.role !== 'claiming') world.run(1);
+        entry!.store = 'answerLost';
+        world.run(20);
+        entry!.store = 'up';
+        // The call that finds the entry's own claim has just been sent.
+        while (ownership.role !== 'follower' || ownership.claimAt < world.clock.now + 700)
+          world.run(1);
+        other!.store = 'up';
+        const sentAt = world.clock.now;
+        world.freeze(entry!, pauseMs);
+        world.run(pauseMs + 1);
+        expect(ownership.confirmedAt).toBeLessThanOrEqual(sentAt);
+        world.run(3_000);
+        const owners = world.entries.filter(({ state }) => state.ownership.role === 'owner');
+        expect(owners).toHaveLength(1);
+      },
+    );
+  });
+
   describe('with a key that is deleted while its lease is renewed', () => {
     it('is not kept beside a new owner when there is nothing to store', () => {
       const { world } = createWorld(2, 1);
