Ignore confirmations of the ownership from before a suspension

Cause: the monotonic clock of a suspended instance stands still, so the answer to a renewal that was sent just before a suspension looked new. The entry stayed owner for the whole grant window of 10 s after it was resumed, beside the entry that had taken over, if the store did not answer it any more.

An entry that is suspended with no call open still takes its ownership for confirmed until the first answer.

--- a/src/model/scheduler/ownership.ts
+++ b/src/model/scheduler/ownership.ts
@@ -9,6 +9,8 @@
   epochKeyVersion: number;
   /** Start of the latest store call that confirmed the claim, monotonic clock ms. */
   confirmedAt: number;
+  /** When this entry last noticed that it had been suspended, monotonic clock ms. */
+  resumedAt: number;
   renewAt: number;
   /** When the owner key is verified next; every commit postpones it. */
   checkAt: number;
@@ -54,6 +56,7 @@
     keyVersion: 0,
     epochKeyVersion: 0,
     confirmedAt: NEVER,
+    resumedAt: NEVER,
     renewAt: NEVER,
     checkAt: NEVER,
     checkCallId: '',
@@ -75,3 +78,11 @@
     loadedAt: NEVER,
   };
 }
+
+/**
+ * Records that a store call confirmed the claim. The answer to a call that was sent before a
+ * suspension is older than the monotonic clock tells, and confirms nothing.
+ */
+export function confirmOwnership(ownership: Ownership, sentAt: number): void {
+  if (sentAt > ownership.resumedAt) ownership.confirmedAt = Math.max(ownership.confirmedAt, sentAt);
+}
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -3,6 +3,7 @@
 import { System } from '../../base/common/system.ts';
 import type { OwnerRecord } from '../../model/scheduler/jobRecord.ts';
 import { epochSchema, ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import { confirmOwnership } from '../../model/scheduler/ownership.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import {
@@ -98,7 +99,7 @@
     for (const { reply, sentAt } of listStoreReplies(state, 'renew')) {
       if (ownership.role !== 'owner' && ownership.role !== 'loading') continue;
       if (reply.kind === 'lease' && reply.leaseId === ownership.leaseId)
-        ownership.confirmedAt = Math.max(ownership.confirmedAt, sentAt);
+        confirmOwnership(ownership, sentAt);
       else if (reply.kind === 'leaseLost') resetToFollower(state, 'the lease has ended', now);
       else ownership.renewAt = Math.min(ownership.renewAt, now + RENEWAL_RETRY_DELAY_MS);
     }
@@ -295,7 +296,8 @@
     ownership.role = 'loading';
     ownership.epoch = epoch;
     ownership.keyVersion = keyVersion;
-    ownership.confirmedAt = confirmedAt;
+    ownership.confirmedAt = Number.NEGATIVE_INFINITY;
+    confirmOwnership(ownership, confirmedAt);
     ownership.renewAt = confirmedAt;
     ownership.checkAt = confirmedAt + OWNER_KEY_CHECK_INTERVAL_MS;
     ownership.checkCallId = '';
--- a/test/systems/scheduler/pausedOwner.test.ts
+++ b/test/systems/scheduler/pausedOwner.test.ts
@@ -31,4 +31,25 @@
       }
     });
   });
+
+  describe('with its instance while the store answers a call', () => {
+    it.each(['renewal', 'commit'])('does not take the answer to a %s as new', (kind) => {
+      const { world } = createWorld(3, 2);
+      const owner = world.owner!;
+      const { ownership, commit } = owner.state;
+      const { renewAt } = ownership;
+      if (kind === 'commit') {
+        world.submit(owner, JOB, [{ count: 1 }]);
+        while (commit.callId === '') world.run(1);
+      } else {
+        while (ownership.renewAt === renewAt) world.run(1);
+      }
+      owner.store = 'silent';
+      world.freeze(owner, 12_000, true);
+      world.run(12_100);
+      const owners = world.entries.filter(({ state }) => state.ownership.role === 'owner');
+      expect(owners).toHaveLength(1);
+      expect(owners).not.toContain(owner);
+    });
+  });
 });
