Send no command for an instance after giving up the ownership

Cause: when a system fails, the owner gives up the ownership and clears its runs, and the tick continues with the next system. MaintenanceSystem did not look at the role. Its rows were still there while every instance seemed empty, so that it sent the command for an ordered instance, with the fence of an ownership that it had just given up.

Change: MaintenanceSystem does nothing unless the entry is the owner, as PoolSystem, TransferSystem and WaveSystem do.

Conclusion: all systems that send commands check the role. InstanceListSystem clears the tables of the fleet in the next tick, as before.

--- a/src/systems/scheduler/maintenanceSystem.ts
+++ b/src/systems/scheduler/maintenanceSystem.ts
@@ -42,6 +42,8 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     const { fleet } = state;
+    // An entry that gave up the ownership earlier in this tick has no runs in its tables any more.
+    if (state.ownership.role !== 'owner') return;
     if (fleet.waves.size === 0 && fleet.transfers.size === 0 && fleet.cordonedWorkers.size === 0)
       return;
     receiveCommandReplies(state, tick.now);
--- a/test/systems/scheduler/maintenanceTakeover.test.ts
+++ b/test/systems/scheduler/maintenanceTakeover.test.ts
@@ -1,10 +1,34 @@
 import { describe, expect, it } from 'vitest';
+import { Loop } from '../../../src/base/common/loop.ts';
+import { SeededRandom } from '../../../src/base/common/seededRandom.ts';
+import { System } from '../../../src/base/common/system.ts';
+import type { SchedulerEffect } from '../../../src/model/scheduler/schedulerMessages.ts';
+import type { SchedulerState } from '../../../src/model/scheduler/schedulerState.ts';
+import { recoverFromFailure } from '../../../src/systems/scheduler/failureRecovery.ts';
+import { GracefulMaintenance } from '../../../src/systems/scheduler/maintenancePolicy.ts';
+import { MaintenanceSystem } from '../../../src/systems/scheduler/maintenanceSystem.ts';
 import {
   createMaintenanceWorld,
   readWaveState,
   writeWave,
 } from '../../support/maintenanceWorld.ts';
 
+class FailingSystem extends System<SchedulerState> {
+  override readonly name = 'failing';
+
+  private constructor() {
+    super();
+  }
+
+  static create(): FailingSystem {
+    return new FailingSystem();
+  }
+
+  override run(): void {
+    throw new Error('failing');
+  }
+}
+
 describe('maintenance of instances', () => {
   describe('after a takeover', () => {
     it.each([300, 900, 2_500, 4_100, 6_000])(
@@ -62,5 +86,35 @@
       expect(readWaveState(world)).toBe('completed');
       expect(world.owner?.state.fleet.cordonedWorkers.size).toBe(0);
     });
+
+    it('does not send a command in the tick in which the owner gives up after a failure', () => {
+      const { world, entry, instances } = createMaintenanceWorld();
+      const { state } = entry;
+      instances.mode = 'refuses';
+      writeWave(world);
+      const isDue = (): boolean =>
+        state.fleet.maintenance
+          .list()
+          .some((row) => row.phase === 'ordered' && row.callId === '' && row.retryAt <= now());
+      const now = (): number => world.clock.now + 1;
+      while (!isDue()) world.run(1);
+      world.clock.advance(1);
+      const effects: SchedulerEffect[] = [];
+      const loop = Loop.create({
+        state,
+        systems: [FailingSystem.create(), MaintenanceSystem.create(GracefulMaintenance.create())],
+        clock: world.clock,
+        random: SeededRandom.create(1),
+        handleEffect: (effect: SchedulerEffect) => {
+          effects.push(effect);
+        },
+        handleFailure: ({ name }) => {
+          recoverFromFailure(state, name, world.clock.now);
+        },
+      });
+      loop.runTick();
+      expect(state.ownership.role).toBe('follower');
+      expect(effects.filter(({ kind }) => kind === 'callInstances')).toEqual([]);
+    });
   });
 });
