Store the reported checkpoint of an open run with its job

Cause: a checkpoint that a worker reports was kept with the run, in memory, and stored only after the run was released. When the worker was lost together with its owner, the task started from the beginning, although its job had been stored many times since.

Change: the progress of a task has the checkpoint of its most advanced open run. No write is added: it goes with the changes of the job.

Conclusion: a job with one task stores nothing while the task runs, so its progress is still lost with its worker and its owner.

--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -9,7 +9,7 @@
   STORE_KEYS,
 } from '../../model/scheduler/jobRecord.ts';
 import { confirmOwnership } from '../../model/scheduler/ownership.ts';
-import type { JobRow } from '../../model/scheduler/rows.ts';
+import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { OWNER_KEY_CHECK_INTERVAL_MS } from './ownershipTimes.ts';
@@ -204,6 +204,17 @@
   }
 }
 
+/**
+ * Finds the checkpoint of a task's most advanced open run. Its worker may be lost together with the
+ * owner that its reports reached.
+ */
+function findCheckpoint(task: TaskRow, runs: readonly RunRow[]): string {
+  let mostAdvanced: RunRow | undefined;
+  for (const run of runs)
+    if (run.checkpoint !== '' && run.percent >= (mostAdvanced?.percent ?? 0)) mostAdvanced = run;
+  return mostAdvanced?.checkpoint ?? task.checkpoint;
+}
+
 /**
  * Builds the stored progress of a job. For a final job it lists only the runs that may still be on
  * a worker.
@@ -214,22 +225,21 @@
   let tasksWithAvoidedWorkers = 0;
   for (const task of state.tasksByJob.values(job.id)) {
     if (task.lastRun === 0) continue;
-    const openRuns = state.runsByTask.list(task.id).map(({ run, workerKey }) => ({
-      run,
-      worker: workerKey,
-    }));
+    const runs = state.runsByTask.list(task.id);
+    const openRuns = runs.map(({ run, workerKey }) => ({ run, worker: workerKey }));
     if (isFinal && openRuns.length === 0) continue;
     const hasAvoidedWorkers =
       task.phase !== 'done' &&
       task.avoidedWorkerIds.length > 0 &&
       tasksWithAvoidedWorkers < MAX_TASKS_WITH_AVOIDED_WORKERS;
     if (hasAvoidedWorkers) tasksWithAvoidedWorkers += 1;
+    const checkpoint = findCheckpoint(task, runs);
     tasks[task.id.slice(job.id.length + 1)] = {
       lastRun: task.lastRun,
       ...(task.failures === 0 ? {} : { failures: task.failures }),
       ...(task.lastFailedRun === 0 ? {} : { failedRun: task.lastFailedRun }),
       ...(task.phase === 'done' ? { done: true } : {}),
-      ...(task.checkpoint === '' ? {} : { checkpoint: task.checkpoint }),
+      ...(checkpoint === '' ? {} : { checkpoint }),
       ...(hasAvoidedWorkers ? { avoided: [...task.avoidedWorkerIds] } : {}),
       ...(openRuns.length === 0 ? {} : { open: openRuns }),
     };
--- a/test/systems/scheduler/takeoverMarks.test.ts
+++ b/test/systems/scheduler/takeoverMarks.test.ts
@@ -40,6 +40,24 @@
         },
       );
 
+      it('do not lose the checkpoint that was stored with the end of another task', () => {
+        const { world, entry } = createWorld(4, 3);
+        world.behave = (task) =>
+          task === TASK
+            ? { durationMs: 60_000, end: 'done', checkpointIntervalMs: 500 }
+            : { durationMs: 3_000, end: 'done' };
+        world.submit(entry, JOB, [{ count: 2, savesProgress: true }]);
+        world.run(3_500);
+        const agent = world.agents.find(({ runner }) => runner.running.has(TASK))!;
+        world.disconnectAgent(agent);
+        replaceOwners(world, takeovers);
+        world.run(20_000);
+        const [start] = world.agents
+          .flatMap(({ runner }) => runner.starts)
+          .filter(({ task, run }) => task === TASK && run === 2);
+        expect(Number(start?.checkpoint)).toBeGreaterThanOrEqual(2_000);
+      });
+
       it('do not move a task that stands still on every worker without end', () => {
         const { world, entry } = createWorld(4, 5);
         world.behave = () => ({ durationMs: 60_000, end: 'done', isStalled: true });
