Tell the other entries which jobs have been deleted

Cause: only the owner removed the status of a deleted job. The other entries kept it until their link to an owner opened again, and the one of them that took over sent it to all as part of its complete list. So statuses were never removed, and entries answered for jobs that the store no longer had.

Change: the owner names deleted jobs in its status updates, and the entries remove their statuses.

Conclusion: a status can stay only at an entry whose link is down when the job is deleted, until the link opens again.

--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -132,6 +132,8 @@
   /** Whether the list contains every job; the receiver then removes the statuses of other jobs. */
   isComplete: z.boolean(),
   jobs: z.array(jobStatusSchema),
+  /** Ids of jobs that have been deleted. */
+  deleted: z.optional(z.array(z.string())),
   /** Milliseconds since the store last confirmed the ownership. */
   confirmedAgoMs: z.number(),
   /** Processor time that the owner has, in plain cores. */
--- a/src/systems/scheduler/retentionSystem.ts
+++ b/src/systems/scheduler/retentionSystem.ts
@@ -17,7 +17,7 @@
 /**
  * Removes final jobs: their tasks once none of their runs is open, and the rest when the time for
  * which their status must stay readable is over and the store has deleted them. Reads and writes
- * `jobs`, `tasks`, `advice`, `moves`, `statuses` and `deletedJobs`. Runs after the status updates.
+ * `jobs`, `tasks`, `advice`, `moves`, `statuses`, `changedStatuses` and `deletedJobs`. Runs after the status updates.
  */
 export class RetentionSystem extends System<SchedulerState> {
   override readonly name = 'retention';
@@ -67,6 +67,7 @@
         state.jobs.remove(id);
         for (const move of state.movesByJob.list(id)) state.moves.remove(move.id);
         state.statuses.remove(id);
+        state.changedStatuses.add(id);
       }
     }
   }
--- a/src/systems/scheduler/statusUpdateSystem.ts
+++ b/src/systems/scheduler/statusUpdateSystem.ts
@@ -85,6 +85,7 @@
           state.statuses.remove(status.id);
     }
     for (const status of update.jobs) state.statuses.set(status);
+    for (const id of update.deleted ?? []) state.statuses.remove(id);
   }
 
   private sendStatusUpdates(state: SchedulerState, tick: Tick): void {
@@ -97,13 +98,16 @@
     const isDue = tick.now - state.timers.statusUpdateSentAt >= STATUS_UPDATE_INTERVAL_MS;
     if (changedStatuses.size > 0 || isDue) {
       const jobs: JobStatus[] = [];
+      const deleted: string[] = [];
       for (const id of changedStatuses) {
         const status = state.statuses.get(id);
-        if (status !== undefined) jobs.push(status);
+        if (status === undefined) deleted.push(id);
+        else jobs.push(status);
       }
+      const update = { ...header, isComplete: false, jobs };
       for (const peerId of peers)
         if (!newPeers.has(peerId))
-          this.sendToPeer(state, peerId, { ...header, isComplete: false, jobs });
+          this.sendToPeer(state, peerId, deleted.length === 0 ? update : { ...update, deleted });
       changedStatuses.clear();
       state.timers.statusUpdateSentAt = tick.now;
     }
--- a/test/systems/scheduler/takeoverGuards.test.ts
+++ b/test/systems/scheduler/takeoverGuards.test.ts
@@ -2,6 +2,7 @@
 import { OPERATOR_KEYS } from '../../../src/model/scheduler/queueConfiguration.ts';
 import {
   countPeakRuns,
+  createJobId,
   createWorld,
   JOB,
   readPhase,
@@ -166,5 +167,19 @@
         expect(readWaveState(world)).toBe('completed');
       });
     });
+
+    describe('with a job that has been deleted', () => {
+      it('does not stay readable at entries that were not the owner', () => {
+        const { world, entry } = createWorld(4, 1);
+        for (const { state } of world.entries) state.bounds.statusSeconds = 1;
+        world.submit(entry, JOB, [{ count: 1 }]);
+        world.run(12_000);
+        world.submit(entry, createJobId(7), [{ count: 1 }]);
+        world.run(1_000);
+        replaceOwners(world, takeovers);
+        for (const other of world.entries.filter(({ isUp }) => isUp))
+          expect([other.id, readPhase(world, other)]).toEqual([other.id, 'gone']);
+      });
+    });
   });
 });
