Send no command for an instance before its runs are known

Cause: the list of instances says which worker is on an instance. A new owner has none until the platform answers, and took every instance for empty.

Change: the command of a wave and the return of a lent instance wait for the first complete list of the ownership. The list is read as long as a transfer is pending. The stand-in of the instances can refuse lists.

Conclusion: until that list a new owner may still place tasks on an instance that an earlier owner has drained. They are stopped before the command, so it costs their work.

--- a/src/model/scheduler/fleet.ts
+++ b/src/model/scheduler/fleet.ts
@@ -170,6 +170,14 @@
   return `${waveId}|${instanceId}`;
 }
 
+/**
+ * Whether the owner has read a complete list of instances. Without one it does not know which worker
+ * is on an instance, so that every instance seems to be without runs.
+ */
+export function hasInstanceList({ list }: FleetState): boolean {
+  return list.completeRequestedAt !== Number.NEGATIVE_INFINITY;
+}
+
 /** Whether the instance counts as down for its wave, or can no longer be kept from going down. */
 export function isCountedAsDown({ phase }: MaintenanceRow): boolean {
   return phase !== 'waiting' && phase !== 'back' && phase !== 'gone';
--- a/src/systems/scheduler/instanceListSystem.ts
+++ b/src/systems/scheduler/instanceListSystem.ts
@@ -1,6 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import { clearFleet } from '../../model/scheduler/fleet.ts';
+import { clearFleet, isTransferPending } from '../../model/scheduler/fleet.ts';
 import type { InstanceReply } from '../../model/scheduler/instanceCall.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { listInstanceReplies, sendInstanceCall } from './fleetCalls.ts';
@@ -86,5 +86,6 @@
   if (fleet.isListRequested) return true;
   for (const { phase } of fleet.waves.values()) if (phase === 'running') return true;
   for (const { phase } of fleet.maintenance.values()) if (phase === 'begun') return true;
+  for (const row of fleet.transfers.values()) if (isTransferPending(row)) return true;
   return false;
 }
--- a/src/systems/scheduler/maintenanceSystem.ts
+++ b/src/systems/scheduler/maintenanceSystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../../base/common/system.ts';
 import type { MaintenanceRow, WaveRow } from '../../model/scheduler/fleet.ts';
 import {
+  hasInstanceList,
   isCountedAsDown,
   isTransferPending,
   isCommandComplete,
@@ -153,7 +154,7 @@
     now: number,
   ): MaintenanceCandidate[] {
     const { fleet } = state;
-    if (fleet.list.completeRequestedAt === Number.NEGATIVE_INFINITY) return [];
+    if (!hasInstanceList(fleet)) return [];
     const busyInstances = new Set<string>();
     for (const row of fleet.maintenance.values())
       if (isCountedAsDown(row)) busyInstances.add(row.instanceId);
@@ -181,7 +182,7 @@
   /** Sends the command to an instance without runs and repeats it until it is answered. */
   private sendCommand(state: SchedulerState, wave: WaveRow, rowId: string, tick: Tick): void {
     const row = state.fleet.maintenance.get(rowId);
-    if (row?.callId !== '' || tick.now < row.retryAt) return;
+    if (row?.callId !== '' || tick.now < row.retryAt || !hasInstanceList(state.fleet)) return;
     // After a takeover the owner may have placed tasks before it loaded the wave.
     drainInstance(state, row.instanceId, { isStopDue: true, isUrgent: true, now: tick.now });
     if (countInstanceRuns(state, row.instanceId) > 0) return;
--- a/src/systems/scheduler/transferSystem.ts
+++ b/src/systems/scheduler/transferSystem.ts
@@ -1,6 +1,7 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { TransferRow } from '../../model/scheduler/fleet.ts';
+import { hasInstanceList } from '../../model/scheduler/fleet.ts';
 import type { CommandRejection, InstanceReply } from '../../model/scheduler/instanceCall.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import {
@@ -60,6 +61,7 @@
   private sendMove(state: SchedulerState, row: TransferRow, tick: Tick): void {
     if (row.callId !== '' || tick.now < row.retryAt) return;
     if (row.direction === 'home') {
+      if (!hasInstanceList(state.fleet)) return;
       // A return is not urgent: tasks run to their end, and long-running ones move to other
       // capacity.
       drainInstance(state, row.id, { isStopDue: false, isUrgent: false, now: tick.now });
--- a/test/support/worldInstances.ts
+++ b/test/support/worldInstances.ts
@@ -21,6 +21,8 @@
 /** The instances of a simulated world, one for each worker, and the link to their service. */
 export class WorldInstances {
   mode: InstanceMode = 'up';
+  /** Whether lists of instances are refused, as beyond the rate that the platform accepts. */
+  private isListRefused = false;
   /** Highest number of instances in maintenance at one time. */
   peakInMaintenance = 0;
   /** Runs that were interrupted when a command took their instance down. */
@@ -69,10 +71,18 @@
     );
   }
 
+  refuseLists(): void {
+    this.isListRefused = true;
+  }
+
+  acceptLists(): void {
+    this.isListRefused = false;
+  }
+
   call(call: InstanceCall, timeoutMs: number, answer: (reply: InstanceReply) => void): void {
     const { mode } = this;
     const isList = call.op === 'list';
-    if (mode === 'refuses' && !isList) {
+    if (isList ? this.isListRefused : mode === 'refuses') {
       this.events.schedule(ANSWER_DELAY_MS, () => {
         answer({ kind: 'refused', message: 'the service answered 429' });
       });
--- a/test/systems/scheduler/maintenanceTakeover.test.ts
+++ b/test/systems/scheduler/maintenanceTakeover.test.ts
@@ -7,6 +7,7 @@
 import { recoverFromFailure } from '../../../src/systems/scheduler/failureRecovery.ts';
 import { GracefulMaintenance } from '../../../src/systems/scheduler/maintenancePolicy.ts';
 import { MaintenanceSystem } from '../../../src/systems/scheduler/maintenanceSystem.ts';
+import { JOB, replaceOwner } from '../../support/jobWorld.ts';
 import {
   createMaintenanceWorld,
   readWaveState,
@@ -87,6 +88,27 @@
       expect(world.owner?.state.fleet.cordonedWorkers.size).toBe(0);
     });
 
+    it.each([1, 2])(
+      'does not cut off tasks after %i takeovers while the list of instances is refused',
+      (takeovers) => {
+        const { world, instances } = createMaintenanceWorld(4);
+        world.behave = () => ({ durationMs: 20_000, end: 'done' });
+        instances.mode = 'refuses';
+        writeWave(world);
+        world.run(1_000);
+        instances.refuseLists();
+        for (let index = 0; index < takeovers; index += 1) replaceOwner(world);
+        instances.mode = 'up';
+        world.submit(world.owner!, JOB, [{ count: 32, cpuMillis: 1_000, savesProgress: true }]);
+        world.run(8_000);
+        expect(instances.interruptedRuns).toEqual([]);
+        instances.acceptLists();
+        world.run(40_000);
+        expect(instances.interruptedRuns).toEqual([]);
+        expect(readWaveState(world)).toBe('completed');
+      },
+    );
+
     it('does not send a command in the tick in which the owner gives up after a failure', () => {
       const { world, entry, instances } = createMaintenanceWorld();
       const { state } = entry;
--- a/test/systems/scheduler/pools.test.ts
+++ b/test/systems/scheduler/pools.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
 import { DemandPools } from '../../../src/systems/scheduler/poolPolicy.ts';
-import { createJobId, createWorld, JOB, readPhase } from '../../support/jobWorld.ts';
+import { createJobId, createWorld, JOB, readPhase, replaceOwner } from '../../support/jobWorld.ts';
 import { runChecked, writeWave } from '../../support/maintenanceWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { WorldInstances } from '../../support/worldInstances.ts';
@@ -155,6 +155,30 @@
       },
     );
 
+    it.each([1, 2])(
+      'do not cut off tasks after %i takeovers while the list of instances is refused',
+      (takeovers) => {
+        const { world, entry, instances } = createPoolWorld(POOLS, 4);
+        world.submit(entry, JOB, [LARGE]);
+        const isReturning = (): boolean =>
+          world.owner!.state.fleet.transfers.list().some(({ direction, phase }) => {
+            if (direction === 'home') instances.mode = 'refuses';
+            return direction === 'home' && phase === 'ordered';
+          });
+        while (!isReturning()) world.run(10);
+        instances.refuseLists();
+        for (let index = 0; index < takeovers; index += 1) replaceOwner(world);
+        instances.mode = 'up';
+        world.submit(world.owner!, createJobId(9), [{ count: 24 }]);
+        world.run(4_500);
+        expect(instances.interruptedRuns).toEqual([]);
+        instances.acceptLists();
+        world.run(60_000);
+        expect(instances.interruptedRuns).toEqual([]);
+        expect(listStored(world)).toEqual([]);
+      },
+    );
+
     it('do not stop loading transfers after one whose stored value is malformed', () => {
       const { world, entry, instances } = createPoolWorld(POOLS, 2);
       const key = STORE_KEYS.transfer('i-x');
