List the end of a worker that its agent forgets when it starts

Cause: an agent stores that its worker has ended for certain, so that the next owner need not wait for its lease. A process of the agent that starts again writes its record without it. If no owner has read the record in between, each later one waits for the whole lease.

Conclusion: a remedy is that an agent reads its record before it registers and keeps the end that it finds. A shorter wait for unreachable workers may let the test pass without that.

--- a/test/systems/scheduler/takeoverGuards.test.ts
+++ b/test/systems/scheduler/takeoverGuards.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
+import { Loop } from '../../../src/base/common/loop.ts';
+import { SeededRandom } from '../../../src/base/common/seededRandom.ts';
 import { OPERATOR_KEYS } from '../../../src/model/scheduler/queueConfiguration.ts';
+import type { RunnerAgentEffect } from '../../../src/model/scheduler/runnerAgentState.ts';
+import { createRunnerAgentState } from '../../../src/model/scheduler/runnerAgentState.ts';
+import { createRunnerAgentSystems } from '../../../src/systems/runnerAgent/runnerAgentSystems.ts';
 import {
   countPeakRuns,
   createJobId,
@@ -15,6 +20,7 @@
   writeWave,
 } from '../../support/maintenanceWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import type { AgentNode } from '../../support/worldNodes.ts';
 
 /** Takeovers before the present owner: one, two and three owners in a row. */
 const TAKEOVERS = [0, 1, 2];
@@ -183,3 +189,41 @@
     });
   });
 });
+
+/** Starts a new process of an agent, which registers itself in the store. */
+function restartAgent(world: SchedulerWorld, { id, state: { self } }: AgentNode): void {
+  const state = createRunnerAgentState(id, self.zone);
+  state.self.address = self.address;
+  Loop.create({
+    state,
+    systems: createRunnerAgentSystems(),
+    clock: world.clock,
+    random: SeededRandom.create(1),
+    handleEffect: (effect: RunnerAgentEffect) => {
+      if (effect.kind === 'callStore') world.store.handle(effect.call);
+    },
+  }).runTick();
+}
+
+describe('the stored end of a worker', () => {
+  it('is not lost when its agent is started again before an owner has read it', () => {
+    for (const takeovers of [1, 2]) {
+      const { world } = createWorld(4, 2);
+      world.behave = () => ({ durationMs: 60_000, end: 'done' });
+      world.submit(world.owner!, JOB, [{ count: 1, longRunning: true }]);
+      world.run(1_000);
+      const agent = world.agents.find(({ runner }) => runner.running.size > 0)!;
+      world.owner!.store = 'silent';
+      world.leaveRunner(agent);
+      world.run(300);
+      world.disconnectAgent(agent);
+      restartAgent(world, agent);
+      replaceOwners(world, takeovers, 0);
+      world.run(3_000);
+      expect({ takeovers, starts: world.listStarts(TASK).length }).toEqual({
+        takeovers,
+        starts: 2,
+      });
+    }
+  });
+});
