--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -3,6 +3,7 @@
 import { System } from '../../base/common/system.ts';
 import type { OwnerRecord } from '../../model/scheduler/jobRecord.ts';
 import { epochSchema, ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import { confirmOwnership } from '../../model/scheduler/ownership.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import {
@@ -98,7 +99,7 @@
     for (const { reply, sentAt } of listStoreReplies(state, 'renew')) {
       if (ownership.role !== 'owner' && ownership.role !== 'loading') continue;
       if (reply.kind === 'lease' && reply.leaseId === ownership.leaseId)
-        ownership.confirmedAt = Math.max(ownership.confirmedAt, sentAt);
+        confirmOwnership(ownership, sentAt);
       else if (reply.kind === 'leaseLost') resetToFollower(state, 'the lease has ended', now);
       else ownership.renewAt = Math.min(ownership.renewAt, now + RENEWAL_RETRY_DELAY_MS);
     }
@@ -136,19 +137,20 @@
 
   private receiveProbe(state: SchedulerState, now: number): void {
     const { ownership } = state;
-    for (const { reply } of listStoreReplies(state, 'probe')) {
+    for (const { reply, sentAt } of listStoreReplies(state, 'probe')) {
       if (ownership.role !== 'follower') continue;
       ownership.claimAt = now + CLAIM_INTERVAL_MS;
-      if (reply.kind === 'mismatch') this.applyOwnerRecord(state, reply.entries, now);
+      if (reply.kind === 'mismatch') this.applyOwnerRecord(state, reply.entries, now, sentAt);
       else if (reply.kind === 'written') this.tryClaim(state, now);
     }
   }
 
-  /** Updates the known owner and epoch from the entries of a failed comparison. */
+  /** Updates the known owner and epoch from the entries of a failed comparison sent at `sentAt`. */
   private applyOwnerRecord(
     state: SchedulerState,
     entries: readonly StoreEntry[],
     now: number,
+    sentAt: number,
   ): void {
     const { ownership } = state;
     this.applyEpochRecord(state, entries);
@@ -168,7 +170,7 @@
       // The latest claim of this process, whose reply was lost. An earlier claim, or one of a dead
       // process with the same id, is attached to a lease that nobody renews.
       if (owner.bootId === state.self.bootId && owner.leaseId === ownership.leaseId)
-        this.acceptClaim(state, owner.epoch, entry.version, now);
+        this.acceptClaim(state, owner.epoch, entry.version, sentAt);
       else this.startClaim(state, entry.version);
       return;
     }
@@ -294,7 +296,8 @@
     ownership.role = 'loading';
     ownership.epoch = epoch;
     ownership.keyVersion = keyVersion;
-    ownership.confirmedAt = confirmedAt;
+    ownership.confirmedAt = Number.NEGATIVE_INFINITY;
+    confirmOwnership(ownership, confirmedAt);
     ownership.renewAt = confirmedAt;
     ownership.checkAt = confirmedAt + OWNER_KEY_CHECK_INTERVAL_MS;
     ownership.checkCallId = '';
--- a/src/systems/scheduler/ownershipTimes.ts
+++ b/src/systems/scheduler/ownershipTimes.ts
@@ -25,7 +25,7 @@
 const MAX_CLOCK_DRIFT_FACTOR = 1.02;
 
 /** Allowance for rounding and for the time from a worker's clock reading to its answer, ms. */
-const LEASE_MARGIN_MS = 250;
+export const LEASE_MARGIN_MS = 250;
 
 /**
  * Computes the longest time that a lease may last once the worker's clock has been read, ms. Leases
