Name the run behind a worker's backoff and explain closed workers

The log said that the worker gets nothing, not whose failure extended that, and explain job named only the workers without the label. So the backoff of the worker, the workers that the task avoids and missing room could not be told apart. Change: worker_troubled has the task and the run; worker_recovered tells which run ended a backoff; explain job adds why the workers that have the label accept nothing. Conclusion: the backoff is of the worker, and another task's failure extends it. The fault itself is unchanged.

--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -147,21 +147,15 @@
     if (hasStarted) return;
     // A rejection of an earlier attempt says nothing about the attempt sent after it.
     if (result.attempt !== 0 && result.attempt !== run.startAttempts) return;
-    if (isStarting) this.releaseRejected(state, run, worker, result.outcome, now);
+    if (isStarting) this.releaseRejected(state, run, result.outcome, now);
     else if (run.phase === 'stopping')
       releaseRun(state, run, `not there: ${run.stopReason ?? result.outcome}`, { now });
   }
 
-  private releaseRejected(
-    state: SchedulerState,
-    run: RunRow,
-    worker: WorkerRow,
-    outcome: string,
-    now: number,
-  ): void {
+  private releaseRejected(state: SchedulerState, run: RunRow, outcome: string, now: number): void {
     // A ticket that expired in transit says nothing about the worker.
     if (outcome === 'ticket') dropRunTicket(state, run);
-    else extendBackoff(state, worker.id, `rejected: ${outcome}`, now);
+    else extendBackoff(state, run, `rejected: ${outcome}`, now);
     state.counters.add('start_rejections', { reason: outcome });
     releaseRun(state, run, `rejected: ${outcome}`, { now });
   }
--- a/src/systems/scheduler/runEndSystem.ts
+++ b/src/systems/scheduler/runEndSystem.ts
@@ -45,8 +45,9 @@
     state.counters.add('run_ends', { how: end.how });
     if (run !== undefined)
       recordDuration(state, 'run_duration_ms', now - run.placedAt, { how: end.how });
-    if (end.how === 'done') clearBackoff(state, workerKey);
-    else if (end.how === 'failed') recordFailure(state, workerKey, now);
+    const cause = { workerKey, taskId: end.task, run: end.run };
+    if (end.how === 'done') clearBackoff(state, cause);
+    else if (end.how === 'failed') recordFailure(state, cause, now);
     if (task !== undefined) {
       recordJobStart(state, task.jobId, now);
       if (end.how === 'done') this.applyDone(state, task, run, now);
--- a/src/systems/scheduler/stallSystem.ts
+++ b/src/systems/scheduler/stallSystem.ts
@@ -76,7 +76,7 @@
       stillMs: Math.round(now - run.progressAt),
     });
     state.counters.add('stalled_runs');
-    extendBackoff(state, worker.id, 'stalled', now);
+    extendBackoff(state, run, 'stalled', now);
     state.tasks.update(task.id, {
       avoidedWorkerIds: [...task.avoidedWorkerIds, worker.identity.id],
     });
--- a/src/systems/scheduler/waitReasons.ts
+++ b/src/systems/scheduler/waitReasons.ts
@@ -50,7 +50,10 @@
   if (task.step.gang) return explainGang(state, task, advised);
   const fitting = advised.filter((capacity) => canRun(capacity, task));
   if (fitting.length === 0)
-    return `no room: ${formatReasons(advised.map((capacity) => explainShortage(capacity, task)))}`;
+    return `no room: ${formatReasons([
+      ...advised.map((capacity) => explainShortage(capacity, task)),
+      ...listClosedReasons(state, task, service, now),
+    ])}`;
   if (CPU_LIMITED.choose(task, fitting) === undefined)
     return 'queued: the filling tasks placed before it ask for the processors that are left';
   if (SLACK_LIMITED.choose(task, fitting) === undefined)
@@ -67,6 +70,24 @@
   return `no worker accepts work: ${formatReasons(reasons)}`;
 }
 
+/** Lists why the workers that have the task's label, and may have room for it, accept nothing now. */
+function listClosedReasons(
+  state: SchedulerState,
+  { step }: TaskRow,
+  service: string,
+  now: number,
+): string[] {
+  const reasons: string[] = [];
+  for (const worker of state.workers.values()) {
+    const { labels } = worker.identity;
+    if (worker.identity.service !== service) continue;
+    if (step.requiredLabel !== '' && !labels.includes(step.requiredLabel)) continue;
+    const reason = explainClosedWorker(state, worker, now);
+    if (reason !== undefined) reasons.push(reason);
+  }
+  return reasons;
+}
+
 function listAdvised(
   state: SchedulerState,
   task: TaskRow,
