End the backoff of a worker on which long-running tasks work

Cause: the backoff of a worker took every end failed as the worker's fault and only an end done as proof of its health. Long-running tasks fail now and then and are never done, so the count of their worker never fell, and from its fifth failure on each one closed it for 8 s for all tasks. Change: a failure counts if this owner started the run and it had not worked yet. A long-running run that started after the latest failure and is available 2 s later ends the backoff (WorkerRecoverySystem). 10 s after a backoff the count falls to the tolerated two. A long-running task that has waited 2 s without another candidate gets a probation run on a worker in backoff, one a second on each worker (ProbationSystem); if that fails, the backoff does not grow. placeTask moves to taskPlacements.ts, which both placing systems use.

--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -110,6 +110,29 @@
   readonly change: number;
 }
 
+/** Failures of a worker, and the time for which it gets no runs because of them. */
+export interface WorkerBackoff {
+  /** Consecutive failed runs, rejected starts and stalled runs. */
+  readonly failures: number;
+  /** Time of the latest of them, owner's clock ms. */
+  readonly failedAt: number;
+  /** Time until which the worker gets only probation runs, owner's clock ms. */
+  readonly until: number;
+  /** Id of the latest probation run; empty without one. */
+  readonly probationRunId: string;
+  /** When the probation run was placed, owner's clock ms. */
+  readonly probationAt: number;
+}
+
+/** Backoff of a worker without failures. */
+export const NO_BACKOFF: WorkerBackoff = {
+  failures: 0,
+  failedAt: Number.NEGATIVE_INFINITY,
+  until: Number.NEGATIVE_INFINITY,
+  probationRunId: '',
+  probationAt: Number.NEGATIVE_INFINITY,
+};
+
 /** One incarnation of a worker in the owner's memory. */
 export interface WorkerRow {
   /** `AGENT|WORKER|BORN`. */
@@ -128,9 +151,7 @@
   readonly pendingAcknowledgements: readonly PendingAcknowledgement[];
   /** Number of runs that the worker lists and the owner does not know; above 0 the worker gets no runs. */
   readonly unknownRunCount: number;
-  /** Time until which the worker gets no runs after failures and rejections, owner's clock ms. */
-  readonly avoidedUntil: number;
-  readonly recentFailures: number;
+  readonly backoff: WorkerBackoff;
 }
 
 /** An agent to which the owner keeps a link. */
--- a/src/model/scheduler/systemTimers.ts
+++ b/src/model/scheduler/systemTimers.ts
@@ -6,6 +6,8 @@
   /** Latest start of a best-effort task after a long delay. */
   lastDelayedStartAt: number;
   placementAt: number;
+  probationAt: number;
+  recoveryCheckAt: number;
   preemptionAt: number;
   retentionAt: number;
   statusUpdateSentAt: number;
@@ -25,6 +27,8 @@
     speculativeCopyAt: NEVER,
     lastDelayedStartAt: NEVER,
     placementAt: NEVER,
+    probationAt: NEVER,
+    recoveryCheckAt: NEVER,
     preemptionAt: NEVER,
     retentionAt: NEVER,
     statusUpdateSentAt: NEVER,
--- a/src/systems/scheduler/adviceSystem.ts
+++ b/src/systems/scheduler/adviceSystem.ts
@@ -8,7 +8,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { logEvent } from './storeCalls.ts';
 import { findTicket } from './tickets.ts';
-import { explainClosedWorker } from './workerCapacities.ts';
+import { explainClosedWorker, explainUnusableWorker } from './workerCapacities.ts';
 
 /** Workers per request. The platform accepts 100; the answer takes longer with each worker. */
 const WORKERS_PER_REQUEST = 30;
@@ -86,7 +86,9 @@
       const { identity } = worker;
       if (identity.service !== service || identity.cpuMillis < step.cpuMillis) return false;
       if (step.requiredLabel !== '' && !identity.labels.includes(step.requiredLabel)) return false;
-      if (explainClosedWorker(state, worker, now) !== undefined) return false;
+      // A long-running task may get a probation run on a worker in backoff.
+      const explain = step.longRunning ? explainUnusableWorker : explainClosedWorker;
+      if (explain(state, worker, now) !== undefined) return false;
       const known = state.advice.get(formatAdviceId(stepKey, worker.id));
       if (known === undefined) return true;
       return known.ticket !== '' && findTicket(state, stepKey, worker.id, now) === undefined;
--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -50,7 +50,9 @@
     if (job === undefined || job.storedChange < run.placedChange) return;
     const worker = state.workers.get(run.workerKey);
     const closedReason =
-      worker === undefined ? 'its worker is gone' : explainClosedWorker(state, worker, tick.now);
+      worker === undefined
+        ? 'its worker is gone'
+        : explainClosedWorker(state, worker, tick.now, run.id);
     if (worker === undefined || closedReason !== undefined) {
       releaseRun(state, run, `not sent: ${closedReason ?? ''}`, { now: tick.now });
       return;
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -2,7 +2,12 @@
 import { System } from '../../base/common/system.ts';
 import type { AgentMessage, WorkerIdentity } from '../../model/scheduler/linkMessages.ts';
 import type { RunRow, WorkerRow } from '../../model/scheduler/rows.ts';
-import { formatRunId, formatWorkerKey, parseWorkerKey } from '../../model/scheduler/rows.ts';
+import {
+  formatRunId,
+  formatWorkerKey,
+  NO_BACKOFF,
+  parseWorkerKey,
+} from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseRunsOfTerminatedWorker } from './agentTables.ts';
 import { recordJobStart, releaseRun, requestStop } from './jobChanges.ts';
@@ -92,8 +97,7 @@
       acknowledgedEnd: previous?.acknowledgedEnd ?? 0,
       pendingAcknowledgements: previous?.pendingAcknowledgements ?? [],
       unknownRunCount: previous?.unknownRunCount ?? 0,
-      avoidedUntil: previous?.avoidedUntil ?? Number.NEGATIVE_INFINITY,
-      recentFailures: previous?.recentFailures ?? 0,
+      backoff: previous?.backoff ?? NO_BACKOFF,
     };
     state.workers.set(worker);
     if (report.isGone === true) releaseRunsOfTerminatedWorker(state, workerKey, now);
--- a/src/systems/scheduler/runEndSystem.ts
+++ b/src/systems/scheduler/runEndSystem.ts
@@ -47,7 +47,7 @@
       recordDuration(state, 'run_duration_ms', now - run.placedAt, { how: end.how });
     const cause = { workerKey, taskId: end.task, run: end.run };
     if (end.how === 'done') clearBackoff(state, cause);
-    else if (end.how === 'failed') recordFailure(state, cause, now);
+    else if (end.how === 'failed') recordFailure(state, cause, run, now);
     if (task !== undefined) {
       recordJobStart(state, task.jobId, now);
       if (end.how === 'done') this.applyDone(state, task, run, now);
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -20,6 +20,7 @@
 import { DemandPools } from './poolPolicy.ts';
 import { PoolSystem } from './poolSystem.ts';
 import { PreemptionSystem } from './preemptionSystem.ts';
+import { ProbationSystem } from './probationSystem.ts';
 import { ReportSystem } from './reportSystem.ts';
 import { RetentionSystem } from './retentionSystem.ts';
 import { RunEndSystem } from './runEndSystem.ts';
@@ -36,6 +37,7 @@
 import { TaskPlacementSystem } from './taskPlacementSystem.ts';
 import { TransferSystem } from './transferSystem.ts';
 import { WaveSystem } from './waveSystem.ts';
+import { WorkerRecoverySystem } from './workerRecoverySystem.ts';
 
 /** Creates the systems of a scheduler entry, in the order in which a tick runs them. */
 export function createSchedulerSystems(): System<SchedulerState>[] {
@@ -52,6 +54,7 @@
     RunEndSystem.create(),
     JobProgressSystem.create(),
     StallSystem.create(),
+    WorkerRecoverySystem.create(),
     CopySystem.create(),
     PaceResetSystem.create(),
     PacingSystem.create(),
@@ -67,6 +70,7 @@
       SeparatingTaskPlacement.create(),
       LeastWorkOrder.create(),
     ),
+    ProbationSystem.create(SeparatingTaskPlacement.create()),
     PreemptionSystem.create(),
     CommitSystem.create(),
     CommandSystem.create(),
--- a/src/systems/scheduler/taskPlacementPolicy.ts
+++ b/src/systems/scheduler/taskPlacementPolicy.ts
@@ -202,9 +202,9 @@
 }
 
 function computeScore(capacity: WorkerCapacity, task: TaskRow): number {
-  const { identity, recentFailures } = capacity.worker;
+  const { identity, backoff } = capacity.worker;
   const { step } = task;
-  let score = FAILURE_PENALTY * Math.max(0, recentFailures - TOLERATED_FAILURES);
+  let score = FAILURE_PENALTY * Math.max(0, backoff.failures - TOLERATED_FAILURES);
   if (task.avoidedWorkerIds.includes(identity.id)) score += AVOIDED_PENALTY;
   if (step.nearRack !== '' && !identity.labels.includes(step.nearRack))
     score += REMOTE_DATA_PENALTY;
--- a/src/systems/scheduler/taskPlacementSystem.ts
+++ b/src/systems/scheduler/taskPlacementSystem.ts
@@ -2,30 +2,19 @@
 import { System } from '../../base/common/system.ts';
 import { isFinalPhase } from '../../model/scheduler/jobRecord.ts';
 import type { TaskRow } from '../../model/scheduler/rows.ts';
-import { createRunRow, formatStepKey } from '../../model/scheduler/rows.ts';
+import { formatStepKey } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { listGangMembers } from './gangs.ts';
-import { recordJobChange } from './jobChanges.ts';
-import { logEvent, recordDuration } from './storeCalls.ts';
 import { getService } from './queueTerms.ts';
 import { RejectedDemands } from './rejectedDemands.ts';
 import type { ReadyTask, TaskOrder } from './taskOrder.ts';
 import type { TaskPlacementPolicy, WorkerCapacity } from './taskPlacementPolicy.ts';
-import { canRun, getSpareCpu, reserveCapacity } from './taskPlacementPolicy.ts';
+import { canRun, reserveCapacity } from './taskPlacementPolicy.ts';
+import { canPlace, placeTask } from './taskPlacements.ts';
 import { findTicket } from './tickets.ts';
 import { applyAttemptLimit, isRetryBlocked } from './attemptLimit.ts';
 import { collectCapacities } from './workerCapacities.ts';
 
-/**
- * Maximum age of the proof that zones and configuration are current; with an older one nothing is
- * placed.
- */
-export const MAX_PROOF_AGE_MS = 3_000;
-/**
- * Maximum age of the store's last confirmation; with an older one new placements could not be
- * stored soon.
- */
-export const MAX_CONFIRMATION_AGE_MS = 1_500;
 /** Ends of runs wake the system; this interval covers workers that become usable only with time. */
 const RETRY_MS = 250;
 /**
@@ -75,7 +64,7 @@
   }
 
   override run(state: SchedulerState, tick: Tick): void {
-    const { ownership, operator, timers, newlyReadyTasks } = state;
+    const { ownership, timers, newlyReadyTasks } = state;
     if (ownership.role !== 'owner' || state.readyTasksByStep.keyCount === 0) return;
     if (newlyReadyTasks.size === 0 && tick.now < timers.placementAt) {
       tick.wakeAt(timers.placementAt);
@@ -83,8 +72,7 @@
     }
     timers.placementAt = tick.now + BACKLOG_PAUSE_MS;
     tick.wakeAt(tick.now + RETRY_MS);
-    if (tick.now - operator.verifiedAt > MAX_PROOF_AGE_MS) return;
-    if (tick.now - ownership.confirmedAt > MAX_CONFIRMATION_AGE_MS) return;
+    if (!canPlace(state, tick.now)) return;
     newlyReadyTasks.clear();
     const byService = collectByService(collectCapacities(state, tick.now));
     const rejected = RejectedDemands.create();
@@ -115,7 +103,7 @@
         this.policy.choose(task, candidates) ?? this.chooseForDelayed(state, task, candidates, now);
       if (capacity === undefined) return false;
       reserveCapacity(capacity, task);
-      this.placeTask(state, task, capacity, task.lastRun + 1, now);
+      placeTask(state, task, capacity, task.lastRun + 1, now);
     }
     return true;
   }
@@ -204,7 +192,7 @@
       const capacity = chosen[index];
       if (capacity === undefined) continue;
       state.tasks.update(member.id, { checkpoint });
-      this.placeTask(state, { ...member, checkpoint }, capacity, run, now);
+      placeTask(state, { ...member, checkpoint }, capacity, run, now);
     }
   }
 
@@ -234,35 +222,6 @@
     }
     return undefined;
   }
-
-  private placeTask(
-    state: SchedulerState,
-    task: TaskRow,
-    capacity: WorkerCapacity,
-    run: number,
-    now: number,
-  ): void {
-    state.tasks.update(task.id, { phase: 'active', lastRun: run });
-    const placedChange = recordJobChange(state, task.jobId);
-    state.runs.set(createRunRow(task, run, capacity.worker.id, 'placed', placedChange, now));
-    state.counters.add('placements');
-    recordDuration(state, 'task_wait_duration_ms', now - task.readyAt, {
-      queue: state.jobs.get(task.jobId)?.job.queue ?? '',
-    });
-    logEvent(state, 'info', 'task_placed', {
-      task: task.id,
-      run,
-      worker: capacity.worker.identity.id,
-      waitedMs: Math.round(now - task.readyAt),
-      reportAgeMs: Math.round(now - capacity.worker.lastReportAt),
-      ...(task.step.fills
-        ? {
-            fillingCpu: capacity.bestEffortCpuMillis,
-            leftCpu: Math.round(getSpareCpu(capacity)),
-          }
-        : {}),
-    });
-  }
 }
 
 function collectByService(capacities: readonly WorkerCapacity[]): Map<string, WorkerCapacity[]> {
--- /dev/null
+++ b/src/systems/scheduler/taskPlacements.ts
@@ -0,0 +1,59 @@
+import type { RunRow, TaskRow } from '../../model/scheduler/rows.ts';
+import { createRunRow } from '../../model/scheduler/rows.ts';
+import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { recordJobChange } from './jobChanges.ts';
+import { logEvent, recordDuration } from './storeCalls.ts';
+import type { WorkerCapacity } from './taskPlacementPolicy.ts';
+import { getSpareCpu } from './taskPlacementPolicy.ts';
+
+/**
+ * Maximum age of the proof that zones and configuration are current; with an older one nothing is
+ * placed.
+ */
+export const MAX_PROOF_AGE_MS = 3_000;
+/**
+ * Maximum age of the store's last confirmation; with an older one new placements could not be
+ * stored soon.
+ */
+export const MAX_CONFIRMATION_AGE_MS = 1_500;
+/** Whether the owner's knowledge is recent enough to place tasks. */
+export function canPlace({ operator, ownership }: SchedulerState, now: number): boolean {
+  return (
+    now - operator.verifiedAt <= MAX_PROOF_AGE_MS &&
+    now - ownership.confirmedAt <= MAX_CONFIRMATION_AGE_MS
+  );
+}
+
+/** Places a task on a worker and returns the run, which starts once it is stored. */
+export function placeTask(
+  state: SchedulerState,
+  task: TaskRow,
+  capacity: WorkerCapacity,
+  run: number,
+  now: number,
+  isOnProbation = false,
+): RunRow {
+  state.tasks.update(task.id, { phase: 'active', lastRun: run });
+  const placedChange = recordJobChange(state, task.jobId);
+  const row = createRunRow(task, run, capacity.worker.id, 'placed', placedChange, now);
+  state.runs.set(row);
+  state.counters.add('placements');
+  recordDuration(state, 'task_wait_duration_ms', now - task.readyAt, {
+    queue: state.jobs.get(task.jobId)?.job.queue ?? '',
+  });
+  logEvent(state, 'info', 'task_placed', {
+    task: task.id,
+    run,
+    worker: capacity.worker.identity.id,
+    waitedMs: Math.round(now - task.readyAt),
+    reportAgeMs: Math.round(now - capacity.worker.lastReportAt),
+    ...(isOnProbation ? { probation: true } : {}),
+    ...(task.step.fills
+      ? {
+          fillingCpu: capacity.bestEffortCpuMillis,
+          leftCpu: Math.round(getSpareCpu(capacity)),
+        }
+      : {}),
+  });
+  return row;
+}
--- a/src/systems/scheduler/waitReasons.ts
+++ b/src/systems/scheduler/waitReasons.ts
@@ -14,7 +14,7 @@
   CpuLimitedTaskPlacement,
   reserveCapacity,
 } from './taskPlacementPolicy.ts';
-import { MAX_CONFIRMATION_AGE_MS, MAX_PROOF_AGE_MS } from './taskPlacementSystem.ts';
+import { MAX_CONFIRMATION_AGE_MS, MAX_PROOF_AGE_MS } from './taskPlacements.ts';
 import { findTicket } from './tickets.ts';
 import { explainClosedWorker } from './workerCapacities.ts';
 
--- a/src/systems/scheduler/workerCapacities.ts
+++ b/src/systems/scheduler/workerCapacities.ts
@@ -16,11 +16,27 @@
   return undefined;
 }
 
-/** Explains why nothing may start on a worker now; undefined if a run may start. */
+/**
+ * Explains why the run, or any run without its id, may not start on a worker now; undefined if it
+ * may.
+ */
 export function explainClosedWorker(
   state: SchedulerState,
   worker: WorkerRow,
   now: number,
+  runId?: string,
+): string | undefined {
+  const reason = explainUnusableWorker(state, worker, now);
+  if (reason !== undefined) return reason;
+  const { until, probationRunId } = worker.backoff;
+  return now < until && runId !== probationRunId ? 'it has rejected or failed work' : undefined;
+}
+
+/** Explains why nothing may start on a worker now, regardless of its backoff. */
+export function explainUnusableWorker(
+  state: SchedulerState,
+  worker: WorkerRow,
+  now: number,
 ): string | undefined {
   const agent = state.agents.get(worker.agentId);
   if (agent?.link !== 'open') return 'no link to its agent';
@@ -31,23 +47,27 @@
   const cordonReason = state.fleet.cordonedWorkers.get(worker.identity.id);
   if (cordonReason !== undefined) return cordonReason;
   if (worker.unknownRunCount > 0) return 'it runs what the owner does not know';
-  if (now < worker.avoidedUntil) return 'it has rejected or failed work';
   if (now - worker.lastReportAt > MAX_REPORT_AGE_MS) return 'its reports are old';
   return undefined;
 }
 
 /**
- * Collects the workers that accept work now, with the capacity that open runs leave; runs count
- * until their end is listed.
+ * Collects the workers that accept work now, or others that the filter selects, with the capacity
+ * that open runs leave; runs count until their end is listed.
  */
-export function collectCapacities(state: SchedulerState, now: number): WorkerCapacity[] {
+export function collectCapacities(
+  state: SchedulerState,
+  now: number,
+  isSelected = (worker: WorkerRow): boolean =>
+    explainClosedWorker(state, worker, now) === undefined,
+): WorkerCapacity[] {
   const capacities: WorkerCapacity[] = [];
   const slackEstimates: SlackEstimates = {
     getBaseSlack: (serving) => getBaseSlack(state, serving),
     getCost: (serving, bestEffort) => getPairCost(state, serving, bestEffort),
   };
   for (const worker of state.workers.values()) {
-    if (explainClosedWorker(state, worker, now) !== undefined) continue;
+    if (!isSelected(worker)) continue;
     const { cpuMillis, memoryMb, gpus } = worker.identity;
     const capacity: WorkerCapacity = {
       worker,
