--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -20,6 +20,7 @@
 import { DemandPools } from './poolPolicy.ts';
 import { PoolSystem } from './poolSystem.ts';
 import { PreemptionSystem } from './preemptionSystem.ts';
+import { ProbationSystem } from './probationSystem.ts';
 import { ReportSystem } from './reportSystem.ts';
 import { RetentionSystem } from './retentionSystem.ts';
 import { RunEndSystem } from './runEndSystem.ts';
@@ -38,6 +39,7 @@
 import { TaskWaitLogSystem } from './taskWaitLogSystem.ts';
 import { TransferSystem } from './transferSystem.ts';
 import { WaveSystem } from './waveSystem.ts';
+import { WorkerRecoverySystem } from './workerRecoverySystem.ts';
 
 /** Creates the systems of a scheduler entry, in the order in which a tick runs them. */
 export function createSchedulerSystems(): System<SchedulerState>[] {
@@ -55,6 +57,7 @@
     RunEndSystem.create(),
     JobProgressSystem.create(),
     StallSystem.create(),
+    WorkerRecoverySystem.create(),
     CopySystem.create(),
     PaceResetSystem.create(),
     PacingSystem.create(),
@@ -70,6 +73,7 @@
       SeparatingTaskPlacement.create(),
       LeastWorkOrder.create(),
     ),
+    ProbationSystem.create(SeparatingTaskPlacement.create()),
     TaskWaitLogSystem.create(),
     PreemptionSystem.create(),
     CommitSystem.create(),
