Start nothing on an ownership that the store has not confirmed lately

Cause: an owner that is away from the store repeated a start that its worker had not answered, for as long as its grant window of 10 s. The next owner may have proof by then that the run does not exist, and have started the task elsewhere (TWICE). Change: starts are sent and repeated only while the latest confirmation is at most 1.5 s old, as tasks are placed. Stops are sent as before. Conclusion: a start without an answer waits for the store's return.

--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -9,6 +9,7 @@
 import { recordJobStart, releaseRun } from './jobChanges.ts';
 import { computeLeaseDuration } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
+import { MAX_CONFIRMATION_AGE_MS } from './taskPlacements.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
 import { explainClosedWorker, findClosingReason } from './workerCapacities.ts';
 import { extendBackoff } from './workerBackoff.ts';
@@ -35,13 +36,16 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
+    // A successor may have taken over since an older confirmation, and started the task elsewhere.
+    const canStart = tick.now - state.ownership.confirmedAt <= MAX_CONFIRMATION_AGE_MS;
     for (const { agentId, message } of state.inbox.list('agentMessage'))
       if (message.kind === 'startResult') this.applyResult(state, agentId, message, tick.now);
     for (const { id } of state.runsWithCommand.list(PENDING_COMMAND)) {
       // Releasing one member of a gang also releases the members whose start was not sent.
       const run = state.runs.get(id);
-      if (run?.phase === 'placed') this.startStored(state, run, tick);
-      else if (run !== undefined) this.repeatCommand(state, run, tick);
+      if (run === undefined || (run.phase === 'placed' && !canStart)) continue;
+      if (run.phase === 'placed') this.startStored(state, run, tick);
+      else this.repeatCommand(state, run, tick, canStart);
     }
   }
 
@@ -90,7 +94,7 @@
     });
   }
 
-  private repeatCommand(state: SchedulerState, run: RunRow, tick: Tick): void {
+  private repeatCommand(state: SchedulerState, run: RunRow, tick: Tick, canStart: boolean): void {
     const worker = state.workers.get(run.workerKey);
     const agent = state.agents.get(worker?.agentId ?? '');
     if (worker === undefined || agent?.link !== 'open') return;
@@ -103,7 +107,7 @@
       if (run.phase !== 'stopping' || isCommandDue)
         this.sendStop(state, { ...run, stopReason }, worker, tick.now);
       tick.wakeAt(tick.now + COMMAND_REPEAT_MS);
-    } else if (run.phase === 'starting') {
+    } else if (run.phase === 'starting' && canStart) {
       if (isCommandDue) {
         state.runs.update(run.id, { placedAt: tick.now });
         this.sendStart(state, run, worker, tick.now);
