Count the lease that a restarted worker has from its former incarnation

Cause: the agent polled a worker that had restarted under its id with the lease of its former clock, which is the longest possible on the new one. Change: a poll after a failed one carries no lease and does not wait. The agent counts the longest lease when it first hears of an incarnation whose clock is young; the owner tells it that length. Reports with lists carry the rest as well, and the owner takes it at the first list read under its fence in place of a lease of 5 s.

--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -58,10 +58,10 @@
     isGone: z.optional(z.boolean()),
     /**
      * Longest time, ms, that a lease of this instance's workers may still last, whoever granted it and
-     * whichever process passed it on; 0 proves that every run started before has ended. Reports
-     * with lists and those of earlier builds lack it.
+     * whichever process passed it on. At 0 all runs have ended that were executed before. Reports of
+     * earlier builds lack it.
      */
-    leaseLeftMs: z.optional(z.number()),
+    leaseLeftMs: z.optional(z.number().check(z.minimum(0))),
     /** Sample of the worker's monotonic clock, not younger than the lists. */
     clockMs: z.number(),
     running: z.array(runningRunSchema),
@@ -93,6 +93,8 @@
     epoch: epochSchema,
     /** Agent that the owner means; another one has its address from an earlier instance. */
     agent: z.optional(z.string()),
+    /** Longest lease that a worker accepts, ms; owners of earlier builds do not send it. */
+    longestLeaseMs: z.optional(z.number()),
     /** The worker of this agent as the owner knows it, for an agent that has just started. */
     worker: z.optional(workerIdentitySchema),
   }),
--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -96,6 +96,8 @@
     epoch: number;
     linkId: string;
     reportAt: number;
+    /** Longest lease that a worker accepts, ms, as the owner has told. */
+    longestLeaseMs: number;
     /** When a message of the owner was last received on the link. */
     lastMessageAt: number;
   };
@@ -139,6 +141,8 @@
 }
 
 const NEVER = Number.NEGATIVE_INFINITY;
+/** Longest lease of a worker unless the owner tells it; the platform's bounds are 6 and 10 s. */
+const DEFAULT_LONGEST_LEASE_MS = 15_000;
 
 /** Whether the present worker is certainly the one beside this agent. */
 export function isWorkerConfirmed({ worker, confirmedWorker }: RunnerAgentState): boolean {
@@ -168,7 +172,13 @@
     confirmedWorker: undefined,
     workerSequence: 0,
     workerExit: 'none',
-    owner: { epoch: 0, linkId: '', reportAt: NEVER, lastMessageAt: NEVER },
+    owner: {
+      epoch: 0,
+      linkId: '',
+      reportAt: NEVER,
+      longestLeaseMs: DEFAULT_LONGEST_LEASE_MS,
+      lastMessageAt: NEVER,
+    },
     lease: { workerStartedMs: 0, untilMs: 0, acknowledgedEnd: 0, endsAt: undefined },
     poll: {
       callId: '',
--- a/src/systems/runnerAgent/agentLease.ts
+++ b/src/systems/runnerAgent/agentLease.ts
@@ -1,14 +1,32 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { computeLeaseDuration, RUN_LEASE_MS } from '../scheduler/ownershipTimes.ts';
 
+/** Calls to a worker may be executed so late, ms; the platform names 12 s, and polls take 1.6 s. */
+const MAX_CALL_DELAY_MS = 14_000;
+
 /**
- * Records that an earlier process of this agent may have passed on a lease. The worker's clock was
+ * Records the lease that an earlier process of this agent may have passed on. The worker's clock was
  * read for it before this process started.
  */
-export function recordProcessStart({ lease }: RunnerAgentState, now: number): void {
+export function recordEarlierProcess({ lease }: RunnerAgentState, now: number): void {
   lease.endsAt ??= now + computeLeaseDuration(RUN_LEASE_MS);
 }
 
+/**
+ * Records the leases of calls to an earlier incarnation that the worker's present one may have
+ * executed before it received its own fence. On its clock, which begins at 0, they last as long
+ * as the worker accepts.
+ */
+export function recordIncarnation(
+  { lease, owner }: RunnerAgentState,
+  clockMs: number,
+  now: number,
+): void {
+  if (clockMs > owner.longestLeaseMs + MAX_CALL_DELAY_MS) return;
+  const endsAt = now + computeLeaseDuration(owner.longestLeaseMs);
+  lease.endsAt = Math.max(lease.endsAt ?? now, endsAt);
+}
+
 /** Records a lease that a command of the owner grants, whether or not the worker receives it. */
 export function recordLease(
   state: RunnerAgentState,
@@ -17,7 +35,7 @@
   now: number,
 ): void {
   const { lease, poll } = state;
-  // Without a reading of this worker's clock, the owner's reading is from the time up to now.
+  // Without a reading of this worker's clock, the owner has one of an earlier process.
   const hasReading = poll.answeredWorkerStartedMs === bornMs;
   const endsAt = hasReading
     ? poll.clockReadAt + computeLeaseDuration(Math.max(0, untilMs - poll.clockMs))
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -4,7 +4,7 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { isWorkerConfirmed } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, resetOwnerLink, sendOwner } from './agentCalls.ts';
-import { computeLeaseLeft, recordLease, recordProcessStart } from './agentLease.ts';
+import { computeLeaseLeft, recordLease, recordEarlierProcess } from './agentLease.ts';
 
 type WorkerCommand = Exclude<OwnerCommand, { kind: 'hello' | 'grant' | 'heartbeat' }>;
 
@@ -34,7 +34,7 @@
   }
 
   override run(state: RunnerAgentState, tick: Tick): void {
-    recordProcessStart(state, tick.now);
+    recordEarlierProcess(state, tick.now);
     for (const { linkId, command } of state.inbox.list('ownerOrder'))
       this.receiveCommand(state, linkId, command, tick.now);
     for (const { linkId, isOpen } of state.inbox.list('ownerLink')) {
@@ -57,8 +57,8 @@
   private sendReport(state: RunnerAgentState, now: number): void {
     const leaseLeftMs = computeLeaseLeft(state, now);
     // The owner may release the runs of a silent worker as soon as their leases have ended.
-    const isEndNext = leaseLeftMs > 0 && leaseLeftMs < REPORT_INTERVAL_MS;
-    state.owner.reportAt = now + (isEndNext ? leaseLeftMs : REPORT_INTERVAL_MS);
+    const endsBeforeNextReport = leaseLeftMs > 0 && leaseLeftMs < REPORT_INTERVAL_MS;
+    state.owner.reportAt = now + (endsBeforeNextReport ? leaseLeftMs : REPORT_INTERVAL_MS);
     sendOwner(state, {
       kind: 'report',
       epoch: 0,
@@ -126,6 +126,7 @@
     owner.epoch = hello.epoch;
     owner.linkId = linkId;
     owner.reportAt = now;
+    owner.longestLeaseMs = hello.longestLeaseMs ?? owner.longestLeaseMs;
     owner.lastMessageAt = now;
     state.commands.clear();
     state.worker ??= hello.worker;
--- a/src/systems/runnerAgent/workerPollSystem.ts
+++ b/src/systems/runnerAgent/workerPollSystem.ts
@@ -12,6 +12,7 @@
   sendOwner,
   sendRunnerCall,
 } from './agentCalls.ts';
+import { computeLeaseLeft, recordIncarnation } from './agentLease.ts';
 
 /** Time that a poll waits for an end; short, because each poll also renews the lease. */
 const POLL_WAIT_MS = 1_000;
@@ -89,10 +90,13 @@
     const { poll, owner, lease, worker } = state;
     const isGranted = lease.workerStartedMs === worker?.bornMs && lease.untilMs > 0;
     const isFirstOfEpoch = poll.epoch !== owner.epoch;
-    // A failed poll may indicate a new incarnation, whose ends have other numbers.
-    const mayAcknowledge = isGranted && poll.failures === 0;
+    // A failed poll may indicate a new incarnation, which has other numbers of ends and another clock.
+    const isSameIncarnation = isGranted && poll.failures === 0;
     const waitMs =
-      isFirstOfEpoch || poll.isUrgent || poll.lastListedEnd > lease.acknowledgedEnd
+      isFirstOfEpoch ||
+      poll.isUrgent ||
+      poll.failures > 0 ||
+      poll.lastListedEnd > lease.acknowledgedEnd
         ? 0
         : POLL_WAIT_MS;
     poll.epoch = owner.epoch;
@@ -104,9 +108,9 @@
       {
         op: 'hold',
         fence: computeFence(state),
-        lastSeen: mayAcknowledge ? lease.acknowledgedEnd : 0,
+        lastSeen: isSameIncarnation ? lease.acknowledgedEnd : 0,
         waitMs,
-        ...(isGranted ? { leaseUntilMs: lease.untilMs } : {}),
+        ...(isSameIncarnation ? { leaseUntilMs: lease.untilMs } : {}),
       },
       waitMs + ANSWER_TIMEOUT_MS,
     );
@@ -149,6 +153,8 @@
       poll.nextAt = now;
       return;
     }
+    if (poll.answeredWorkerStartedMs !== worker.bornMs)
+      recordIncarnation(state, reply.clockMs, now);
     poll.answeredWorkerStartedMs = worker.bornMs;
     // An incomplete list does not show which runs are absent.
     if (reply.isComplete) poll.lastCompleted = poll.lastSent;
@@ -167,6 +173,7 @@
       running: [...reply.running],
       ended: [...reply.ended],
       isComplete: reply.isComplete,
+      leaseLeftMs: computeLeaseLeft(state, now),
     });
     state.owner.reportAt = now + POLL_WAIT_MS;
   }
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -74,6 +74,7 @@
           kind: 'hello',
           epoch: state.ownership.epoch,
           agent: agentId,
+          longestLeaseMs: state.bounds.holdMaxMs,
           ...(worker === undefined ? {} : { worker: worker.identity }),
         },
       });
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -10,7 +10,6 @@
 } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { releaseRunsOfTerminatedWorker } from './agentTables.ts';
-import { getRunLeaseMs } from './agentLinkSystem.ts';
 import { recordJobStart, releaseRun, requestStop } from './jobChanges.ts';
 import { computeLeaseDuration } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
@@ -56,9 +55,8 @@
   }
 
   /**
-   * Shortens the wait for the leases of earlier owners. The agent has accepted this owner's epoch, so
-   * it passes on none of theirs any more. A process that replaces the agent might, so only the end
-   * of all leases counts.
+   * Shortens the wait for the leases of earlier owners, whose commands the agent rejects now. A later
+   * process of the agent may accept them again, so that only the end of all leases counts.
    */
   private applyLeaseLeft(
     state: SchedulerState,
@@ -66,10 +64,10 @@
     report: Report,
     now: number,
   ): void {
-    const { leaseLeftMs, epoch, worker } = report;
-    const isEarlierBuild = leaseLeftMs === undefined && epoch === 0 && worker !== undefined;
+    const { leaseLeftMs, worker } = report;
+    const isEarlierBuild = leaseLeftMs === undefined && worker !== undefined;
     if (leaseLeftMs !== 0 && !isEarlierBuild) return;
-    const endsAt = isEarlierBuild ? now + computeLeaseDuration(state.bounds.holdMaxMs) : now;
+    const endsAt = now + computeLeaseLeft(state, report);
     const agent = state.agents.get(agentId);
     if (agent !== undefined && endsAt < agent.earlierLeasesEndAt)
       state.agents.update(agentId, { earlierLeasesEndAt: endsAt });
@@ -104,10 +102,10 @@
       id: workerKey,
       agentId,
       identity,
-      // The fence ends the grants of earlier owners, which have read the worker's clock before.
+      // The fence ends the grants of earlier owners; the agent knows those before it.
       leaseEndsAt:
         isFenced && previous?.hasFencedReport !== true
-          ? now + computeLeaseDuration(getRunLeaseMs(state))
+          ? now + computeLeaseLeft(state, report)
           : (previous?.leaseEndsAt ?? Number.NEGATIVE_INFINITY),
       lastReportAt: isFenced ? now : (previous?.lastReportAt ?? now),
       clockMs: isFenced ? report.clockMs : (previous?.clockMs ?? report.clockMs),
@@ -233,3 +231,8 @@
     run.overTargetSince === undefined ? OVER_TARGET_ENTER_FACTOR : OVER_TARGET_EXIT_FACTOR;
   return load > bound * targetMs ? (run.overTargetSince ?? now) : undefined;
 }
+
+/** Computes how long leases of earlier owners may last after a report, ms. */
+function computeLeaseLeft({ bounds }: SchedulerState, { leaseLeftMs }: Report): number {
+  return leaseLeftMs ?? computeLeaseDuration(bounds.holdMaxMs);
+}
--- a/test/support/lostWorkers.ts
+++ b/test/support/lostWorkers.ts
@@ -1,6 +1,6 @@
 import { Clock } from '../../src/base/common/clock.ts';
-import { createWorld, JOB, TASK } from './jobWorld.ts';
-import type { SchedulerWorld } from './schedulerWorld.ts';
+import { JOB, TASK } from './jobWorld.ts';
+import { SchedulerWorld } from './schedulerWorld.ts';
 import type { AgentNode, EntryNode } from './worldNodes.ts';
 import { createWorldRunner } from './worldNodes.ts';
 
@@ -24,15 +24,22 @@
   }
 }
 
+/** Creates a world whose workers accept leases of up to `holdMaxMs`. */
+export function createLeaseWorld(holdMaxMs: number, entries = 3, agents = 3): SchedulerWorld {
+  const world = SchedulerWorld.create(entries, agents);
+  setLongestLease(world, holdMaxMs);
+  world.run(2_000);
+  return world;
+}
+
 /** Creates a world with a long-running task, and returns the agent in front of its worker. */
 export function createLastingWorld(holdMaxMs: number): {
   readonly world: SchedulerWorld;
   readonly agent: AgentNode;
 } {
-  const { world, entry } = createWorld(3, 3);
-  setLongestLease(world, holdMaxMs);
+  const world = createLeaseWorld(holdMaxMs);
   world.behave = () => ({ durationMs: 1e9, end: 'done', computeLatencyMs: () => 10 });
-  world.submit(entry, JOB, [{ longRunning: true }]);
+  world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
   world.run(3_000);
   return { world, agent: findHost(world) };
 }
--- a/test/systems/scheduler/earlierLeases.test.ts
+++ b/test/systems/scheduler/earlierLeases.test.ts
@@ -1,6 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { countPeakRuns, createWorld, JOB, replaceOwner, TASK } from '../../support/jobWorld.ts';
-import { createLastingWorld, loseWorker, measureIdleTime } from '../../support/lostWorkers.ts';
+import { countPeakRuns, JOB, replaceOwner, TASK } from '../../support/jobWorld.ts';
+import {
+  createLastingWorld,
+  createLeaseWorld,
+  loseWorker,
+  measureIdleTime,
+} from '../../support/lostWorkers.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { AgentNode } from '../../support/worldNodes.ts';
 import { createWorldWorker } from '../../support/worldNodes.ts';
@@ -105,14 +110,14 @@
   holdMaxMs: number,
   downMs: number,
 ): { readonly world: SchedulerWorld; readonly agent: AgentNode } {
-  const { world } = createWorld(2, 2);
+  const world = createLeaseWorld(holdMaxMs, 2, 2);
   const [agent, other] = world.agents;
   world.run(8_000);
   agent!.hasTerminated = downMs > 0;
   world.run(downMs);
   agent!.hasTerminated = false;
   world.restartRunner(agent!, 300);
-  setLongestLease(world, holdMaxMs);
+  agent!.runner.maxLeaseMs = holdMaxMs;
   world.run(400);
   other!.getFault = ({ op }) => (op === 'start' ? 'refused' : undefined);
   submitLastingTask(world);
@@ -126,8 +131,7 @@
   readonly world: SchedulerWorld;
   readonly agent: AgentNode;
 } {
-  const { world } = createWorld(3, 3);
-  setLongestLease(world, holdMaxMs);
+  const world = createLeaseWorld(holdMaxMs);
   for (const agent of world.agents)
     agent.getFault = ({ op }) => (op === 'start' ? 'dropped' : undefined);
   submitLastingTask(world);
@@ -142,11 +146,6 @@
   world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
 }
 
-function setLongestLease(world: SchedulerWorld, holdMaxMs: number): void {
-  for (const { state } of world.entries) Object.assign(state.bounds, { holdMaxMs });
-  for (const { runner } of world.agents) runner.maxLeaseMs = holdMaxMs;
-}
-
 /** Delivers a heartbeat of another writer, which names an incarnation that does not exist. */
 function sendFalseHeartbeat(agent: AgentNode): void {
   const identity = { ...createWorldWorker(agent), id: 'odd', bornMs: 5_000 };
