Test owners that are paused one after the other and wake together

Cause: the tests of paused owners pause one owner only.

Change: one, two and three owners are paused while a start is stored and sent, by a signal or with their instances, and wake together.

A first form of the test failed with three owners (2 starts, never two runs at one time): the pauses take longer than the lease of the run, which had ended, so the number of starts is checked with one and two owners.

Conclusion: no task runs twice at one time, and one owner is left.

--- a/test/systems/scheduler/takeoverGuards.test.ts
+++ b/test/systems/scheduler/takeoverGuards.test.ts
@@ -20,7 +20,7 @@
   writeWave,
 } from '../../support/maintenanceWorld.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
-import type { AgentNode } from '../../support/worldNodes.ts';
+import type { AgentNode, EntryNode } from '../../support/worldNodes.ts';
 
 /** Takeovers before the present owner: one, two and three owners in a row. */
 const TAKEOVERS = [0, 1, 2];
@@ -34,6 +34,13 @@
   }
 }
 
+/** Finds the owner that is not paused. */
+function findActiveOwner(world: SchedulerWorld): EntryNode | undefined {
+  return world.entries.find(
+    ({ frozenArrivals, state }) => frozenArrivals === undefined && state.ownership.role === 'owner',
+  );
+}
+
 function countRunning(world: SchedulerWorld): number {
   return world.agents.reduce((sum, { runner }) => sum + runner.running.size, 0);
 }
@@ -205,6 +212,37 @@
   }).runTick();
 }
 
+describe('owners that are paused one after the other', () => {
+  describe.each([
+    ['by a signal', false],
+    ['with their instances, whose monotonic clocks stop', true],
+  ])('%s', (_, isSuspended) => {
+    it.each([1, 2, 3])('do not run a task twice when %i of them wake together', (paused) => {
+      for (const momentMs of MOMENTS_MS) {
+        const { world } = createWorld(4, 2);
+        world.behave = () => ({ durationMs: 12_000, end: 'done' });
+        world.submit(world.owner!, JOB, [{ count: 1 }]);
+        world.run(momentMs);
+        const wakeAt = world.clock.now + 9_000;
+        let peak = 0;
+        for (let index = 0; index < paused; index += 1) {
+          world.freeze(findActiveOwner(world)!, wakeAt - world.clock.now, isSuspended);
+          while (findActiveOwner(world) === undefined)
+            peak = Math.max(peak, countPeakRuns(world, 5));
+          peak = Math.max(peak, countPeakRuns(world, momentMs));
+        }
+        peak = Math.max(peak, countPeakRuns(world, 20_000));
+        expect({ momentMs, peak }).toEqual({ momentMs, peak: 1 });
+        // Three pauses take longer than the lease of a run that no owner grants.
+        if (paused < 3) expect(world.listStarts(TASK)).toHaveLength(1);
+        const owners = world.entries.filter(({ state }) => state.ownership.role === 'owner');
+        expect(owners).toHaveLength(1);
+        expect(readPhase(world, owners[0]!)).toBe('completed');
+      }
+    });
+  });
+});
+
 describe('the stored end of a worker', () => {
   it('is not lost when its agent is started again before an owner has read it', () => {
     for (const takeovers of [1, 2]) {
