Add jobs with lasting tasks to the fault soak

Change: callers keep one job with lasting tasks open for every three agents. The worker runs these tasks until they are stopped, and lets some fail. At the end such a job has to have all of its lasting tasks at work and its other tasks done or at work. Their failed runs are no cause for a failed job, and BUDGET does not count them, as the platform states. All other jobs are checked as before. Plans of faults do not change.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -3,7 +3,8 @@
 import type { SeededRandom } from '../../src/base/common/seededRandom.ts';
 import type { SoakHistory } from './history.ts';
 import type { SoakJob } from './jobs.ts';
-import { createSoakJob } from './jobs.ts';
+import { createLastingSoakJob, createSoakJob } from './jobs.ts';
+import { hasLastingTasks, hasReachedLastingState } from './jobTasks.ts';
 import type { Attempt, JobRow } from './rows.ts';
 
 export const SOAK_HOST = 'soak.example';
@@ -52,6 +53,7 @@
     private readonly fronts: readonly FrontAddress[],
     private readonly history: SoakHistory,
     private readonly random: SeededRandom,
+    private readonly lastingRandom: SeededRandom,
   ) {
     this.sessions = Array.from({ length: SESSIONS }, () => ({
       agent: new Agent({ keepAlive: true, maxSockets: 2 }),
@@ -63,14 +65,24 @@
     fronts: readonly FrontAddress[],
     history: SoakHistory,
     random: SeededRandom,
+    lastingRandom: SeededRandom,
   ): SoakCallers {
-    return new SoakCallers(fronts, history, random);
+    return new SoakCallers(fronts, history, random, lastingRandom);
   }
 
-  /** Jobs that were accepted and whose end no caller has seen. */
+  /**
+   * Jobs that were accepted and whose end no caller has seen; of those with lasting tasks the ones that
+   * do not have all of them at work, or that were cancelled.
+   */
   get openCount(): number {
-    return [...this.openJobs].filter((id) => this.history.jobs.get(id)?.acceptedAt !== undefined)
-      .length;
+    const { jobs } = this.history;
+    const runs = this.history.listRunsByTask();
+    return [...this.openJobs].filter((id) => {
+      const job = jobs.get(id);
+      if (job?.acceptedAt === undefined) return false;
+      if (!hasLastingTasks(job) || job.cancelSentAt !== undefined) return true;
+      return !hasReachedLastingState(job, runs, performance.now());
+    }).length;
   }
 
   /** Watches which entries are ready, as the platform's balancer does. */
@@ -88,7 +100,20 @@
 
   /** Submits a new job and follows it until it has ended. */
   submit(): void {
-    const job = createSoakJob(this.random);
+    this.start(createSoakJob(this.random));
+  }
+
+  /** Submits jobs with lasting tasks until so many have not been cancelled or failed. */
+  submitLasting(count: number): void {
+    const open = [...this.openJobs].filter((id) => {
+      const job = this.history.jobs.get(id);
+      return job !== undefined && hasLastingTasks(job) && job.cancelSentAt === undefined;
+    });
+    for (let left = count - open.length; left > 0; left -= 1)
+      this.start(createLastingSoakJob(this.lastingRandom));
+  }
+
+  private start(job: SoakJob): void {
     this.history.jobs.set(job.row);
     this.openJobs.add(job.row.id);
     void this.run(job).finally(() => this.openJobs.delete(job.row.id));
--- a/test/soak/checks/outcomeCheck.ts
+++ b/test/soak/checks/outcomeCheck.ts
@@ -1,6 +1,7 @@
 import { SOAK_BOUNDS } from '../bounds.ts';
 import type { SoakHistory } from '../history.ts';
 import { isEndNoted } from '../history.ts';
+import { hasFailed, hasLastingTasks, hasReachedLastingState, listTasks } from '../jobTasks.ts';
 import type { JobRow, RunRow } from '../rows.ts';
 import { PromiseCheck } from './promiseCheck.ts';
 
@@ -16,13 +17,16 @@
     const broken: string[] = [];
     for (const [task, runs] of history.listRunsByTask())
       for (const run of runs) {
+        const job = history.jobs.get(run.job);
+        // Lasting tasks start again however often they failed.
+        if (job?.steps[run.step]?.isLongRunning === true) continue;
         const failed = runs.filter(
           (other) =>
             other.how === 'failed' &&
             (other.endedAt ?? Infinity) <= run.startedAt &&
             isEndNoted(history, other),
         );
-        if (failed.length >= (history.jobs.get(run.job)?.attempts ?? Infinity))
+        if (failed.length >= (job?.attempts ?? Infinity))
           broken.push(`${task} run ${run.run} started after ${failed.length} failed runs`);
       }
     return broken;
@@ -81,9 +85,12 @@
         if (state === 'failed' && !hasFailed(job, runs))
           broken.push(`${job.id} is shown as failed, and no task failed often enough`);
       }
-      const isOwed = job.cancelSentAt === undefined && !hasEnded(job) && !isRunning(job, runs);
-      if (isOwed && isOverdue(history, acceptedAt))
-        broken.push(`${job.id} was accepted and has not ended`);
+      const isOwed = job.cancelSentAt === undefined && !hasEnded(job);
+      if (!isOwed || !isOverdue(history, acceptedAt)) continue;
+      if (!hasLastingTasks(job)) {
+        if (!isRunning(job, runs)) broken.push(`${job.id} was accepted and has not ended`);
+      } else if (!hasReachedLastingState(job, runs, history.now))
+        broken.push(`${job.id} was accepted, and not all of its lasting tasks run`);
     }
     return broken;
   }
@@ -126,16 +133,3 @@
 function hasEnded(job: JobRow): boolean {
   return job.looks.some(({ state }) => ['completed', 'failed', 'cancelled'].includes(state));
 }
-
-function hasFailed(job: JobRow, runs: ReadonlyMap<string, readonly RunRow[]>): boolean {
-  return listTasks(job).some((task) => {
-    const failed = runs.get(task)?.filter(({ how }) => how === 'failed') ?? [];
-    return failed.length >= job.attempts;
-  });
-}
-
-function listTasks({ id, steps }: JobRow): string[] {
-  return steps.flatMap(({ count }, step) =>
-    Array.from({ length: count }, (_, index) => `${id}.0.${step}.${index}`),
-  );
-}
--- a/test/soak/promiseChecks.test.ts
+++ b/test/soak/promiseChecks.test.ts
@@ -43,13 +43,15 @@
         cpuMillis: 1_000,
         memoryMb: 1_000,
         labels: [...labels],
+        upAt: 0,
         lapses: [],
       });
     addRun({ endedAt: 300, how: 'done', notedAt: 310 });
   });
 
   function addJob(fields: Partial<JobRow>): void {
-    const step = { count: 1, cpuMillis: 600, memoryMb: 600, requiredLabel: 'large' };
+    const size = { count: 1, cpuMillis: 600, memoryMb: 600 };
+    const step = { ...size, requiredLabel: 'large', isLongRunning: false };
     history.jobs.set({
       id: JOB,
       payload: 'work',
--- a/test/soak/rows.ts
+++ b/test/soak/rows.ts
@@ -10,6 +10,8 @@
   memoryMb: z.int(),
   after: z.array(z.int()),
   requiredLabel: z.string(),
+  /** Whether the tasks run until the job is cancelled and start again however they end. */
+  isLongRunning: z.boolean(),
 });
 export type SoakStep = z.infer<typeof stepSchema>;
 
@@ -65,6 +67,7 @@
   cpuMillis: z.int(),
   memoryMb: z.int(),
   labels: z.array(z.string()),
+  upAt: time,
   drainingAckedAt: z.optional(time),
   /** When its lease was over, so that it ended what it ran. */
   lapses: z.array(time),
--- a/test/soak/soakParts.ts
+++ b/test/soak/soakParts.ts
@@ -117,10 +117,12 @@
       }),
     );
   }
-  const callers = SoakCallers.create(fronts, history, random);
-  const operator = Operator.create(store, history);
-  // Its own random numbers, so that the choices of the others stay those of the seed.
+  // Random numbers of their own, so that the choices of the others stay those of the seed. Another seed
+  // than theirs keeps the ids of the jobs apart.
+  const lastingRandom = SeededRandom.create(-1 - options.seed);
   const otherRandom = SeededRandom.create(options.seed);
+  const callers = SoakCallers.create(fronts, history, random, lastingRandom);
+  const operator = Operator.create(store, history);
   const otherWriter = OtherWriter.create(store, [...workers.values()], otherRandom);
   return {
     network,
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -21,6 +21,8 @@
 /** Time between two jobs after the faults. */
 const LATE_JOB_GAP_MS = 3_000;
 const UNKNOWN_GAP_MS = 2_000;
+/** One job with lasting tasks for so many agents. */
+const AGENTS_PER_LASTING_JOB = 3;
 /** The soak ends early when so many of the jobs submitted after the faults have ended. */
 const LATE_JOBS = 3;
 const FINAL = ['completed', 'failed'];
@@ -144,6 +146,7 @@
     const until = performance.now() + lengthMs;
     let unknownAt = 0;
     while (performance.now() < until) {
+      parts.callers.submitLasting(Math.ceil(this.options.agents / AGENTS_PER_LASTING_JOB));
       parts.callers.submit();
       if (performance.now() > unknownAt) {
         parts.callers.readUnknown();
--- a/test/soak/workerStandIn.ts
+++ b/test/soak/workerStandIn.ts
@@ -22,6 +22,8 @@
 const DRAIN_EXTRA_MS = 1_500;
 /** A worker without an acknowledgement of its draining ends anyway, ms. */
 const DRAIN_LIMIT_MS = 6_000;
+/** Load that a lasting task reports. */
+const LASTING_LOAD = 100;
 const STATUS_OTHER_INCARNATION = 421;
 
 /** What goes wrong with the orders of a worker: the share of its calls, by fault. */
@@ -84,6 +86,7 @@
       cpuMillis,
       memoryMb,
       labels: [...labels],
+      upAt: performance.now(),
       lapses: [],
     });
     this.server = createServer((incoming, response) => {
@@ -248,8 +251,16 @@
   }
 
   private createBehaviour(task: string, run: number, payload: string): RunBehaviour {
-    const { workMs, failsRuns, savesEveryMs } = readTaskText(payload, task);
+    const { workMs, failsRuns, savesEveryMs, lasts } = readTaskText(payload, task);
     const isFailing = this.trouble.fails || run <= failsRuns;
+    // A task with a latency is listed as fully at work, which a lasting one is from its start on.
+    if (lasts)
+      return {
+        durationMs: workMs,
+        end: 'failed',
+        isStalled: !isFailing,
+        computeLatencyMs: () => LASTING_LOAD,
+      };
     return {
       durationMs: workMs,
       end: isFailing ? 'failed' : 'done',
