Check in the soak that lasting tasks run again in time

Change: a check of LOST for each lasting task. It is broken when the task has no run for 3 s, from 6 s after its last one on, these 3 s and the 4 s before them are calm, and there was capacity for it twice over on sound workers at every moment. The faults of workers are recorded in a table of their own, so that the other checks stay as strict as they were.

--- a/test/soak/bounds.ts
+++ b/test/soak/bounds.ts
@@ -18,6 +18,9 @@
   leaseMaxMs: 6_000,
   /** A lasting task may be without a run for so long after its last one. */
   lastingAfterRunMs: 6_000,
+  /** Beyond that it may be without a run for so long, if the time before it was calm. */
+  idleMs: 3_000,
+  calmBeforeMs: 4_000,
   /** From the end of the faults until the system serves again. */
   recoverMs: 12_000,
   /** From then on until every accepted job has to have ended. */
--- a/test/soak/checks/promiseChecks.ts
+++ b/test/soak/checks/promiseChecks.ts
@@ -1,6 +1,7 @@
 import type { PromiseCheck } from './promiseCheck.ts';
 import { CapacityCheck } from './capacityCheck.ts';
 import { ConfigurationCheck } from './configurationCheck.ts';
+import { LastingTaskCheck } from './lastingTaskCheck.ts';
 import { OrderCheck } from './orderCheck.ts';
 import { AcceptedJobCheck, BudgetCheck, CompletionCheck, RecoveryCheck } from './outcomeCheck.ts';
 import { DrainCheck, EvacuationCheck, LabelCheck } from './placementCheck.ts';
@@ -22,6 +23,7 @@
     BudgetCheck.create(),
     CompletionCheck.create(),
     AcceptedJobCheck.create(),
+    LastingTaskCheck.create(),
     RecoveryCheck.create(),
     ConfigurationCheck.create(),
     GracefulStopCheck.create(),
--- a/test/soak/faultInjector.ts
+++ b/test/soak/faultInjector.ts
@@ -61,11 +61,18 @@
       this.history.disruptions.set({ id, process, kind: fault.kind, isPlanned, from });
       return id;
     });
+    const troubles = listTroubledWorkers(fault).map((worker) => {
+      const id = this.history.takeId();
+      const from = performance.now();
+      this.history.workerTroubles.set({ id, worker, kind: fault.kind, from });
+      return id;
+    });
     const end = this.startFault(fault);
     const undo = (): void => {
       if (!this.undos.delete(undo)) return;
       end();
       for (const id of rows) this.history.disruptions.update(id, { to: performance.now() });
+      for (const id of troubles) this.history.workerTroubles.update(id, { to: performance.now() });
     };
     this.undos.add(undo);
     this.schedule(fault.forMs, undo);
@@ -180,6 +187,11 @@
   }
 }
 
+function listTroubledWorkers(fault: Fault): readonly string[] {
+  if ('workers' in fault) return fault.workers;
+  return 'worker' in fault ? [fault.worker] : [];
+}
+
 function applyToProcess(
   process: SoakProcess,
   { kind, forMs }: FaultOf<'kill' | 'terminate' | 'freeze' | 'reload'>,
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -9,6 +9,7 @@
   ProbeRow,
   RunRow,
   WorkerRow,
+  workerTroubleRowSchema,
   zoneOutRowSchema,
   DisruptionRow,
 } from './rows.ts';
@@ -26,6 +27,7 @@
   readonly probes = Table.create<ProbeRow>('probes');
   readonly brokenCalls = Table.create<z.infer<typeof brokenCallRowSchema>>('brokenCalls');
   readonly disruptions = Table.create<DisruptionRow>('disruptions');
+  readonly workerTroubles = Table.create<z.infer<typeof workerTroubleRowSchema>>('workerTroubles');
   readonly exits = Table.create<z.infer<typeof exitRowSchema>>('exits');
   /** When the last fault was over; undefined while faults come. */
   calmSince: number | undefined;
--- a/test/soak/rows.ts
+++ b/test/soak/rows.ts
@@ -120,6 +120,18 @@
 });
 export type DisruptionRow = z.infer<typeof disruptionRowSchema>;
 
+/**
+ * A fault while it acts on what a worker does. It disturbs no process, so the bounds of the agent hold
+ * meanwhile.
+ */
+export const workerTroubleRowSchema = z.object({
+  id: z.string(),
+  worker: z.string(),
+  kind: z.string(),
+  from: time,
+  to: z.optional(time),
+});
+
 export const exitRowSchema = z.object({
   id: z.string(),
   process: z.string(),
