Add losses of workers and owners in a row to the soak

Change: plans of seeds from 20000 on have series of losses. A worker with lasting tasks is lost, at times with its agent, or only cut off from it; then one to three owners are killed in a row, at times with further entries or while the store is silent; then it is quiet for 14 to 18 s. Half of the plans go on with the other faults and a second series. The owner is read from the store at the moment of the fault. Even seeds have leases of up to 10 s.

--- a/test/soak/bounds.ts
+++ b/test/soak/bounds.ts
@@ -16,6 +16,8 @@
   /** An answer may be cut so shortly after its request was sent while the entry stops as planned. */
   lossSlackMs: 200,
   leaseMaxMs: 6_000,
+  /** Longest lease on other deployments. */
+  longLeaseMaxMs: 10_000,
   /** A lasting task may be without a run for so long after its last one. */
   lastingAfterRunMs: 6_000,
   /** Beyond that it may be without a run for so long, if the time before it was calm. */
--- a/test/soak/faultInjector.ts
+++ b/test/soak/faultInjector.ts
@@ -3,6 +3,7 @@
 import type { SoakHistory } from './history.ts';
 import { STORE } from './history.ts';
 import type { Operator } from './operator.ts';
+import { RoleFaults } from './roleFaults.ts';
 import type { SoakNetwork } from './soakNetwork.ts';
 import type { SoakProcess } from './soakProcess.ts';
 import type { StoreStandIn, StoreTrouble } from './storeStandIn.ts';
@@ -28,11 +29,14 @@
 export class FaultInjector {
   private readonly undos = new Set<Undo>();
   private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly roles: RoleFaults;
 
   private constructor(
     private readonly parts: SoakParts,
     private readonly history: SoakHistory,
-  ) {}
+  ) {
+    this.roles = RoleFaults.create(parts, history);
+  }
 
   static create(parts: SoakParts, history: SoakHistory): FaultInjector {
     return new FaultInjector(parts, history);
@@ -40,10 +44,12 @@
 
   /** Plans all faults from now on. */
   start(plan: readonly PlannedFault[], onFault: (planned: PlannedFault) => void): void {
-    for (const planned of plan)
-      this.schedule(planned.at, () => {
-        onFault(planned);
-        this.apply(planned.fault);
+    for (const { at, fault: planned } of plan)
+      this.schedule(at, () => {
+        for (const fault of this.roles.resolve(planned)) {
+          onFault({ at, fault });
+          this.apply(fault);
+        }
       });
   }
 
@@ -138,6 +144,7 @@
       case 'workerStalls':
         return this.applyToWorkers(fault.workers, fault);
       case 'workerCrash':
+      case 'workerGone':
       case 'workerDrains':
         return this.applyToWorkers([fault.worker], fault);
       case 'storeDown':
@@ -187,9 +194,10 @@
   }
 }
 
+/** Workers that do their work badly while the fault acts; one that ended does none, and its row says so. */
 function listTroubledWorkers(fault: Fault): readonly string[] {
   if ('workers' in fault) return fault.workers;
-  return 'worker' in fault ? [fault.worker] : [];
+  return fault.kind === 'workerDrains' ? [fault.worker] : [];
 }
 
 function applyToProcess(
--- a/test/soak/faultPlan.ts
+++ b/test/soak/faultPlan.ts
@@ -27,6 +27,7 @@
   z.object({ kind: z.literal('workerFails'), workers, forMs }),
   z.object({ kind: z.literal('workerStalls'), workers, forMs }),
   z.object({ kind: z.literal('workerCrash'), worker: target, keepsId: z.boolean(), forMs }),
+  z.object({ kind: z.literal('workerGone'), worker: target, forMs }),
   z.object({ kind: z.literal('workerDrains'), worker: target, keepsId: z.boolean(), forMs }),
   z.object({
     kind: z.literal('storeDown'),
@@ -47,10 +48,33 @@
 export type Fault = z.infer<typeof faultSchema>;
 export type FaultKind = Fault['kind'];
 
+/** Faults on what has a role at the moment of the fault; each stands for some of the faults above. */
+export const roleFaultSchema = z.discriminatedUnion('kind', [
+  /** The worker with the most lasting tasks ends, and comes back after `forMs` if it does at all. */
+  z.object({
+    kind: z.literal('loseWorker'),
+    returns: z.enum(['never', 'sameId', 'newId']),
+    /** Time after which its agent, which is killed with it, starts again; 0 if the agent lives. */
+    agentRestartMs: z.int(),
+    forMs,
+  }),
+  /** The worker with the most lasting tasks works on, and its agent does not reach it. */
+  z.object({ kind: z.literal('cutWorkerOff'), forMs }),
+  z.object({
+    kind: z.literal('killOwner'),
+    /** Killed while no entry owns the scheduling. */
+    fallback: target,
+    /** Killed with the owner. */
+    entries: z.array(target),
+    forMs,
+  }),
+]);
+export type RoleFault = z.infer<typeof roleFaultSchema>;
+
 export interface PlannedFault {
   /** Time from the start of the plan, ms. */
   readonly at: number;
-  readonly fault: Fault;
+  readonly fault: Fault | RoleFault;
 }
 
 /** What the faults of a plan can act on. */
@@ -65,8 +89,11 @@
   readonly lengthMs: number;
 }
 
+/** `workerGone` follows from faults on roles only. */
+type DrawnKind = Exclude<FaultKind, 'workerGone'>;
+
 /** Work that operators plan; a plan with no other faults checks graceful shutdowns. */
-const PLANNED: readonly FaultKind[] = [
+const PLANNED: readonly DrawnKind[] = [
   'terminate',
   'reload',
   'changeConfiguration',
@@ -75,7 +102,7 @@
   'cancelJobs',
   'submitBurst',
 ];
-const UNPLANNED: readonly FaultKind[] = [
+const UNPLANNED: readonly DrawnKind[] = [
   'kill',
   'freeze',
   'delayLink',
@@ -129,13 +156,13 @@
   return `at=${at} kind=${kind} ${pairs.join(' ')}`;
 }
 
-function choose<Item>(random: SeededRandom, items: readonly Item[]): Item {
+export function choose<Item>(random: SeededRandom, items: readonly Item[]): Item {
   const item = items[random.takeInt(0, items.length - 1)];
   if (item === undefined) throw new Error('nothing to choose from');
   return item;
 }
 
-function createFault(kind: FaultKind, shape: SoakShape, random: SeededRandom): Fault {
+function createFault(kind: DrawnKind, shape: SoakShape, random: SeededRandom): Fault {
   const process = choose(random, [
     ...shape.entries,
     ...shape.entries,
--- a/test/soak/soakParts.ts
+++ b/test/soak/soakParts.ts
@@ -9,6 +9,7 @@
 import { Operator } from './operator.ts';
 import { OtherWriter } from './otherWriter.ts';
 import { SoakNetwork } from './soakNetwork.ts';
+import { getLeaseMaxMs } from './soakPlan.ts';
 import { SoakProcess } from './soakProcess.ts';
 import { StoreStandIn } from './storeStandIn.ts';
 import { WorkerSlot } from './workerSlot.ts';
@@ -85,7 +86,7 @@
       zones: ZONES,
       callerAddress: `${host}:${FRONT_PORT}`,
       readyAddress: `${host}:${READY_PORT}`,
-      bounds: { ...BOUNDS, holdMaxMs: SOAK_BOUNDS.leaseMaxMs, stopMs: SOAK_BOUNDS.stopMs },
+      bounds: { ...BOUNDS, holdMaxMs: getLeaseMaxMs(options.seed), stopMs: SOAK_BOUNDS.stopMs },
     });
     fronts.push({
       process: name,
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -7,10 +7,11 @@
 import { send } from './callers.ts';
 import { createPromiseChecks } from './checks/promiseChecks.ts';
 import { FaultInjector } from './faultInjector.ts';
-import { createFaultPlan, formatFault } from './faultPlan.ts';
+import { formatFault } from './faultPlan.ts';
 import { SoakHistory, STORE } from './history.ts';
 import type { SoakOptions, StartedSoak } from './soakParts.ts';
 import { createSoakParts, ZONES } from './soakParts.ts';
+import { createSoakPlan } from './soakPlan.ts';
 
 const CHECK_GAP_MS = 1_000;
 const LAG_TURN_MS = 50;
@@ -129,18 +130,17 @@
   }
 
   private async applyFaults(parts: StartedSoak): Promise<void> {
-    const lengthMs = this.options.seconds * 1_000;
-    const plan = createFaultPlan(this.options.seed, {
+    const { faults, lengthMs } = createSoakPlan(this.options.seed, {
       entries: parts.entries,
       agents: parts.agents,
       workers: [...parts.workers.keys()],
       zones: ZONES,
       links: [...parts.network.proxies.keys()],
-      lengthMs,
+      lengthMs: this.options.seconds * 1_000,
     });
-    this.faults = plan.length;
+    this.faults = faults.length;
     const injector = FaultInjector.create(parts, this.history);
-    injector.start(plan, (planned) => {
+    injector.start(faults, (planned) => {
       this.log(formatFault(planned));
     });
     const until = performance.now() + lengthMs;
--- a/test/soak/storeStandIn.ts
+++ b/test/soak/storeStandIn.ts
@@ -81,6 +81,13 @@
     });
   }
 
+  /** Reads the value of a key as an operator does; undefined without one. */
+  read(key: string): unknown {
+    const reply = this.store.handle({ op: 'read', key });
+    const value = reply.kind === 'entry' ? reply.entry.value : undefined;
+    return typeof value === 'string' ? JSON.parse(value) : undefined;
+  }
+
   dropHistory(): void {
     this.store.discardHistory();
   }
--- a/test/soak/workerSlot.ts
+++ b/test/soak/workerSlot.ts
@@ -42,6 +42,14 @@
     return this.options.agent;
   }
 
+  get labels(): readonly string[] {
+    return this.options.labels;
+  }
+
+  get isUp(): boolean {
+    return this.worker !== undefined;
+  }
+
   /** Starts a worker, with the id of the one before or a new one. */
   async start(keepsId: boolean): Promise<void> {
     if (this.isDisposed) return;
@@ -75,6 +83,11 @@
           worker.dispose();
         }, fault);
         break;
+      case 'workerGone':
+        this.worker?.dispose();
+        this.worker = undefined;
+        this.onChange(false);
+        break;
       case 'workerDrains':
         this.stop((worker) => worker.drain(), fault);
     }
