--- a/test/soak/soakParts.ts
+++ b/test/soak/soakParts.ts
@@ -9,6 +9,7 @@
 import { Operator } from './operator.ts';
 import { OtherWriter } from './otherWriter.ts';
 import { SoakNetwork } from './soakNetwork.ts';
+import { getLeaseMaxMs } from './soakPlan.ts';
 import { SoakProcess } from './soakProcess.ts';
 import { StoreStandIn } from './storeStandIn.ts';
 import { WorkerSlot } from './workerSlot.ts';
@@ -85,7 +86,7 @@
       zones: ZONES,
       callerAddress: `${host}:${FRONT_PORT}`,
       readyAddress: `${host}:${READY_PORT}`,
-      bounds: { ...BOUNDS, holdMaxMs: SOAK_BOUNDS.leaseMaxMs, stopMs: SOAK_BOUNDS.stopMs },
+      bounds: { ...BOUNDS, holdMaxMs: getLeaseMaxMs(options.seed), stopMs: SOAK_BOUNDS.stopMs },
     });
     fronts.push({
       process: name,
@@ -117,10 +118,12 @@
       }),
     );
   }
-  const callers = SoakCallers.create(fronts, history, random);
-  const operator = Operator.create(store, history);
-  // Its own random numbers, so that the choices of the others stay those of the seed.
+  // Random numbers of their own, so that the choices of the others stay those of the seed. Another seed
+  // than theirs keeps the ids of the jobs apart.
+  const lastingRandom = SeededRandom.create(-1 - options.seed);
   const otherRandom = SeededRandom.create(options.seed);
+  const callers = SoakCallers.create(fronts, history, random, lastingRandom);
+  const operator = Operator.create(store, history);
   const otherWriter = OtherWriter.create(store, [...workers.values()], otherRandom);
   return {
     network,
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -7,10 +7,11 @@
 import { send } from './callers.ts';
 import { createPromiseChecks } from './checks/promiseChecks.ts';
 import { FaultInjector } from './faultInjector.ts';
-import { createFaultPlan, formatFault } from './faultPlan.ts';
+import { formatFault } from './faultPlan.ts';
 import { SoakHistory, STORE } from './history.ts';
 import type { SoakOptions, StartedSoak } from './soakParts.ts';
 import { createSoakParts, ZONES } from './soakParts.ts';
+import { createSoakPlan } from './soakPlan.ts';
 
 const CHECK_GAP_MS = 1_000;
 const LAG_TURN_MS = 50;
@@ -21,6 +22,8 @@
 /** Time between two jobs after the faults. */
 const LATE_JOB_GAP_MS = 3_000;
 const UNKNOWN_GAP_MS = 2_000;
+/** One job with lasting tasks for so many agents. */
+const AGENTS_PER_LASTING_JOB = 3;
 /** The soak ends early when so many of the jobs submitted after the faults have ended. */
 const LATE_JOBS = 3;
 const FINAL = ['completed', 'failed'];
@@ -127,23 +130,23 @@
   }
 
   private async applyFaults(parts: StartedSoak): Promise<void> {
-    const lengthMs = this.options.seconds * 1_000;
-    const plan = createFaultPlan(this.options.seed, {
+    const { faults, lengthMs } = createSoakPlan(this.options.seed, {
       entries: parts.entries,
       agents: parts.agents,
       workers: [...parts.workers.keys()],
       zones: ZONES,
       links: [...parts.network.proxies.keys()],
-      lengthMs,
+      lengthMs: this.options.seconds * 1_000,
     });
-    this.faults = plan.length;
+    this.faults = faults.length;
     const injector = FaultInjector.create(parts, this.history);
-    injector.start(plan, (planned) => {
+    injector.start(faults, (planned) => {
       this.log(formatFault(planned));
     });
     const until = performance.now() + lengthMs;
     let unknownAt = 0;
     while (performance.now() < until) {
+      parts.callers.submitLasting(Math.ceil(this.options.agents / AGENTS_PER_LASTING_JOB));
       parts.callers.submit();
       if (performance.now() > unknownAt) {
         parts.callers.readUnknown();
