Run losses of a worker and owners in the tests and list what fails

Change: a short soak of 3 entries and 4 agents runs seed 20600: a worker is lost with its agent, and two owners 0.6 and 3.5 s later. It has a file of its own, so that the other short soaks do not delay its loop.

--- a/test/soak/regressionSeeds.ts
+++ b/test/soak/regressionSeeds.ts
@@ -12,4 +12,11 @@
   { seed: 127, cause: 'open: as 126' },
   { seed: 147, cause: 'open: as 126' },
   { seed: 148, cause: 'open: as 126' },
+  {
+    seed: 20_000,
+    cause: 'open: lasting tasks of a lost worker ran again too late after the loss of owners',
+  },
+  { seed: 20_007, cause: 'open: as 20000' },
+  { seed: 20_009, cause: 'open: as 20000' },
+  { seed: 20_600, cause: 'open: as 20000' },
 ];
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,8 +1,7 @@
-import { mkdtempSync, rmSync } from 'node:fs';
 import { beforeAll, describe, expect, it } from 'vitest';
-import { BUNDLE_FOLDER, buildPrograms } from '../support/platformProgram.ts';
+import { buildPrograms } from '../support/platformProgram.ts';
 import { createFaultPlan, formatFault } from './faultPlan.ts';
-import { SoakRun } from './soakRun.ts';
+import { expectPromisesKept } from './shortSoak.ts';
 
 /** Shorter and smaller than the runs by hand. */
 const SHORT = { entries: 2, agents: 3 };
@@ -48,13 +47,7 @@
       ['faults of all kinds', 4, 5],
       ['planned work only', 5, 4],
     ])('break no promise under %s', async (_, seed, seconds) => {
-      const folder = mkdtempSync('node_modules/.cache/bramleyladder/soak-');
-      const run = SoakRun.create({ ...SHORT, seed, seconds, folder, bundles: BUNDLE_FOLDER });
-      const { broken, accepted, runs } = await run.run();
-      expect(broken, `logs are in ${folder}`).toEqual([]);
-      expect(accepted).toBeGreaterThan(0);
-      expect(runs).toBeGreaterThan(0);
-      rmSync(folder, { recursive: true });
+      await expectPromisesKept({ ...SHORT, seed, seconds });
     });
   });
 });
--- a/test/soak/soakPlan.test.ts
+++ b/test/soak/soakPlan.test.ts
@@ -1,5 +1,7 @@
-import { describe, expect, it } from 'vitest';
+import { beforeAll, describe, expect, it } from 'vitest';
+import { buildPrograms } from '../support/platformProgram.ts';
 import { createFaultPlan } from './faultPlan.ts';
+import { expectPromisesKept } from './shortSoak.ts';
 import { createSoakPlan, FIRST_LOSS_SEED } from './soakPlan.ts';
 
 const SHAPE = {
@@ -10,6 +12,9 @@
   links: ['entry-1>agent-1'],
   lengthMs: 60_000,
 };
+/** Losses only: a worker for 28 s and its agent for 0.8 s, and two owners 0.6 and 3.5 s later. */
+const LOSSES = { entries: 3, agents: 4, seed: 20_600, seconds: 0 };
+
 describe('fault soak with losses of workers and owners', () => {
   describe('plan', () => {
     const SEEDS = Array.from({ length: 60 }, (_, index) => FIRST_LOSS_SEED + index);
@@ -51,4 +56,15 @@
       }
     });
   });
+
+  // A file of its own, because a soak whose own loop is late by 0.5 s takes that for a disturbance.
+  describe('programs', () => {
+    beforeAll(() => {
+      buildPrograms();
+    });
+
+    it('run lasting tasks again after the loss of a worker, its agent and two owners', async () => {
+      await expectPromisesKept(LOSSES);
+    });
+  });
 });
