--- a/test/soak/regressionSeeds.ts
+++ b/test/soak/regressionSeeds.ts
@@ -18,5 +18,7 @@
   },
   { seed: 20_007, cause: 'open: as 20000' },
   { seed: 20_009, cause: 'open: as 20000' },
+  { seed: 20_012, cause: 'open: as 20000' },
+  { seed: 20_014, cause: 'open: as 20000' },
   { seed: 20_600, cause: 'open: as 20000' },
 ];
