Tell in the lease wait whether the agent can be reached and what it reported

The log of an owner did not distinguish a wait for a worker whose agent is lost too from a wait for an agent that has just started. lease_awaited now has the state of the agent's link and the rest that the agent has told, and explain job names an agent that is out of reach. Two tests of leaseWaits.test.ts fail without the fields.

--- a/src/model/scheduler/leaseWait.ts
+++ b/src/model/scheduler/leaseWait.ts
@@ -1,3 +1,5 @@
+import type { AgentRow } from './rows.ts';
+
 /** A silent worker whose runs count as running until their lease has certainly ended. */
 export interface LeaseWaitRow {
   /** Incarnation of the worker, `AGENT|WORKER|BORN`. */
@@ -8,4 +10,8 @@
   readonly endsAt: number;
   /** Who may have granted the lease last. */
   readonly grantedBy: 'thisOwner' | 'earlierOwner';
+  /** Link to the agent of the worker's instance; `unknown` without a record of it. */
+  readonly agentLink: AgentRow['link'] | 'unknown';
+  /** How long the agent has told this owner that leases may last, ms; undefined without a report. */
+  readonly reportedLeaseMs: number | undefined;
 }
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -169,6 +169,8 @@
   readonly grantedAt: number;
   /** Time until which leases of earlier owners may last on the instance, owner's clock ms. */
   readonly earlierLeasesEndAt: number;
+  /** How long leases may last on the instance, as the agent last reported it to this owner, ms. */
+  readonly reportedLeaseMs: number | undefined;
   /** When the latest message was received, owner's clock ms. */
   readonly lastMessageAt: number;
   /** Consecutive failed attempts to open the link. */
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -67,6 +67,7 @@
     workerKey: previous?.workerKey,
     grantedAt: Number.NEGATIVE_INFINITY,
     earlierLeasesEndAt: previous?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
+    reportedLeaseMs: previous?.reportedLeaseMs,
     lastMessageAt: Number.NEGATIVE_INFINITY,
   });
 }
--- a/src/systems/scheduler/jobExplanation.ts
+++ b/src/systems/scheduler/jobExplanation.ts
@@ -159,11 +159,15 @@
   return run.pacePercent < FULL_PACE_PERCENT ? 'slowed for a serving task' : '';
 }
 
-function explainLeaseWait({ silentSince, endsAt, grantedBy }: LeaseWaitRow, now: number): string {
+function explainLeaseWait(
+  { silentSince, endsAt, grantedBy, agentLink }: LeaseWaitRow,
+  now: number,
+): string {
   const silentMs = Math.round(now - silentSince);
   const leftMs = Math.max(0, Math.round(endsAt - now));
   const granter = grantedBy === 'thisOwner' ? 'this owner' : 'an earlier owner';
-  return `its worker is silent for ${silentMs} ms; a lease of ${granter} may last for ${leftMs} ms`;
+  const agent = agentLink === 'open' ? '' : ', and its agent is out of reach';
+  return `its worker is silent for ${silentMs} ms${agent}; a lease of ${granter} may last for ${leftMs} ms`;
 }
 
 function formatStepId(occurrence: number, stepIndex: number): string {
--- a/src/systems/scheduler/leaseExpirySystem.ts
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -50,6 +50,8 @@
       runs: runs.length,
       task: runs[0]?.taskId ?? '',
       grantedBy: wait.grantedBy,
+      agentLink: wait.agentLink,
+      ...(wait.reportedLeaseMs === undefined ? {} : { reportedLeaseMs: wait.reportedLeaseMs }),
       silentMs: Math.round(now - wait.silentSince),
       leftMs: Math.round(wait.endsAt - now),
       epoch: state.ownership.epoch,
@@ -83,18 +85,24 @@
 /** Computes until when the runs of a worker may hold a lease. */
 function computeLeaseWait(state: SchedulerState, workerKey: string): LeaseWaitRow {
   const worker = state.workers.get(workerKey);
+  const agent = state.agents.get(parseWorkerKey(workerKey).agentId);
+  const proof = {
+    agentLink: agent?.link ?? ('unknown' as const),
+    reportedLeaseMs: agent?.reportedLeaseMs,
+  };
   if (worker?.hasFencedReport === true)
     return {
       id: workerKey,
       silentSince: worker.lastReportAt,
       endsAt: worker.leaseEndsAt,
       grantedBy: 'thisOwner',
+      ...proof,
     };
-  const agent = state.agents.get(parseWorkerKey(workerKey).agentId);
   return {
     id: workerKey,
     silentSince: state.ownership.loadedAt,
     endsAt: agent?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
     grantedBy: 'earlierOwner',
+    ...proof,
   };
 }
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -65,6 +65,7 @@
     now: number,
   ): void {
     const { leaseLeftMs, worker } = report;
+    state.agents.update(agentId, { reportedLeaseMs: leaseLeftMs });
     const isEarlierBuild = leaseLeftMs === undefined && worker !== undefined;
     if (leaseLeftMs !== 0 && !isEarlierBuild) return;
     const endsAt = now + computeLeaseLeft(state, report);
--- a/test/systems/scheduler/leaseWaits.test.ts
+++ b/test/systems/scheduler/leaseWaits.test.ts
@@ -58,6 +58,29 @@
       expect(explainRun(world, next)).toContain('a lease of an earlier owner');
     });
 
+    it('without the reason why no agent shortens it', () => {
+      const { world, lost } = createSilentWorld();
+      world.disconnectAgent(lost);
+      lost.frozenArrivals = [];
+      const next = replaceOwner(world);
+      world.run(3_000);
+      const [wait] = listLogs(world, next, 'lease_awaited');
+      expect(wait).toHaveProperty('agentLink');
+      expect(wait).not.toMatchObject({ agentLink: 'open' });
+      expect(wait).not.toHaveProperty('reportedLeaseMs');
+      expect(explainRun(world, next)).toContain('and its agent is out of reach');
+    });
+
+    it('without the rest that a restarted agent has reported', () => {
+      const { world, lost } = createSilentWorld();
+      world.restartAgent(lost, 100);
+      const next = replaceOwner(world);
+      world.run(3_000);
+      const [wait] = listLogs(world, next, 'lease_awaited');
+      expect(wait).toMatchObject({ agentLink: 'open' });
+      expect(wait).toHaveProperty('reportedLeaseMs');
+    });
+
     it('when it ends', () => {
       const { world } = createSilentWorld();
       const owner = world.owner!;
