Store the longer lease that a worker may have from its former incarnation

What happened: a worker that restarted under its id ran its task beside another worker (TWICE). A poll of the former incarnation that the new one executes grants a lease as long as the worker accepts, 6 or 10 s. Only the process of the agent knew of it; when that process and the owner were lost within the lease while the worker was cut off, the next owner released the run after the 5.35 s that a new process of the agent counts.

The owner learns of such a lease with the first fenced list, before it places a run there. It now stores the rest with the open run, and removes it once the lease has ended. An owner that takes over waits for it.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -26,7 +26,15 @@
 export type SubmittedJob = z.infer<typeof submittedJobSchema>;
 
 /** A run that may be on a worker. */
-export const openRunSchema = z.object({ run: z.int(), worker: z.string() });
+export const openRunSchema = z.object({
+  run: z.int(),
+  worker: z.string(),
+  /**
+   * Longest time after the write that the worker may hold a lease, ms, where that is longer than the
+   * leases of the owner: a call to its previous incarnation may have granted one on the clock of that.
+   */
+  leaseMs: z.optional(z.number().check(z.minimum(0))),
+});
 export type OpenRun = z.infer<typeof openRunSchema>;
 
 /** Progress of one task that has been assigned at least once. */
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -89,6 +89,11 @@
   readonly overTargetSince: number | undefined;
   /** Time since which complete lists of the worker lack a run that they contained before, owner's clock ms. */
   readonly unlistedSince: number | undefined;
+  /**
+   * Time until which the worker may hold a lease that is longer than those of the owner, owner's clock
+   * ms; in the past without one.
+   */
+  readonly longLeaseEndsAt: number;
   /** Reason of a requested stop; undefined without one. */
   readonly stopReason: string | undefined;
 }
@@ -98,6 +103,11 @@
   return phase === 'placed' || phase === 'starting' || stopReason !== undefined;
 }
 
+/** Whether the stored record of the run names a lease that is longer than those of the owner. */
+export function hasLongLease({ longLeaseEndsAt }: RunRow): boolean {
+  return longLeaseEndsAt > Number.NEGATIVE_INFINITY;
+}
+
 /** Whether an earlier owner may have changed the pace of the run. */
 export function isPaceUnknown({ step, phase, isPaceKnown }: RunRow): boolean {
   return step.fills && phase === 'running' && !isPaceKnown;
@@ -231,6 +241,7 @@
   phase: 'placed' | 'unknown',
   placedChange: number,
   now: number,
+  longLeaseEndsAt = Number.NEGATIVE_INFINITY,
 ): RunRow {
   return {
     id: formatRunId(task.id, run),
@@ -253,6 +264,7 @@
     startAttempts: 0,
     overTargetSince: undefined,
     unlistedSince: undefined,
+    longLeaseEndsAt,
     stopReason: undefined,
   };
 }
--- a/src/model/scheduler/runTables.ts
+++ b/src/model/scheduler/runTables.ts
@@ -1,7 +1,7 @@
 import type { TableIndex } from '../../base/common/table.ts';
 import { Table } from '../../base/common/table.ts';
 import type { RunRow } from './rows.ts';
-import { hasPendingCommand, isPaceUnknown } from './rows.ts';
+import { hasLongLease, hasPendingCommand, isPaceUnknown } from './rows.ts';
 
 /** Key of {@link RunTables.runsWithCommand}. */
 export const PENDING_COMMAND = 'open';
@@ -9,6 +9,9 @@
 /** Key of {@link RunTables.runsWithUnknownPace}. */
 export const PACE_UNKNOWN = 'unknown';
 
+/** Key of {@link RunTables.runsWithLongLease}. */
+export const LONG_LEASE = 'long';
+
 /** The runs of tasks with their indexes. */
 export interface RunTables {
   readonly runs: Table<RunRow>;
@@ -19,6 +22,8 @@
   readonly runsWithCommand: TableIndex<RunRow>;
   /** Runs whose pace the owner must set; all under {@link PACE_UNKNOWN}. */
   readonly runsWithUnknownPace: TableIndex<RunRow>;
+  /** Runs whose stored records name a longer lease than the owner's; all under {@link LONG_LEASE}. */
+  readonly runsWithLongLease: TableIndex<RunRow>;
 }
 
 export function createRunTables(): RunTables {
@@ -30,5 +35,6 @@
     runsByJob: runs.addIndex((run) => run.jobId),
     runsWithCommand: runs.addIndex((run) => (hasPendingCommand(run) ? PENDING_COMMAND : undefined)),
     runsWithUnknownPace: runs.addIndex((run) => (isPaceUnknown(run) ? PACE_UNKNOWN : undefined)),
+    runsWithLongLease: runs.addIndex((run) => (hasLongLease(run) ? LONG_LEASE : undefined)),
   };
 }
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -1,7 +1,7 @@
 import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { JobProgress, TaskRecord } from '../../model/scheduler/jobRecord.ts';
+import type { JobProgress, OpenRun, TaskRecord } from '../../model/scheduler/jobRecord.ts';
 import {
   isFinalPhase,
   jobProgressSchema,
@@ -189,7 +189,7 @@
         ],
         puts: jobs.map((job) => ({
           key: STORE_KEYS.progress(job.id),
-          value: buildProgress(state, job),
+          value: buildProgress(state, job, now),
         })),
         deletes: [],
       },
@@ -219,14 +219,14 @@
  * Builds the stored progress of a job. For a final job it lists only the runs that may still be on
  * a worker.
  */
-export function buildProgress(state: SchedulerState, job: JobRow): JobProgress {
+export function buildProgress(state: SchedulerState, job: JobRow, now: number): JobProgress {
   const tasks: Record<string, TaskRecord> = {};
   const isFinal = isFinalPhase(job.phase);
   let tasksWithAvoidedWorkers = 0;
   for (const task of state.tasksByJob.values(job.id)) {
     if (task.lastRun === 0) continue;
     const runs = state.runsByTask.list(task.id);
-    const openRuns = runs.map(({ run, workerKey }) => ({ run, worker: workerKey }));
+    const openRuns = runs.map((run) => buildOpenRun(run, now));
     if (isFinal && openRuns.length === 0) continue;
     const hasAvoidedWorkers =
       task.phase !== 'done' &&
@@ -254,3 +254,8 @@
     tasks,
   };
 }
+
+function buildOpenRun({ run, workerKey, longLeaseEndsAt }: RunRow, now: number): OpenRun {
+  const leaseMs = Math.ceil(longLeaseEndsAt - now);
+  return { run, worker: workerKey, ...(leaseMs > 0 ? { leaseMs } : {}) };
+}
--- a/src/systems/scheduler/jobTables.ts
+++ b/src/systems/scheduler/jobTables.ts
@@ -126,8 +126,10 @@
       state.tasks.set(task);
       if (!isDone) openTaskCount += 1;
       // An earlier owner may have started these runs; the worker's lists or its lease decide.
-      for (const { run, worker } of isDone ? [] : openRuns)
-        state.runs.set(createRunRow(task, run, worker, 'unknown', 0, now));
+      for (const { run, worker, leaseMs } of isDone ? [] : openRuns) {
+        const longLeaseEndsAt = leaseMs === undefined ? undefined : now + leaseMs;
+        state.runs.set(createRunRow(task, run, worker, 'unknown', 0, now, longLeaseEndsAt));
+      }
     }
   }
   return openTaskCount;
--- a/src/systems/scheduler/leaseExpirySystem.ts
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -2,9 +2,10 @@
 import { System } from '../../base/common/system.ts';
 import type { LeaseWaitRow } from '../../model/scheduler/leaseWait.ts';
 import { parseWorkerKey } from '../../model/scheduler/rows.ts';
+import { LONG_LEASE } from '../../model/scheduler/runTables.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { computeEarlierLeaseEnd } from './agentTables.ts';
-import { releaseRun } from './jobChanges.ts';
+import { recordJobChange, releaseRun } from './jobChanges.ts';
 import { MAX_REPORT_AGE_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
@@ -25,6 +26,7 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
+    this.clearLongLeases(state, tick);
     for (const { id } of state.leaseWaits.list())
       if (state.runsByWorker.count(id) === 0) state.leaseWaits.remove(id);
     for (const workerKey of [...state.runsByWorker.keys()]) {
@@ -38,6 +40,18 @@
     }
   }
 
+  /** Removes longer leases that have ended from the stored runs, so that no owner waits for them. */
+  private clearLongLeases(state: SchedulerState, tick: Tick): void {
+    for (const run of state.runsWithLongLease.list(LONG_LEASE)) {
+      if (tick.now <= run.longLeaseEndsAt) {
+        tick.wakeAt(run.longLeaseEndsAt + 1);
+        continue;
+      }
+      state.runs.update(run.id, { longLeaseEndsAt: Number.NEGATIVE_INFINITY });
+      recordJobChange(state, run.jobId);
+    }
+  }
+
   private updateWait(state: SchedulerState, wait: LeaseWaitRow, now: number): void {
     const isSilent = now - wait.silentSince > MAX_REPORT_AGE_MS;
     const isLogged = state.leaseWaits.has(wait.id);
@@ -101,7 +115,10 @@
   return {
     id: workerKey,
     silentSince: state.ownership.loadedAt,
-    endsAt: agent?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
+    endsAt: Math.max(
+      agent?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
+      ...state.runsByWorker.list(workerKey).map(({ longLeaseEndsAt }) => longLeaseEndsAt),
+    ),
     grantedBy: 'earlierOwner',
     ...proof,
   };
--- a/src/systems/scheduler/taskPlacements.ts
+++ b/src/systems/scheduler/taskPlacements.ts
@@ -2,6 +2,7 @@
 import { createRunRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { recordJobChange } from './jobChanges.ts';
+import { computeLeaseDuration, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent, recordDuration } from './storeCalls.ts';
 import type { WorkerCapacity } from './taskPlacementPolicy.ts';
 import { getSpareCpu } from './taskPlacementPolicy.ts';
@@ -35,7 +36,15 @@
 ): RunRow {
   state.tasks.update(task.id, { phase: 'active', lastRun: run });
   const placedChange = recordJobChange(state, task.jobId);
-  const row = createRunRow(task, run, capacity.worker.id, 'placed', placedChange, now);
+  const row = createRunRow(
+    task,
+    run,
+    capacity.worker.id,
+    'placed',
+    placedChange,
+    now,
+    findLongLeaseEnd(state, capacity.worker.id, now),
+  );
   state.runs.set(row);
   state.counters.add('placements');
   recordDuration(state, 'task_wait_duration_ms', now - task.readyAt, {
@@ -57,3 +66,17 @@
   });
   return row;
 }
+
+/**
+ * Finds the end of a lease that a call to the worker's previous incarnation may have granted to it.
+ * Only the present process of the agent knows of such a lease, so the next owner reads it from the
+ * store.
+ */
+function findLongLeaseEnd(
+  state: SchedulerState,
+  workerKey: string,
+  now: number,
+): number | undefined {
+  const leaseEndsAt = state.workers.get(workerKey)?.leaseEndsAt ?? Number.NEGATIVE_INFINITY;
+  return leaseEndsAt > now + computeLeaseDuration(RUN_LEASE_MS) ? leaseEndsAt : undefined;
+}
--- a/test/systems/scheduler/slackModel.test.ts
+++ b/test/systems/scheduler/slackModel.test.ts
@@ -44,6 +44,7 @@
     startAttempts: 1,
     overTargetSince: undefined,
     unlistedSince: undefined,
+    longLeaseEndsAt: Number.NEGATIVE_INFINITY,
     stopReason: undefined,
   };
 }
--- a/test/systems/scheduler/takeoverMarks.test.ts
+++ b/test/systems/scheduler/takeoverMarks.test.ts
@@ -82,7 +82,7 @@
       const avoidedWorkerIds = [1, 2, 3].map((index) => `${index}`.padEnd(40, 'x'));
       for (const { id } of state.tasksByJob.list(JOB))
         state.tasks.update(id, { lastRun: 1, avoidedWorkerIds });
-      const { tasks } = buildProgress(state, state.jobs.get(JOB)!);
+      const { tasks } = buildProgress(state, state.jobs.get(JOB)!, 0);
       const stored = Object.values(tasks).filter(({ avoided }) => avoided !== undefined);
       expect(Object.keys(tasks)).toHaveLength(2_000);
       expect(stored).toHaveLength(500);
