Grant leases only on a confirmation of the owner key itself

The lease of a key can be renewed after the key is gone, and the owner counted each answered renewal as a confirmation for its grants. It only noticed with the next comparison of the key; while those got no answer it granted without a limit, and a successor that does not reach the agent counts on 10 s at most.

Grants and repeated starts now need an answered comparison of the owner key, by a check or a commit, in the grant window.

--- a/src/model/scheduler/ownership.ts
+++ b/src/model/scheduler/ownership.ts
@@ -9,6 +9,8 @@
   epochKeyVersion: number;
   /** Start of the latest store call that confirmed the claim, monotonic clock ms. */
   confirmedAt: number;
+  /** Start of the latest store call that found this entry's owner key unchanged, monotonic clock ms. */
+  keyConfirmedAt: number;
   /** When this entry last noticed that it had been suspended, monotonic clock ms. */
   resumedAt: number;
   renewAt: number;
@@ -56,6 +58,7 @@
     keyVersion: 0,
     epochKeyVersion: 0,
     confirmedAt: NEVER,
+    keyConfirmedAt: NEVER,
     resumedAt: NEVER,
     renewAt: NEVER,
     checkAt: NEVER,
@@ -86,3 +89,10 @@
 export function confirmOwnership(ownership: Ownership, sentAt: number): void {
   if (sentAt > ownership.resumedAt) ownership.confirmedAt = Math.max(ownership.confirmedAt, sentAt);
 }
+
+/** Records that a store call found the owner key unchanged. */
+export function confirmOwnerKey(ownership: Ownership, sentAt: number): void {
+  confirmOwnership(ownership, sentAt);
+  if (sentAt > ownership.resumedAt)
+    ownership.keyConfirmedAt = Math.max(ownership.keyConfirmedAt, sentAt);
+}
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -127,7 +127,8 @@
   }
 
   private canGrant(state: SchedulerState, worker: WorkerRow, now: number): boolean {
-    const isConfirmed = now - state.ownership.confirmedAt < GRANT_WINDOW_MS;
+    // The lease of the key can be renewed after the key itself has been deleted.
+    const isConfirmed = now - state.ownership.keyConfirmedAt < GRANT_WINDOW_MS;
     const isFresh = now - worker.lastReportAt < MAX_REPORT_AGE_MS;
     return isConfirmed && isFresh && worker.hasFencedReport;
   }
--- a/src/systems/scheduler/clockSystem.ts
+++ b/src/systems/scheduler/clockSystem.ts
@@ -33,6 +33,7 @@
     if (jumpMs < SUSPENSION_THRESHOLD_MS) return;
     logEvent(state, 'warn', 'clock_jumped', { jumpMs: Math.round(jumpMs) });
     state.ownership.confirmedAt -= jumpMs;
+    state.ownership.keyConfirmedAt -= jumpMs;
     state.ownership.resumedAt = tick.now;
     state.ownership.lastConfirmedUpdateAt -= jumpMs;
     state.ownership.renewAt = tick.now;
--- a/src/systems/scheduler/commitSystem.ts
+++ b/src/systems/scheduler/commitSystem.ts
@@ -8,7 +8,7 @@
   PROGRESS_FORMAT,
   STORE_KEYS,
 } from '../../model/scheduler/jobRecord.ts';
-import { confirmOwnership } from '../../model/scheduler/ownership.ts';
+import { confirmOwnerKey } from '../../model/scheduler/ownership.ts';
 import type { JobRow, RunRow, TaskRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
@@ -75,7 +75,7 @@
       commit.jobs = [];
       for (const { jobId } of jobs) state.dirtyJobs.add(jobId);
       if (reply.kind === 'written') {
-        confirmOwnership(state.ownership, sentAt);
+        confirmOwnerKey(state.ownership, sentAt);
         state.ownership.checkAt = sentAt + OWNER_KEY_CHECK_INTERVAL_MS;
         for (const { jobId, change } of jobs)
           this.confirmChange(state, jobId, change, reply.version);
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -3,7 +3,7 @@
 import { System } from '../../base/common/system.ts';
 import type { OwnerRecord } from '../../model/scheduler/jobRecord.ts';
 import { epochSchema, ownerRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
-import { confirmOwnership } from '../../model/scheduler/ownership.ts';
+import { confirmOwnerKey, confirmOwnership } from '../../model/scheduler/ownership.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import {
@@ -88,9 +88,12 @@
 
   private receiveCheck(state: SchedulerState, now: number): void {
     const { ownership } = state;
-    for (const { callId, reply } of listStoreReplies(state, 'ownerCheck')) {
-      if (callId !== ownership.checkCallId || reply.kind !== 'mismatch') continue;
-      resetToFollower(state, 'another owner or none is in the store', now);
+    for (const { callId, reply, sentAt } of listStoreReplies(state, 'ownerCheck')) {
+      if (callId !== ownership.checkCallId) continue;
+      if (reply.kind === 'mismatch')
+        resetToFollower(state, 'another owner or none is in the store', now);
+      else if (reply.kind === 'written') confirmOwnerKey(ownership, sentAt);
+      else ownership.checkAt = Math.min(ownership.checkAt, now + RENEWAL_RETRY_DELAY_MS);
     }
   }
 
@@ -297,7 +300,8 @@
     ownership.epoch = epoch;
     ownership.keyVersion = keyVersion;
     ownership.confirmedAt = Number.NEGATIVE_INFINITY;
-    confirmOwnership(ownership, confirmedAt);
+    ownership.keyConfirmedAt = Number.NEGATIVE_INFINITY;
+    confirmOwnerKey(ownership, confirmedAt);
     ownership.renewAt = confirmedAt;
     ownership.checkAt = confirmedAt + OWNER_KEY_CHECK_INTERVAL_MS;
     ownership.checkCallId = '';
--- a/test/support/worldLinks.ts
+++ b/test/support/worldLinks.ts
@@ -14,6 +14,8 @@
 
 /** Simulates the links between the entries and agents of a world. */
 export class WorldLinks {
+  /** Pairs of entries that are partitioned from each other, `ID|ID` in both orders. */
+  private readonly partitionedEntries = new Set<string>();
   /** Time until a link to the owner opens, ms. */
   ownerLinkDelayMs = LINK_DELAY_MS;
 
@@ -49,9 +51,24 @@
     this.deliveries.toEntry(LINK_DELAY_MS, entry, arrival);
   }
 
+  /** Partitions two entries from each other for good; their link closes. */
+  closeEntries(entry: EntryNode, other: EntryNode): void {
+    this.partitionedEntries.add(`${entry.id}|${other.id}`).add(`${other.id}|${entry.id}`);
+    for (const [from, to] of [
+      [entry, other],
+      [other, entry],
+    ] as const) {
+      if (from.ownerId !== to.id) continue;
+      from.ownerId = '';
+      this.deliveries.toEntry(LINK_DELAY_MS, from, { kind: 'ownerLink', isOpen: false });
+      const closed = { kind: 'peerLink', peerId: from.id, isOpen: false } as const;
+      this.deliveries.toEntry(LINK_DELAY_MS, to, closed);
+    }
+  }
+
   openOwner(entry: EntryNode, address: string): void {
     const owner = this.entries.find(({ state }) => state.self.address === address);
-    const isOpen = owner?.isUp === true;
+    const isOpen = owner?.isUp === true && !this.partitionedEntries.has(`${entry.id}|${owner.id}`);
     entry.ownerId = isOpen ? owner.id : '';
     const attempt = (entry.ownerAttempt += 1);
     this.events.schedule(this.ownerLinkDelayMs, () => {
