Wait for the last grants of known owners instead of the grant window

What callers saw: long-running tasks of a worker that was lost with its agent had no run for 16.6 s after the owner was replaced (LOST). A new owner does not know when the owners before it granted their last lease. Without a report of the agent it waited for the grant window of 10 s and a lease, from the load of its tables; each takeover began that wait anew.

An owner now grants leases only within 1.6 s of a confirmation: of its key by the store, or of each follower that the store does not answer it either. In an outage for all entries it goes on for 10 s as before. Entries tell the owner that they follow it, and the owner answers. A follower that claims, or that follows the next owner, no longer confirms the one before, so that the next owner waits 2.1 s and a lease, from its claim. What is left of the wait for earlier owners is handed on in these answers and in the owner record, and an entry that replaces its own earlier process does not wait for that one. An owner that does not know the one before waits for the grant window as before.

--- a/src/model/scheduler/jobRecord.ts
+++ b/src/model/scheduler/jobRecord.ts
@@ -85,6 +85,8 @@
   epoch: epochSchema,
   /** Store lease that the record is attached to. */
   leaseId: z.optional(z.string()),
+  /** How long after the claim earlier owners may have granted leases, ms; earlier builds do not write it. */
+  earlierGrantsMs: z.optional(z.number().check(z.minimum(0))),
 });
 export type OwnerRecord = z.infer<typeof ownerRecordSchema>;
 
--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -149,12 +149,33 @@
 });
 export type OwnerStatusUpdate = z.infer<typeof ownerStatusUpdateSchema>;
 
+/** A question of the owner to its followers whether they can take over. */
+const takeoverQuestionSchema = z.object({
+  epoch: epochSchema,
+  /** When the owner asked, owner's clock ms. */
+  askedAt: z.number(),
+});
+export type TakeoverQuestion = z.infer<typeof takeoverQuestionSchema>;
+
 /** A message of the owner to another entry. */
 export const ownerMessageSchema = z.discriminatedUnion('kind', [
   ownerStatusUpdateSchema,
   z.object({ kind: z.literal('answer'), callId: z.string(), answer: queueAnswerSchema }),
-  /** The store does not serve the owner; an entry that the store serves may offer to take over. */
-  z.object({ kind: z.literal('askTakeOver') }),
+  /**
+   * The store does not serve the owner; an entry that the store serves may offer to take over. The
+   * others return the question, with the owner's clock, ms; earlier builds do not send it.
+   */
+  z.object({ kind: z.literal('askTakeOver'), question: z.optional(takeoverQuestionSchema) }),
+  /**
+   * The owner of the epoch counts the entry among its followers. Until `earlierGrantsMs` after this
+   * message, owners before it may grant leases. A late copy only makes the entry wait longer.
+   */
+  z.object({
+    kind: z.literal('followed'),
+    epoch: epochSchema,
+    token: z.number(),
+    earlierGrantsMs: z.number().check(z.minimum(0)),
+  }),
   /** The owner has released its ownership; its key may be replaced while it has this version. */
   z.object({ kind: z.literal('handOver'), keyVersion: z.int() }),
 ]);
@@ -180,6 +201,23 @@
   }),
   /** The store has just answered the entry, which could take over the ownership; with its processor time. */
   z.object({ kind: z.literal('canTakeOver'), cores: z._default(z.number(), 0) }),
+  /** The store did not answer the entry after the owner's question, so it had not taken over then. */
+  z.object({ kind: z.literal('cannotTakeOver'), question: takeoverQuestionSchema }),
+  /**
+   * The entry follows the owner of the epoch and may claim the ownership later; repeated on the open
+   * link. `token` is the entry's clock, ms, which the owner returns. `previous` is the owner before,
+   * if it counted the entry among its followers: for `earlierGrantsMs`, owners before that one may
+   * grant leases.
+   */
+  z.object({
+    kind: z.literal('follow'),
+    entryId: z.string(),
+    token: z.number(),
+    epoch: epochSchema,
+    previous: z.optional(
+      z.object({ epoch: epochSchema, earlierGrantsMs: z.number().check(z.minimum(0)) }),
+    ),
+  }),
   /** The entry has more processor time than the owner and could take over the ownership. */
   z.object({ kind: z.literal('offerTakeOver'), cores: z.number() }),
   /** The sender has taken over the ownership and listens at the address. */
--- a/src/model/scheduler/ownership.ts
+++ b/src/model/scheduler/ownership.ts
@@ -1,3 +1,12 @@
+/** An owner that has counted this entry among its followers. */
+export interface FollowedOwner {
+  readonly epoch: number;
+  /** When the entry sent the message that the owner answered, monotonic clock ms. */
+  readonly at: number;
+  /** When the owners before it have certainly granted their last lease, monotonic clock ms. */
+  readonly grantsEndAt: number;
+}
+
 /** State of an entry about the owner and about its own claim to the ownership. */
 export interface Ownership {
   role: 'follower' | 'claiming' | 'loading' | 'owner';
@@ -11,6 +20,17 @@
   confirmedAt: number;
   /** Start of the latest store call that found this entry's owner key unchanged, monotonic clock ms. */
   keyConfirmedAt: number;
+  /** When the owners before this one have certainly granted their last lease, monotonic clock ms. */
+  earlierGrantsEndAt: number;
+  /** The same for the owner of the epoch, as its stored record tells. */
+  recordedGrants: { readonly epoch: number; readonly endAt: number };
+  /** How long after the pending claim earlier owners may grant leases, ms. */
+  claimedGrantsMs: number;
+  /** The latest owners that have counted this entry among their followers. */
+  followed: FollowedOwner;
+  followedBefore: FollowedOwner;
+  /** Latest epoch whose owner process has certainly ended or given up. */
+  endedEpoch: number;
   /** When this entry last noticed that it had been suspended, monotonic clock ms. */
   resumedAt: number;
   renewAt: number;
@@ -49,6 +69,7 @@
 }
 
 const NEVER = Number.NEGATIVE_INFINITY;
+const UNKNOWN_OWNER: FollowedOwner = { epoch: 0, at: NEVER, grantsEndAt: Number.POSITIVE_INFINITY };
 
 export function createOwnership(): Ownership {
   return {
@@ -59,6 +80,12 @@
     epochKeyVersion: 0,
     confirmedAt: NEVER,
     keyConfirmedAt: NEVER,
+    earlierGrantsEndAt: NEVER,
+    recordedGrants: { epoch: 0, endAt: NEVER },
+    claimedGrantsMs: 0,
+    followed: UNKNOWN_OWNER,
+    followedBefore: UNKNOWN_OWNER,
+    endedEpoch: 0,
     resumedAt: NEVER,
     renewAt: NEVER,
     checkAt: NEVER,
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -177,7 +177,10 @@
   /** Incarnation that the agent last reported. */
   readonly workerKey: string | undefined;
   readonly grantedAt: number;
-  /** Time until which leases of earlier owners may last on the instance, owner's clock ms. */
+  /**
+   * Time until which leases of earlier owners may last on the instance, as the agent has proved it,
+   * owner's clock ms; infinite without a proof.
+   */
   readonly earlierLeasesEndAt: number;
   /** How long leases may last on the instance, as the agent last reported it to this owner, ms. */
   readonly reportedLeaseMs: number | undefined;
--- a/src/model/scheduler/schedulerState.ts
+++ b/src/model/scheduler/schedulerState.ts
@@ -4,6 +4,7 @@
 import { Table } from '../../base/common/table.ts';
 import type { PlatformBounds } from './platformBounds.ts';
 import type { SchedulerArrival, SchedulerEffect } from './schedulerMessages.ts';
+import type { FollowerRow } from './follower.ts';
 import type { FleetState } from './fleet.ts';
 import { createFleet } from './fleet.ts';
 import type { LeaseWaitRow } from './leaseWait.ts';
@@ -13,7 +14,7 @@
 import type { AdviceCallState, AdviceRow } from './placementAdvice.ts';
 import type { QueueCall } from './queueCall.ts';
 import type { Queue, QueueConfiguration, QueueTerms } from './queueConfiguration.ts';
-import type { JobStatus, EntryMessage } from './linkMessages.ts';
+import type { JobStatus, EntryMessage, TakeoverQuestion } from './linkMessages.ts';
 import type { SystemTimers } from './systemTimers.ts';
 import { createSystemTimers } from './systemTimers.ts';
 import type { AgentRow, JobRow, ReportedEnd, MoveRow, TaskRow, WorkerRow } from './rows.ts';
@@ -137,6 +138,10 @@
   readonly statusesByQueue: TableIndex<JobStatus>;
   /** Ids of the changed statuses that must be sent to the other entries. */
   readonly changedStatuses: Set<string>;
+  /** Entries that may claim the ownership, at the owner. */
+  readonly followers: Table<FollowerRow>;
+  /** The owner's question of each pending `canTakeOver` call, by call id. */
+  readonly takeoverQuestions: Map<string, TakeoverQuestion>;
   readonly peers: Set<string>;
   readonly newPeers: Set<string>;
   /** Messages of this entry to itself as the owner. */
@@ -215,6 +220,8 @@
     statuses,
     statusesByQueue: statuses.addIndex((status) => status.queue),
     changedStatuses: new Set(),
+    followers: Table.create<FollowerRow>('followers'),
+    takeoverQuestions: new Map(),
     peers: new Set(),
     newPeers: new Set(),
     entryMessages: [],
--- a/src/model/scheduler/systemTimers.ts
+++ b/src/model/scheduler/systemTimers.ts
@@ -12,6 +12,10 @@
   taskWaitLogAt: number;
   retentionAt: number;
   statusUpdateSentAt: number;
+  /** When the entry next tells the owner that it follows it. */
+  followAt: number;
+  /** Epoch that it named in its latest message to the owner. */
+  followEpoch: number;
   /** Time since which the link to the owner has been opening. */
   ownerLinkOpeningSince: number;
   shutdownStartedAt: number;
@@ -34,6 +38,8 @@
     taskWaitLogAt: NEVER,
     retentionAt: NEVER,
     statusUpdateSentAt: NEVER,
+    followAt: NEVER,
+    followEpoch: 0,
     ownerLinkOpeningSince: NEVER,
     shutdownStartedAt: NEVER,
     lastWallOffsetMs: undefined,
--- a/src/systems/scheduler/agentLinkSystem.ts
+++ b/src/systems/scheduler/agentLinkSystem.ts
@@ -2,12 +2,8 @@
 import { System } from '../../base/common/system.ts';
 import type { AgentRow, WorkerRow } from '../../model/scheduler/rows.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import {
-  computeLeaseDuration,
-  GRANT_WINDOW_MS,
-  MAX_REPORT_AGE_MS,
-  RUN_LEASE_MS,
-} from './ownershipTimes.ts';
+import { canGrantLeases } from './earlierGrants.ts';
+import { computeLeaseDuration, MAX_REPORT_AGE_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 const INITIAL_RETRY_DELAY_MS = 250;
@@ -127,10 +123,8 @@
   }
 
   private canGrant(state: SchedulerState, worker: WorkerRow, now: number): boolean {
-    // The lease of the key can be renewed after the key itself has been deleted.
-    const isConfirmed = now - state.ownership.keyConfirmedAt < GRANT_WINDOW_MS;
     const isFresh = now - worker.lastReportAt < MAX_REPORT_AGE_MS;
-    return isConfirmed && isFresh && worker.hasFencedReport;
+    return isFresh && worker.hasFencedReport && canGrantLeases(state, now);
   }
 
   private sendGrant(
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -5,7 +5,6 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import type { StoreEntry } from '../../model/store.ts';
 import { releaseRun } from './jobChanges.ts';
-import { computeLeaseDuration, GRANT_WINDOW_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { recordUnreadableEntry } from './unreadableEntries.ts';
 
 /**
@@ -38,14 +37,6 @@
     if (run.phase !== 'placed') releaseRun(state, run, 'worker left', { now });
 }
 
-/**
- * Computes until when leases of earlier owners may last where no agent tells: they may have granted
- * some until the end of their grant windows.
- */
-export function computeEarlierLeaseEnd({ ownership }: SchedulerState): number {
-  return ownership.loadedAt + GRANT_WINDOW_MS + computeLeaseDuration(RUN_LEASE_MS);
-}
-
 function addAgent(state: SchedulerState, id: string, record: AgentRecord): void {
   const previous = state.agents.get(id);
   if (previous?.address === record.address) {
@@ -66,7 +57,7 @@
     openedAt: Number.NEGATIVE_INFINITY,
     workerKey: previous?.workerKey,
     grantedAt: Number.NEGATIVE_INFINITY,
-    earlierLeasesEndAt: previous?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
+    earlierLeasesEndAt: previous?.earlierLeasesEndAt ?? Number.POSITIVE_INFINITY,
     reportedLeaseMs: previous?.reportedLeaseMs,
     lastMessageAt: Number.NEGATIVE_INFINITY,
   });
--- a/src/systems/scheduler/clockSystem.ts
+++ b/src/systems/scheduler/clockSystem.ts
@@ -34,6 +34,11 @@
     logEvent(state, 'warn', 'clock_jumped', { jumpMs: Math.round(jumpMs) });
     state.ownership.confirmedAt -= jumpMs;
     state.ownership.keyConfirmedAt -= jumpMs;
+    const { followed, followedBefore } = state.ownership;
+    state.ownership.followed = { ...followed, at: followed.at - jumpMs };
+    state.ownership.followedBefore = { ...followedBefore, at: followedBefore.at - jumpMs };
+    for (const { id, declinedAt } of state.followers.list())
+      state.followers.update(id, { declinedAt: declinedAt - jumpMs });
     state.ownership.resumedAt = tick.now;
     state.ownership.lastConfirmedUpdateAt -= jumpMs;
     state.ownership.renewAt = tick.now;
--- a/src/systems/scheduler/commandSystem.ts
+++ b/src/systems/scheduler/commandSystem.ts
@@ -6,8 +6,9 @@
 import { PENDING_COMMAND } from '../../model/scheduler/runTables.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { getRunLeaseMs } from './agentLinkSystem.ts';
+import { canGrantLeases } from './earlierGrants.ts';
 import { recordJobStart, releaseRun } from './jobChanges.ts';
-import { computeLeaseDuration, GRANT_WINDOW_MS } from './ownershipTimes.ts';
+import { computeLeaseDuration } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 import { MAX_CONFIRMATION_AGE_MS } from './taskPlacements.ts';
 import { dropRunTicket, findRunTicket } from './tickets.ts';
@@ -37,10 +38,9 @@
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
     // A successor may have taken over since an older confirmation, and started the task elsewhere.
-    const { confirmedAt, keyConfirmedAt } = state.ownership;
     const canStart =
-      tick.now - confirmedAt <= MAX_CONFIRMATION_AGE_MS &&
-      tick.now - keyConfirmedAt < GRANT_WINDOW_MS;
+      tick.now - state.ownership.confirmedAt <= MAX_CONFIRMATION_AGE_MS &&
+      canGrantLeases(state, tick.now);
     for (const { agentId, message } of state.inbox.list('agentMessage'))
       if (message.kind === 'startResult') this.applyResult(state, agentId, message, tick.now);
     for (const { id } of state.runsWithCommand.list(PENDING_COMMAND)) {
--- a/src/systems/scheduler/handoffSystem.ts
+++ b/src/systems/scheduler/handoffSystem.ts
@@ -53,8 +53,9 @@
     }
     if (tick.now >= ownership.takeoverRequestedAt + SUCCESSOR_QUERY_INTERVAL_MS) {
       ownership.takeoverRequestedAt = tick.now;
-      for (const peerId of peers)
-        state.outbox.append({ kind: 'sendPeer', peerId, message: { kind: 'askTakeOver' } });
+      const question = { epoch: ownership.epoch, askedAt: tick.now };
+      const message = { kind: 'askTakeOver' as const, question };
+      for (const peerId of peers) state.outbox.append({ kind: 'sendPeer', peerId, message });
     }
     tick.wakeAt(ownership.takeoverRequestedAt + SUCCESSOR_QUERY_INTERVAL_MS);
   }
@@ -131,19 +132,26 @@
       if (message.kind === 'askTakeOver') {
         const expected = [{ key: STORE_KEYS.owner, version: 0 }];
         const call = { op: 'transact' as const, expected, puts: [], deletes: [] };
-        sendStoreCall(state, 'canTakeOver', call, STORE_PROBE_TIMEOUT_MS);
+        const callId = sendStoreCall(state, 'canTakeOver', call, STORE_PROBE_TIMEOUT_MS);
+        if (message.question !== undefined) state.takeoverQuestions.set(callId, message.question);
       } else if (message.kind === 'handOver') {
         ownership.claimableVersion = message.keyVersion;
         ownership.lastConfirmedUpdateAt = Number.NEGATIVE_INFINITY;
         ownership.claimAt = now;
       }
     }
-    for (const { reply } of listStoreReplies(state, 'canTakeOver'))
+    for (const { callId, reply } of listStoreReplies(state, 'canTakeOver')) {
+      const question = state.takeoverQuestions.get(callId);
+      state.takeoverQuestions.delete(callId);
       if (reply.kind !== 'refused' && reply.kind !== 'unavailable')
         state.outbox.append({
           kind: 'hintOwner',
           message: { kind: 'canTakeOver', cores: state.self.cores },
         });
+      // A later owner may rely on it that this entry no longer answers the one before.
+      else if (question?.epoch === ownership.epoch && ownership.role === 'follower')
+        state.outbox.append({ kind: 'hintOwner', message: { kind: 'cannotTakeOver', question } });
+    }
   }
 
   private openSuccessorLink(state: SchedulerState): void {
--- a/src/systems/scheduler/leaseExpirySystem.ts
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -4,7 +4,7 @@
 import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import { LONG_LEASE } from '../../model/scheduler/runTables.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
-import { computeEarlierLeaseEnd } from './agentTables.ts';
+import { computeEarlierLeaseEnd } from './earlierGrants.ts';
 import { recordJobChange, releaseRun } from './jobChanges.ts';
 import { MAX_REPORT_AGE_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
@@ -116,7 +116,10 @@
     id: workerKey,
     silentSince: state.ownership.loadedAt,
     endsAt: Math.max(
-      agent?.earlierLeasesEndAt ?? computeEarlierLeaseEnd(state),
+      Math.min(
+        agent?.earlierLeasesEndAt ?? Number.POSITIVE_INFINITY,
+        computeEarlierLeaseEnd(state),
+      ),
       ...state.runsByWorker.list(workerKey).map(({ longLeaseEndsAt }) => longLeaseEndsAt),
     ),
     grantedBy: 'earlierOwner',
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -13,6 +13,7 @@
   OWNER_LEASE_MARGIN_MS,
   SMALLER_ENTRY_DELAY_MS,
 } from './ownershipTimes.ts';
+import { computeEarlierGrantsMs } from './earlierGrants.ts';
 import { resetToFollower } from './resetToFollower.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 import { recordUnreadableEntry } from './unreadableEntries.ts';
@@ -169,12 +170,14 @@
     }
     ownership.vacantSince = Number.POSITIVE_INFINITY;
     ownership.epoch = Math.max(ownership.epoch, owner.epoch);
+    if (owner.earlierGrantsMs !== undefined)
+      ownership.recordedGrants = { epoch: owner.epoch, endAt: now + owner.earlierGrantsMs };
     if (owner.entryId === state.self.id) {
       // The latest claim of this process, whose reply was lost. An earlier claim, or one of a dead
       // process with the same id, is attached to a lease that nobody renews.
       if (owner.bootId === state.self.bootId && owner.leaseId === ownership.leaseId)
-        this.acceptClaim(state, owner.epoch, entry.version, sentAt);
-      else this.startClaim(state, entry.version);
+        this.acceptClaim(state, owner.epoch, entry.version, sentAt, now);
+      else this.startClaimOverOwnRecord(state, owner, entry.version);
       return;
     }
     if (ownership.claimableVersion === entry.version) {
@@ -229,6 +232,18 @@
     this.startClaim(state, 0);
   }
 
+  /** Replaces the record of this entry's earlier process, or of a claim that it has given up. */
+  private startClaimOverOwnRecord(
+    state: SchedulerState,
+    { address, epoch }: OwnerRecord,
+    version: number,
+  ): void {
+    // Two processes cannot listen at one address, so the earlier one has ended.
+    if (address === state.self.address)
+      state.ownership.endedEpoch = Math.max(state.ownership.endedEpoch, epoch);
+    this.startClaim(state, version);
+  }
+
   private startClaim(state: SchedulerState, ownerVersion: number): void {
     const { ownership } = state;
     ownership.role = 'claiming';
@@ -248,12 +263,14 @@
       }
       ownership.leaseId = reply.leaseId;
       const epoch = ownership.epoch + 1;
+      ownership.claimedGrantsMs = computeEarlierGrantsMs(ownership, now);
       const value: OwnerRecord = {
         entryId: self.id,
         bootId: self.bootId,
         address: self.address,
         epoch,
         leaseId: reply.leaseId,
+        earlierGrantsMs: ownership.claimedGrantsMs,
       };
       sendStoreCall(
         state,
@@ -280,7 +297,7 @@
     for (const { reply, sentAt } of listStoreReplies(state, 'claim')) {
       if (ownership.role !== 'claiming') continue;
       if (reply.kind === 'written') {
-        this.acceptClaim(state, ownership.epoch + 1, reply.version, sentAt);
+        this.acceptClaim(state, ownership.epoch + 1, reply.version, sentAt, tick.now);
         continue;
       }
       ownership.role = 'follower';
@@ -294,6 +311,7 @@
     epoch: number,
     keyVersion: number,
     confirmedAt: number,
+    now: number,
   ): void {
     const { ownership } = state;
     ownership.role = 'loading';
@@ -302,6 +320,8 @@
     ownership.confirmedAt = Number.NEGATIVE_INFINITY;
     ownership.keyConfirmedAt = Number.NEGATIVE_INFINITY;
     confirmOwnerKey(ownership, confirmedAt);
+    ownership.earlierGrantsEndAt = now + ownership.claimedGrantsMs;
+    state.followers.clear();
     ownership.renewAt = confirmedAt;
     ownership.checkAt = confirmedAt + OWNER_KEY_CHECK_INTERVAL_MS;
     ownership.checkCallId = '';
@@ -320,6 +340,10 @@
     state.load.callId = '';
     state.load.entries.clear();
     state.counters.add('takeovers');
-    logEvent(state, 'info', 'ownership_taken', { epoch, keyVersion });
+    logEvent(state, 'info', 'ownership_taken', {
+      epoch,
+      keyVersion,
+      earlierGrantsMs: ownership.claimedGrantsMs,
+    });
   }
 }
--- a/src/systems/scheduler/ownershipTimes.ts
+++ b/src/systems/scheduler/ownershipTimes.ts
@@ -1,10 +1,17 @@
 /**
  * How long an owner keeps granting run leases without a confirmation from the store, ms. Store
- * outages of up to 10 s are common and running work survives them; a successor waits this long for
- * workers that it cannot reach.
+ * outages of up to 10 s are common and running work survives them; a successor that the owner may not
+ * know waits this long for workers that it cannot reach.
  */
 export const GRANT_WINDOW_MS = 10_000;
 
+/**
+ * How long after a confirmation an owner grants leases, ms: one of the owner key by the store, which
+ * comes at least every second, or one by all followers that they cannot take over. A successor among
+ * the followers waits only this long for workers that it cannot reach.
+ */
+export const GRANT_CONFIRMATION_MS = 1_600;
+
 /**
  * Longest lease that an owner grants to runs, ms; long enough to outlast a takeover, short enough
  * to move lost work soon.
--- a/src/systems/scheduler/resetToFollower.ts
+++ b/src/systems/scheduler/resetToFollower.ts
@@ -1,4 +1,5 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
+import { recordFollowedOwner } from './earlierGrants.ts';
 import { logEvent } from './storeCalls.ts';
 
 /** Ends this entry's ownership in memory: clears the owner's tables and closes its agent links. */
@@ -6,6 +7,12 @@
   const { ownership } = state;
   logEvent(state, 'warn', 'ownership_lost', { epoch: ownership.epoch, reason });
   state.counters.add('ownership_losses', { reason });
+  // An entry that only claims knows the epoch of another owner, which may be alive.
+  if (ownership.role !== 'claiming') {
+    const { epoch, earlierGrantsEndAt } = ownership;
+    ownership.endedEpoch = epoch;
+    recordFollowedOwner(ownership, { epoch, at: now, grantsEndAt: earlierGrantsEndAt });
+  }
   ownership.role = 'follower';
   ownership.statusesCurrentAt = ownership.confirmedAt;
   ownership.leaseId = '';
@@ -24,6 +31,7 @@
     state.leaseWaits,
     state.servingLoads,
     state.advice,
+    state.followers,
   ])
     table.clear();
   state.adviceCall.callId = '';
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -7,6 +7,7 @@
 import { CommandSystem } from './commandSystem.ts';
 import { CommitSystem } from './commitSystem.ts';
 import { CopySystem } from './copySystem.ts';
+import { FollowerSystem } from './followerSystem.ts';
 import { HandoffSystem } from './handoffSystem.ts';
 import { InstanceListSystem } from './instanceListSystem.ts';
 import { IntakeSystem } from './intakeSystem.ts';
@@ -80,6 +81,7 @@
     CommandSystem.create(),
     AgentLinkSystem.create(),
     StatusUpdateSystem.create(),
+    FollowerSystem.create(),
     RetentionSystem.create(),
     StopSystem.create(),
   ];
--- a/test/support/lostWorkers.ts
+++ b/test/support/lostWorkers.ts
@@ -80,6 +80,19 @@
   });
 }
 
+/** Kills an entry and starts another process of it at the same address after a time. */
+export function replaceProcess(world: SchedulerWorld, entry: EntryNode, downMs: number): void {
+  const { holdMaxMs } = entry.state.bounds;
+  world.kill(entry);
+  world.events.schedule(downMs, () => {
+    world.entries.splice(world.entries.indexOf(entry), 1);
+    world.events.forgetWake(entry.id);
+    const next = world.addEntry(entry.id);
+    next.store = entry.store;
+    setLongestLease(world, holdMaxMs);
+  });
+}
+
 /** Advances the clock until the task runs, and returns the time that this took, ms. */
 export function measureIdleTime(world: SchedulerWorld, limitMs: number): number {
   const startedAt = world.clock.now;
--- a/test/support/worldEvents.ts
+++ b/test/support/worldEvents.ts
@@ -29,6 +29,11 @@
     });
   }
 
+  /** Drops the pending tick of a process that has ended, whose node gets a new one. */
+  forgetWake(nodeId: string): void {
+    this.wakes.delete(nodeId);
+  }
+
   /** Advances the clock and runs all events that are due. */
   run(durationMs: number, beforeEach: () => void): void {
     const end = this.clock.now + durationMs;
--- a/test/support/worldLinks.ts
+++ b/test/support/worldLinks.ts
@@ -51,7 +51,12 @@
     this.deliveries.toEntry(LINK_DELAY_MS, entry, arrival);
   }
 
-  /** Partitions two entries from each other for good; their link closes. */
+  /** Ends the partitions between entries. */
+  openEntries(): void {
+    this.partitionedEntries.clear();
+  }
+
+  /** Partitions two entries from each other; their link closes. */
   closeEntries(entry: EntryNode, other: EntryNode): void {
     this.partitionedEntries.add(`${entry.id}|${other.id}`).add(`${other.id}|${entry.id}`);
     for (const [from, to] of [
