Keep the stored end of a worker when its agent starts again

What happened: an agent stores the end of its worker, because it may stop with its instance before an owner has read it. An agent that started again replaced its record without reading it, so the end was lost, and a long-running task waited 15.4 s for a lease after one takeover and after two (LOST).

The registration now expects the version of the record that the process knows. On a mismatch it reads the stored end and writes it again, with the new address. A first start costs no more calls, a later one costs one.

--- a/src/model/scheduler/runnerAgentState.ts
+++ b/src/model/scheduler/runnerAgentState.ts
@@ -75,6 +75,10 @@
     address: string;
     /** Whether the store holds the agent's current record. */
     isRegistered: boolean;
+    /** Version of the stored record as this process knows it; 0 without one. */
+    recordVersion: number;
+    /** The incarnation whose end an earlier process of the agent has stored. */
+    storedGoneWorker: { readonly id: string; readonly bornMs: number } | undefined;
     /** Id of the latest registration call; replies to earlier ones are ignored. */
     registerCallId: string;
     registerAt: number;
@@ -163,6 +167,8 @@
       zone,
       address: '',
       isRegistered: false,
+      recordVersion: 0,
+      storedGoneWorker: undefined,
       registerCallId: '',
       registerAt: NEVER,
       stopAt: Number.POSITIVE_INFINITY,
--- a/src/systems/runnerAgent/agentLifecycleSystem.ts
+++ b/src/systems/runnerAgent/agentLifecycleSystem.ts
@@ -1,8 +1,10 @@
+import { parseValue } from '../../base/common/parse.ts';
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { AgentRecord } from '../../model/scheduler/jobRecord.ts';
-import { STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
+import { agentRecordSchema, STORE_KEYS } from '../../model/scheduler/jobRecord.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
+import type { StoreEntry, StoreReply } from '../../model/store.ts';
 import { logAgentEvent } from './agentCalls.ts';
 
 const CALL_TIMEOUT_MS = 800;
@@ -43,14 +45,11 @@
     const { self } = state;
     for (const { callId, reply } of state.inbox.list('storeReply')) {
       if (callId !== self.registerCallId) continue;
-      if (reply.kind === 'written') {
-        self.isRegistered = true;
-        logAgentEvent(state, 'info', 'agent_registered', {
-          address: self.address,
-          goneWorker: state.workerExit === 'gone' ? (state.worker?.id ?? '') : '',
-        });
+      if (reply.kind === 'mismatch') {
+        const hasRead = this.readRecord(state, reply.entries);
+        self.registerAt = tick.now + (hasRead ? 0 : RETRY_DELAY_MS);
       } else {
-        self.registerAt = tick.now + RETRY_DELAY_MS;
+        this.receiveWritten(state, reply, tick.now);
       }
     }
     if (self.isRegistered || self.address === '') return;
@@ -62,23 +61,55 @@
     tick.wakeAt(self.registerAt);
     self.registerCallId = `register#${state.nextCall}`;
     state.nextCall += 1;
+    const key = STORE_KEYS.agent(self.id);
     state.outbox.append({
       kind: 'callStore',
       callId: self.registerCallId,
       call: {
         op: 'transact',
-        expected: [],
-        puts: [{ key: STORE_KEYS.agent(self.id), value: this.buildRecord(state) }],
+        // A record of an earlier process is read before it is replaced.
+        expected: [{ key, version: self.recordVersion }],
+        puts: [{ key, value: this.buildRecord(state) }],
         deletes: [],
       },
       timeoutMs: CALL_TIMEOUT_MS,
     });
   }
 
-  private buildRecord(state: RunnerAgentState): AgentRecord {
-    const { self, worker, workerExit } = state;
+  private receiveWritten(state: RunnerAgentState, reply: StoreReply, now: number): void {
+    const { self } = state;
+    if (reply.kind !== 'written') {
+      self.registerAt = now + RETRY_DELAY_MS;
+      return;
+    }
+    self.isRegistered = true;
+    self.recordVersion = reply.version;
+    logAgentEvent(state, 'info', 'agent_registered', {
+      address: self.address,
+      goneWorker: this.buildRecord(state).goneWorker?.id ?? '',
+    });
+  }
+
+  /**
+   * Reads the version of the stored record, and the end of a worker that an earlier process stored.
+   * Returns false without another version.
+   */
+  private readRecord({ self }: RunnerAgentState, entries: readonly StoreEntry[]): boolean {
+    const entry = entries.find(({ key }) => key === STORE_KEYS.agent(self.id));
+    if (entry === undefined || entry.version === self.recordVersion) return false;
+    self.recordVersion = entry.version;
+    // An unreadable record holds no end, and is replaced.
+    const record = parseValue(agentRecordSchema, entry.value).toMaybe().extract();
+    self.storedGoneWorker = record?.goneWorker ?? self.storedGoneWorker;
+    return true;
+  }
+
+  private buildRecord({ self, worker, workerExit }: RunnerAgentState): AgentRecord {
+    const goneWorker =
+      workerExit === 'gone' && worker !== undefined
+        ? { id: worker.id, bornMs: worker.bornMs }
+        : self.storedGoneWorker;
     const record = { address: self.address, zone: self.zone };
-    if (workerExit !== 'gone' || worker === undefined) return record;
-    return { ...record, goneWorker: { id: worker.id, bornMs: worker.bornMs } };
+    return goneWorker === undefined ? record : { ...record, goneWorker };
   }
 }
