Store what is left of the longer lease of a worker every second

What happened: an owner that took over waited for the whole longer lease in the record of a run, counted from the load of its tables.

An owner writes the rest of such leases every second.

longLeases.test.ts, "is not waited for anew by each owner", fails for leases of 10 s without the writes and passes with them.

--- a/src/model/scheduler/systemTimers.ts
+++ b/src/model/scheduler/systemTimers.ts
@@ -11,6 +11,8 @@
   preemptionAt: number;
   taskWaitLogAt: number;
   retentionAt: number;
+  /** When the rest of longer leases is stored next. */
+  longLeaseWriteAt: number;
   statusUpdateSentAt: number;
   /** When the entry next tells the owner that it follows it. */
   followAt: number;
@@ -37,6 +39,7 @@
     preemptionAt: NEVER,
     taskWaitLogAt: NEVER,
     retentionAt: NEVER,
+    longLeaseWriteAt: NEVER,
     statusUpdateSentAt: NEVER,
     followAt: NEVER,
     followEpoch: 0,
--- a/src/systems/scheduler/leaseExpirySystem.ts
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -9,9 +9,12 @@
 import { MAX_REPORT_AGE_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
+/** Interval at which the rest of longer leases is stored, ms; they last for seconds. */
+const LONG_LEASE_WRITE_INTERVAL_MS = 1_000;
+
 /**
  * Releases the runs of silent workers once their lease has certainly ended. Reads `workers` and `agents`;
- * writes `leaseWaits` and releases `runs`. Runs after the reports.
+ * writes `leaseWaits` and the longer leases of `runs`, and releases `runs`. Runs after the reports.
  */
 export class LeaseExpirySystem extends System<SchedulerState> {
   override readonly name = 'leaseExpiry';
@@ -26,7 +29,7 @@
 
   override run(state: SchedulerState, tick: Tick): void {
     if (state.ownership.role !== 'owner') return;
-    this.clearLongLeases(state, tick);
+    this.updateLongLeases(state, tick);
     for (const { id } of state.leaseWaits.list())
       if (state.runsByWorker.count(id) === 0) state.leaseWaits.remove(id);
     for (const workerKey of [...state.runsByWorker.keys()]) {
@@ -40,16 +43,22 @@
     }
   }
 
-  /** Removes longer leases that have ended from the stored runs, so that no owner waits for them. */
-  private clearLongLeases(state: SchedulerState, tick: Tick): void {
-    for (const run of state.runsWithLongLease.list(LONG_LEASE)) {
-      if (tick.now <= run.longLeaseEndsAt) {
-        tick.wakeAt(run.longLeaseEndsAt + 1);
-        continue;
-      }
-      state.runs.update(run.id, { longLeaseEndsAt: Number.NEGATIVE_INFINITY });
-      recordJobChange(state, run.jobId);
+  /**
+   * Keeps the longer leases of stored runs up to date, so that the next owner waits only for the rest,
+   * and removes those that have ended.
+   */
+  private updateLongLeases(state: SchedulerState, tick: Tick): void {
+    const runs = state.runsWithLongLease.list(LONG_LEASE);
+    if (runs.length === 0) return;
+    const isWriteDue = tick.now >= state.timers.longLeaseWriteAt;
+    if (isWriteDue) state.timers.longLeaseWriteAt = tick.now + LONG_LEASE_WRITE_INTERVAL_MS;
+    for (const { id, jobId, longLeaseEndsAt } of runs) {
+      const hasEnded = tick.now > longLeaseEndsAt;
+      if (hasEnded) state.runs.update(id, { longLeaseEndsAt: Number.NEGATIVE_INFINITY });
+      else tick.wakeAt(longLeaseEndsAt + 1);
+      if (hasEnded || isWriteDue) recordJobChange(state, jobId);
     }
+    tick.wakeAt(state.timers.longLeaseWriteAt);
   }
 
   private updateWait(state: SchedulerState, wait: LeaseWaitRow, now: number): void {
--- a/test/systems/scheduler/longLeases.test.ts
+++ b/test/systems/scheduler/longLeases.test.ts
@@ -39,6 +39,20 @@
   });
 
   describe('on a worker that is lost', () => {
+    it('is not waited for anew by each owner', () => {
+      const { world, agent } = createRestartedWorker(maxMs);
+      loseWorker(agent);
+      world.restartAgent(agent, 100);
+      replaceOwner(world);
+      world.run(1_000);
+      replaceOwner(world);
+      world.run(1_000);
+      const lostAt = world.clock.now;
+      replaceOwner(world);
+      measureIdleTime(world, 30_000);
+      expect(world.clock.now - lostAt).toBeLessThan(IDLE_AFTER_DISRUPTION_MS);
+    });
+
     it('does not keep the task waiting once it has ended', () => {
       const { world, agent } = createRestartedWorker(maxMs);
       world.run(SETTLED_MS);
