Wait for late starts while a worker's next incarnation has not answered

What happened: a start without an answer was executed seconds later by the next incarnation of its worker, which had received no fence and was cut off.

An agent reports the incarnation that a heartbeat names before it has answered. While it has not, the owner keeps the runs of the former incarnation that may have a start without an answer, until such a start can neither be executed nor hold a lease any more. A worker that is lost sends no heartbeat, so its tasks do not wait longer; neither do runs whose only start was answered.

--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -62,6 +62,11 @@
      * earlier builds lack it.
      */
     leaseLeftMs: z.optional(z.number().check(z.minimum(0))),
+    /**
+     * A later incarnation that a heartbeat names and that has not answered yet. It may have received
+     * calls to the earlier one. Reports of earlier builds lack it.
+     */
+    unconfirmedWorker: z.optional(z.object({ id: z.string(), bornMs: z.number() })),
     /** Sample of the worker's monotonic clock, not younger than the lists. */
     clockMs: z.number(),
     running: z.array(runningRunSchema),
--- a/src/model/scheduler/rows.ts
+++ b/src/model/scheduler/rows.ts
@@ -182,6 +182,9 @@
    * owner's clock ms; infinite without a proof.
    */
   readonly earlierLeasesEndAt: number;
+  /** A later incarnation of the worker that has not answered the agent yet, and when it was first reported. */
+  readonly unconfirmedWorker:
+    { readonly id: string; readonly bornMs: number; readonly reportedAt: number } | undefined;
   /** How long leases may last on the instance, as the agent last reported it to this owner, ms. */
   readonly reportedLeaseMs: number | undefined;
   /** When the latest message was received, owner's clock ms. */
--- a/src/systems/runnerAgent/agentLease.ts
+++ b/src/systems/runnerAgent/agentLease.ts
@@ -1,8 +1,9 @@
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
-import { computeLeaseDuration, RUN_LEASE_MS } from '../scheduler/ownershipTimes.ts';
-
-/** Calls to a worker may be executed so late, ms; the platform names 12 s, and polls take 1.6 s. */
-const MAX_CALL_DELAY_MS = 14_000;
+import {
+  computeLeaseDuration,
+  MAX_CALL_DELAY_MS,
+  RUN_LEASE_MS,
+} from '../scheduler/ownershipTimes.ts';
 
 /**
  * Records the lease that an earlier process of this agent may have passed on. The worker's clock was
--- a/src/systems/runnerAgent/ownerLinkSystem.ts
+++ b/src/systems/runnerAgent/ownerLinkSystem.ts
@@ -1,6 +1,6 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
-import type { OwnerCommand } from '../../model/scheduler/linkMessages.ts';
+import type { AgentMessage, OwnerCommand } from '../../model/scheduler/linkMessages.ts';
 import type { RunnerAgentState } from '../../model/scheduler/runnerAgentState.ts';
 import { isWorkerConfirmed } from '../../model/scheduler/runnerAgentState.ts';
 import { logAgentEvent, resetOwnerLink, sendOwner } from './agentCalls.ts';
@@ -62,7 +62,7 @@
     sendOwner(state, {
       kind: 'report',
       epoch: 0,
-      ...(state.worker === undefined || !isWorkerConfirmed(state) ? {} : { worker: state.worker }),
+      ...describeWorker(state),
       ...(state.workerExit === 'gone' ? { isGone: true } : {}),
       leaseLeftMs,
       clockMs: state.poll.clockMs,
@@ -175,3 +175,13 @@
     });
   }
 }
+
+/** Describes the present worker, or the incarnation that has not answered yet. */
+function describeWorker(
+  state: RunnerAgentState,
+): Pick<Extract<AgentMessage, { kind: 'report' }>, 'worker' | 'unconfirmedWorker'> {
+  const { worker } = state;
+  if (worker === undefined) return {};
+  if (isWorkerConfirmed(state)) return { worker };
+  return { unconfirmedWorker: { id: worker.id, bornMs: worker.bornMs } };
+}
--- a/src/systems/scheduler/agentTables.ts
+++ b/src/systems/scheduler/agentTables.ts
@@ -58,6 +58,7 @@
     workerKey: previous?.workerKey,
     grantedAt: Number.NEGATIVE_INFINITY,
     earlierLeasesEndAt: previous?.earlierLeasesEndAt ?? Number.POSITIVE_INFINITY,
+    unconfirmedWorker: previous?.unconfirmedWorker,
     reportedLeaseMs: previous?.reportedLeaseMs,
     lastMessageAt: Number.NEGATIVE_INFINITY,
   });
--- a/src/systems/scheduler/leaseExpirySystem.ts
+++ b/src/systems/scheduler/leaseExpirySystem.ts
@@ -1,12 +1,18 @@
 import type { Tick } from '../../base/common/system.ts';
 import { System } from '../../base/common/system.ts';
 import type { LeaseWaitRow } from '../../model/scheduler/leaseWait.ts';
+import type { AgentRow, RunRow } from '../../model/scheduler/rows.ts';
 import { parseWorkerKey } from '../../model/scheduler/rows.ts';
 import { LONG_LEASE } from '../../model/scheduler/runTables.ts';
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import { computeEarlierLeaseEnd } from './earlierGrants.ts';
 import { recordJobChange, releaseRun } from './jobChanges.ts';
-import { MAX_REPORT_AGE_MS, RUN_LEASE_MS } from './ownershipTimes.ts';
+import {
+  computeLeaseDuration,
+  MAX_CALL_DELAY_MS,
+  MAX_REPORT_AGE_MS,
+  RUN_LEASE_MS,
+} from './ownershipTimes.ts';
 import { logEvent } from './storeCalls.ts';
 
 /** Interval at which the rest of longer leases is stored, ms; they last for seconds. */
@@ -109,6 +115,7 @@
 function computeLeaseWait(state: SchedulerState, workerKey: string): LeaseWaitRow {
   const worker = state.workers.get(workerKey);
   const agent = state.agents.get(parseWorkerKey(workerKey).agentId);
+  const lateStartsEndAt = computeLateStartsEnd(state, workerKey, agent);
   const proof = {
     agentLink: agent?.link ?? ('unknown' as const),
     reportedLeaseMs: agent?.reportedLeaseMs,
@@ -117,7 +124,7 @@
     return {
       id: workerKey,
       silentSince: worker.lastReportAt,
-      endsAt: worker.leaseEndsAt,
+      endsAt: Math.max(worker.leaseEndsAt, lateStartsEndAt),
       grantedBy: 'thisOwner',
       ...proof,
     };
@@ -129,9 +136,31 @@
         agent?.earlierLeasesEndAt ?? Number.POSITIVE_INFINITY,
         computeEarlierLeaseEnd(state),
       ),
+      lateStartsEndAt,
       ...state.runsByWorker.list(workerKey).map(({ longLeaseEndsAt }) => longLeaseEndsAt),
     ),
     grantedBy: 'earlierOwner',
     ...proof,
   };
 }
+
+/**
+ * Computes until when a start that was sent to the worker may run on its next incarnation, which has
+ * received no fence yet; in the past without such a start or incarnation.
+ */
+function computeLateStartsEnd(
+  { runsByWorker, bounds }: SchedulerState,
+  workerKey: string,
+  agent: AgentRow | undefined,
+): number {
+  const next = agent?.unconfirmedWorker;
+  const { workerId, bornMs } = parseWorkerKey(workerKey);
+  if (next?.id !== workerId || next.bornMs <= bornMs) return Number.NEGATIVE_INFINITY;
+  if (!runsByWorker.list(workerKey).some(canStartLate)) return Number.NEGATIVE_INFINITY;
+  return next.reportedAt + MAX_CALL_DELAY_MS + computeLeaseDuration(bounds.holdMaxMs);
+}
+
+/** Whether a start of the run may have no answer. An earlier owner may have sent any of its runs. */
+function canStartLate({ phase, startAttempts }: RunRow): boolean {
+  return phase === 'starting' || phase === 'unknown' || startAttempts > 1;
+}
--- a/src/systems/scheduler/ownershipTimes.ts
+++ b/src/systems/scheduler/ownershipTimes.ts
@@ -42,6 +42,9 @@
   return leaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
 }
 
+/** Calls to a worker may be executed so late, ms; the platform names 12 s, and polls take 1.6 s. */
+export const MAX_CALL_DELAY_MS = 14_000;
+
 /** Age of a report beyond which its worker gets no new work and no lease, ms. */
 export const MAX_REPORT_AGE_MS = 2_500;
 
--- a/src/systems/scheduler/reportSystem.ts
+++ b/src/systems/scheduler/reportSystem.ts
@@ -50,6 +50,7 @@
       state.agents.update(agentId, { lastMessageAt: tick.now, failures: 0 });
       if (message.kind !== 'report') continue;
       this.applyLeaseLeft(state, agentId, message, tick.now);
+      this.applyUnconfirmedWorker(state, agentId, message, tick.now);
       this.applyReport(state, agentId, message, tick.now);
     }
   }
@@ -74,6 +75,19 @@
       state.agents.update(agentId, { earlierLeasesEndAt: endsAt });
   }
 
+  private applyUnconfirmedWorker(
+    state: SchedulerState,
+    agentId: string,
+    { unconfirmedWorker: reported }: Report,
+    now: number,
+  ): void {
+    const known = state.agents.get(agentId)?.unconfirmedWorker;
+    if (known?.id === reported?.id && known?.bornMs === reported?.bornMs) return;
+    state.agents.update(agentId, {
+      unconfirmedWorker: reported === undefined ? undefined : { ...reported, reportedAt: now },
+    });
+  }
+
   private applyReport(state: SchedulerState, agentId: string, report: Report, now: number): void {
     const identity = report.worker;
     if (identity === undefined) return;
--- a/test/systems/scheduler/lateStarts.test.ts
+++ b/test/systems/scheduler/lateStarts.test.ts
@@ -1,7 +1,16 @@
 import { describe, expect, it } from 'vitest';
 import { countPeakRuns, JOB, replaceOwner } from '../../support/jobWorld.ts';
-import { createLeaseWorld } from '../../support/lostWorkers.ts';
+import {
+  createLastingWorld,
+  createLeaseWorld,
+  loseWorker,
+  measureIdleTime,
+} from '../../support/lostWorkers.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
+import { createWorldWorker } from '../../support/worldNodes.ts';
+
+/** A task may be idle for 6 s after its run, and 3 s more where the 4 s before are calm. */
+const IDLE_MS = 9_000;
 
 describe('a start that is executed late by the next incarnation of its worker', () => {
   it.each([
@@ -19,6 +28,17 @@
   });
 });
 
+describe('a later incarnation that never answers', () => {
+  it('does not keep a task waiting whose start was answered', () => {
+    const { world, agent } = createLastingWorld(6_000);
+    loseWorker(agent);
+    const identity = { ...createWorldWorker(agent), bornMs: 1e12 };
+    agent.loop.receive({ kind: 'workerBeat', heartbeat: { identity, sequence: 1_000 } });
+    agent.loop.runTick();
+    expect(measureIdleTime(world, 30_000)).toBeLessThan(IDLE_MS);
+  });
+});
+
 /** Plays a start without an answer, whose worker then restarts, and counts the runs at a time. */
 function playLateStart(hasTakeover: boolean, isCutOff: boolean): number {
   const world = createLeaseWorld(6_000, 4, 3);
