Know the last owner's process after all entries were lost

The record of an owner ends with its lease, and processes that have just started knew no earlier owner. Where one began with that wait, its record said so for ever, and the next process of the same entry began it anew.

Each claim now writes owner-last, which has no lease: epoch, process and address of the owner, and how long those before it may grant leases. The owner sets that time to 0 once it is over. A process at the address of the last owner's proves the end of that one: the claiming entry itself, or an entry that follows it. The field earlierGrantsMs of the owner record, which no landing has had, goes.

--- a/src/model/scheduler/linkMessages.ts
+++ b/src/model/scheduler/linkMessages.ts
@@ -217,6 +217,9 @@
   z.object({
     kind: z.literal('follow'),
     entryId: z.string(),
+    /** The process of the entry; another one than an earlier owner's at its address proves the end of that. */
+    bootId: z.string(),
+    address: addressSchema,
     token: z.number(),
     epoch: epochSchema,
     previous: z.optional(
--- a/src/model/scheduler/systemTimers.ts
+++ b/src/model/scheduler/systemTimers.ts
@@ -14,6 +14,8 @@
   /** When the rest of longer leases is stored next. */
   longLeaseWriteAt: number;
   statusUpdateSentAt: number;
+  /** When the record of the last owner may be written again. */
+  lastOwnerWriteAt: number;
   /** When the entry next tells the owner that it follows it. */
   followAt: number;
   /** Epoch that it named in its latest message to the owner. */
@@ -41,6 +43,7 @@
     retentionAt: NEVER,
     longLeaseWriteAt: NEVER,
     statusUpdateSentAt: NEVER,
+    lastOwnerWriteAt: NEVER,
     followAt: NEVER,
     followEpoch: 0,
     ownerLinkOpeningSince: NEVER,
--- a/src/systems/scheduler/earlierGrants.ts
+++ b/src/systems/scheduler/earlierGrants.ts
@@ -72,14 +72,15 @@
 
 /** Computes how long after a claim the owners before it may grant leases, ms. */
 export function computeEarlierGrantsMs(ownership: Ownership, now: number): number {
-  const { epoch, endedEpoch, recordedGrants, epochKeyVersion } = ownership;
+  const { epoch, endedEpoch, lastOwner, epochKeyVersion } = ownership;
   // Without an epoch there has been no owner.
   if (epochKeyVersion === 0 && epoch === 0) return 0;
   const lastGrantMs = endedEpoch === epoch ? 0 : LAST_GRANT_DELAY_MS;
   const followed = findFollowedOwner(ownership, epoch, now);
   if (followed !== undefined) return Math.max(lastGrantMs, Math.ceil(followed.grantsEndAt - now));
-  const hasRecord = endedEpoch === epoch && recordedGrants.epoch === epoch;
-  return hasRecord ? Math.max(0, Math.ceil(recordedGrants.endAt - now)) : GRANT_WINDOW_MS;
+  return endedEpoch === epoch && lastOwner?.epoch === epoch
+    ? Math.max(0, Math.ceil(lastOwner.grantsEndAt - now))
+    : GRANT_WINDOW_MS;
 }
 
 /**
@@ -97,6 +98,23 @@
   ownership.earlierGrantsEndAt = Math.min(ownership.earlierGrantsEndAt, endAt);
 }
 
+/**
+ * Shortens the wait for earlier owners if another process has the place of the last one: two processes
+ * cannot listen at one address.
+ */
+export function applyReplacedOwner(
+  ownership: Ownership,
+  process: { readonly entryId: string; readonly bootId: string; readonly address: string },
+  now: number,
+): void {
+  const { lastOwner, epoch } = ownership;
+  if (lastOwner?.epoch !== epoch - 1 || lastOwner.bootId === process.bootId) return;
+  if (lastOwner.entryId !== process.entryId || lastOwner.address !== process.address) return;
+  ownership.endedEpoch = Math.max(ownership.endedEpoch, lastOwner.epoch);
+  const endAt = Math.max(now, lastOwner.grantsEndAt);
+  ownership.earlierGrantsEndAt = Math.min(ownership.earlierGrantsEndAt, endAt);
+}
+
 /** Computes until when leases of the owners before this one may last where no agent tells. */
 export function computeEarlierLeaseEnd({ ownership }: SchedulerState): number {
   return ownership.earlierGrantsEndAt + computeLeaseDuration(RUN_LEASE_MS);
--- a/src/systems/scheduler/followerSystem.ts
+++ b/src/systems/scheduler/followerSystem.ts
@@ -4,6 +4,7 @@
 import type { SchedulerState } from '../../model/scheduler/schedulerState.ts';
 import {
   applyFollowerKnowledge,
+  applyReplacedOwner,
   findFollowedOwner,
   FOLLOWER_TIMEOUT_MS,
   recordFollowedOwner,
@@ -52,7 +53,7 @@
   private addFollower(
     state: SchedulerState,
     peerId: string,
-    { entryId, token, epoch, previous }: FollowMessage,
+    { entryId, bootId, address, token, epoch, previous }: FollowMessage,
     now: number,
   ): void {
     const { ownership } = state;
@@ -62,6 +63,7 @@
       heardAt: now,
       declinedAt: state.followers.get(entryId)?.declinedAt ?? Number.NEGATIVE_INFINITY,
     });
+    applyReplacedOwner(ownership, { entryId, bootId, address }, now);
     if (epoch === ownership.epoch && previous !== undefined)
       applyFollowerKnowledge(ownership, previous, now);
     const earlierGrantsMs = Math.max(0, Math.ceil(ownership.earlierGrantsEndAt - now));
@@ -107,7 +109,8 @@
     timers.followAt = now + FOLLOW_INTERVAL_MS;
     timers.followEpoch = epoch;
     const previous = findFollowedOwner(ownership, epoch - 1, now);
-    const message: FollowMessage = { kind: 'follow', entryId: self.id, token: now, epoch };
+    const { id: entryId, bootId, address } = self;
+    const message: FollowMessage = { kind: 'follow', entryId, bootId, address, token: now, epoch };
     if (previous !== undefined)
       message.previous = {
         epoch: previous.epoch,
--- a/src/systems/scheduler/ownershipSystem.ts
+++ b/src/systems/scheduler/ownershipSystem.ts
@@ -14,6 +14,7 @@
   SMALLER_ENTRY_DELAY_MS,
 } from './ownershipTimes.ts';
 import { computeEarlierGrantsMs } from './earlierGrants.ts';
+import { applyLastOwner, buildLastOwner } from './lastOwnerSystem.ts';
 import { resetToFollower } from './resetToFollower.ts';
 import { listStoreReplies, logEvent, sendStoreCall } from './storeCalls.ts';
 import { recordUnreadableEntry } from './unreadableEntries.ts';
@@ -131,6 +132,7 @@
         expected: [
           { key: STORE_KEYS.owner, version: 0 },
           { key: STORE_KEYS.epoch, version: ownership.epochKeyVersion },
+          { key: STORE_KEYS.lastOwner, version: ownership.lastOwnerVersion },
         ],
         puts: [],
         deletes: [],
@@ -158,6 +160,7 @@
   ): void {
     const { ownership } = state;
     this.applyEpochRecord(state, entries);
+    applyLastOwner(state, entries, now);
     const entry = entries.find(({ key }) => key === STORE_KEYS.owner);
     const owner = parseValue(ownerRecordSchema, entry?.value).toMaybe().extract();
     if (entry === undefined) return;
@@ -170,14 +173,12 @@
     }
     ownership.vacantSince = Number.POSITIVE_INFINITY;
     ownership.epoch = Math.max(ownership.epoch, owner.epoch);
-    if (owner.earlierGrantsMs !== undefined)
-      ownership.recordedGrants = { epoch: owner.epoch, endAt: now + owner.earlierGrantsMs };
     if (owner.entryId === state.self.id) {
       // The latest claim of this process, whose reply was lost. An earlier claim, or one of a dead
       // process with the same id, is attached to a lease that nobody renews.
       if (owner.bootId === state.self.bootId && owner.leaseId === ownership.leaseId)
         this.acceptClaim(state, owner.epoch, entry.version, sentAt, now);
-      else this.startClaimOverOwnRecord(state, owner, entry.version);
+      else this.startClaim(state, entry.version);
       return;
     }
     if (ownership.claimableVersion === entry.version) {
@@ -232,18 +233,6 @@
     this.startClaim(state, 0);
   }
 
-  /** Replaces the record of this entry's earlier process, or of a claim that it has given up. */
-  private startClaimOverOwnRecord(
-    state: SchedulerState,
-    { address, epoch }: OwnerRecord,
-    version: number,
-  ): void {
-    // Two processes cannot listen at one address, so the earlier one has ended.
-    if (address === state.self.address)
-      state.ownership.endedEpoch = Math.max(state.ownership.endedEpoch, epoch);
-    this.startClaim(state, version);
-  }
-
   private startClaim(state: SchedulerState, ownerVersion: number): void {
     const { ownership } = state;
     ownership.role = 'claiming';
@@ -270,7 +259,6 @@
         address: self.address,
         epoch,
         leaseId: reply.leaseId,
-        earlierGrantsMs: ownership.claimedGrantsMs,
       };
       sendStoreCall(
         state,
@@ -284,6 +272,7 @@
           puts: [
             { key: STORE_KEYS.owner, value, leaseId: reply.leaseId },
             { key: STORE_KEYS.epoch, value: epoch },
+            buildLastOwner(state, epoch, ownership.claimedGrantsMs),
           ],
           deletes: [],
         },
@@ -321,6 +310,8 @@
     ownership.keyConfirmedAt = Number.NEGATIVE_INFINITY;
     confirmOwnerKey(ownership, confirmedAt);
     ownership.earlierGrantsEndAt = now + ownership.claimedGrantsMs;
+    ownership.recordedGrantsMs = ownership.claimedGrantsMs;
+    ownership.lastOwnerCallId = '';
     state.followers.clear();
     ownership.renewAt = confirmedAt;
     ownership.checkAt = confirmedAt + OWNER_KEY_CHECK_INTERVAL_MS;
--- a/src/systems/scheduler/resetToFollower.ts
+++ b/src/systems/scheduler/resetToFollower.ts
@@ -17,6 +17,7 @@
   ownership.statusesCurrentAt = ownership.confirmedAt;
   ownership.leaseId = '';
   ownership.checkCallId = '';
+  ownership.lastOwnerCallId = '';
   ownership.claimAt = now;
   ownership.lastConfirmedUpdateAt = Number.NEGATIVE_INFINITY;
   for (const agent of state.agents.values())
--- a/src/systems/scheduler/schedulerSystems.ts
+++ b/src/systems/scheduler/schedulerSystems.ts
@@ -13,6 +13,7 @@
 import { IntakeSystem } from './intakeSystem.ts';
 import { JobProgressSystem } from './jobProgressSystem.ts';
 import { GracefulMaintenance } from './maintenancePolicy.ts';
+import { LastOwnerSystem } from './lastOwnerSystem.ts';
 import { MaintenanceSystem } from './maintenanceSystem.ts';
 import { OperatorKeysSystem } from './operatorKeysSystem.ts';
 import { OwnershipSystem } from './ownershipSystem.ts';
@@ -50,6 +51,7 @@
     OperatorKeysSystem.create(),
     HandoffSystem.create(),
     OwnershipSystem.create(),
+    LastOwnerSystem.create(),
     TakeoverSystem.create(),
     CallSystem.create(),
     IntakeSystem.create(),
