Count the last grants from the proof that the last owner's process has ended

Found while the diff was read again: a process that has just started may have answered an owner before the last one, as its follower, until it follows the new owner. The proof that it gives for the last owner's process therefore ends the wait 2.1 s after it, not at once. earlierGrants.test.ts and lostWorkers.test.ts pass.

--- a/src/systems/scheduler/earlierGrants.ts
+++ b/src/systems/scheduler/earlierGrants.ts
@@ -100,7 +100,7 @@
 
 /**
  * Shortens the wait for earlier owners if another process has the place of the last one: two processes
- * cannot listen at one address.
+ * cannot listen at one address. Until now, the other process may have answered an owner before that.
  */
 export function applyReplacedOwner(
   ownership: Ownership,
@@ -111,7 +111,7 @@
   if (lastOwner?.epoch !== epoch - 1 || lastOwner.bootId === process.bootId) return;
   if (lastOwner.entryId !== process.entryId || lastOwner.address !== process.address) return;
   ownership.endedEpoch = Math.max(ownership.endedEpoch, lastOwner.epoch);
-  const endAt = Math.max(now, lastOwner.grantsEndAt);
+  const endAt = Math.max(now + LAST_GRANT_DELAY_MS, lastOwner.grantsEndAt);
   ownership.earlierGrantsEndAt = Math.min(ownership.earlierGrantsEndAt, endAt);
 }
 
