--- a/test/support/lostWorkers.ts
+++ b/test/support/lostWorkers.ts
@@ -38,12 +38,17 @@
   readonly agent: AgentNode;
 } {
   const world = createLeaseWorld(holdMaxMs);
-  world.behave = () => ({ durationMs: 1e9, end: 'done', computeLatencyMs: () => 10 });
-  world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
+  submitLastingTask(world);
   world.run(3_000);
   return { world, agent: findHost(world) };
 }
 
+/** Submits a job with one long-running task, which runs until it is stopped. */
+export function submitLastingTask(world: SchedulerWorld): void {
+  world.behave = () => ({ durationMs: 1e9, end: 'done', computeLatencyMs: () => 10 });
+  world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
+}
+
 /** Replaces the workers by ones with slow clocks, on which the task then runs. */
 export function slowWorkerClocks(world: SchedulerWorld): void {
   for (const agent of world.agents) {
--- a/test/systems/scheduler/earlierGrants.test.ts
+++ b/test/systems/scheduler/earlierGrants.test.ts
@@ -84,25 +84,18 @@
   });
 
   describe('that is cut off from the store with all other entries', () => {
-    it('does not let its runs lapse for 10 s', () => {
-      const { world, agent } = createLastingWorld(holdMaxMs);
-      for (const entry of world.entries) entry.store = 'silent';
-      world.run(10_000);
-      for (const entry of world.entries) entry.store = 'up';
-      world.run(5_000);
-      expect(findHost(world)).toBe(agent);
-      expect(world.listStarts(TASK)).toHaveLength(1);
-    });
-
-    it('does not let its runs lapse for 10 s while the store refuses calls', () => {
-      const { world, agent } = createLastingWorld(holdMaxMs);
-      for (const entry of world.entries) entry.store = 'refuses';
-      world.run(10_000);
-      for (const entry of world.entries) entry.store = 'up';
-      world.run(5_000);
-      expect(findHost(world)).toBe(agent);
-      expect(world.listStarts(TASK)).toHaveLength(1);
-    });
+    it.each(['silent', 'refuses'] as const)(
+      'does not let its runs lapse for 10 s while the store is %s',
+      (mode) => {
+        const { world, agent } = createLastingWorld(holdMaxMs);
+        for (const entry of world.entries) entry.store = mode;
+        world.run(10_000);
+        for (const entry of world.entries) entry.store = 'up';
+        world.run(5_000);
+        expect(findHost(world)).toBe(agent);
+        expect(world.listStarts(TASK)).toHaveLength(1);
+      },
+    );
   });
 
   describe('of a worker that is lost with its agent for good', () => {
--- a/test/systems/scheduler/earlierLeases.test.ts
+++ b/test/systems/scheduler/earlierLeases.test.ts
@@ -1,10 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { countPeakRuns, JOB, replaceOwner, TASK } from '../../support/jobWorld.ts';
+import { countPeakRuns, replaceOwner, TASK } from '../../support/jobWorld.ts';
 import {
   createLastingWorld,
   createLeaseWorld,
   loseWorker,
   measureIdleTime,
+  submitLastingTask,
 } from '../../support/lostWorkers.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { AgentNode } from '../../support/worldNodes.ts';
@@ -141,11 +142,6 @@
   return { world, agent };
 }
 
-function submitLastingTask(world: SchedulerWorld): void {
-  world.behave = () => ({ durationMs: 1e9, end: 'done', computeLatencyMs: () => 10 });
-  world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
-}
-
 /** Delivers a heartbeat of another writer, which names an incarnation that does not exist. */
 function sendFalseHeartbeat(agent: AgentNode): void {
   const identity = { ...createWorldWorker(agent), id: 'odd', bornMs: 5_000 };
--- a/test/systems/scheduler/lateStarts.test.ts
+++ b/test/systems/scheduler/lateStarts.test.ts
@@ -1,10 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { countPeakRuns, JOB, replaceOwner } from '../../support/jobWorld.ts';
+import { countPeakRuns, replaceOwner } from '../../support/jobWorld.ts';
 import {
   createLastingWorld,
   createLeaseWorld,
   loseWorker,
   measureIdleTime,
+  submitLastingTask,
 } from '../../support/lostWorkers.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import { createWorldWorker } from '../../support/worldNodes.ts';
@@ -42,10 +43,9 @@
 /** Plays a start without an answer, whose worker then restarts, and counts the runs at a time. */
 function playLateStart(hasTakeover: boolean, isCutOff: boolean): number {
   const world = createLeaseWorld(6_000, 4, 3);
-  world.behave = () => ({ durationMs: 1e9, end: 'done', computeLatencyMs: () => 10 });
   for (const agent of world.agents)
     agent.getFault = ({ op }) => (op === 'start' ? 'late' : undefined);
-  world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
+  submitLastingTask(world);
   world.run(100);
   restartWorker(world, isCutOff);
   world.run(20);
--- a/test/systems/scheduler/longLeases.test.ts
+++ b/test/systems/scheduler/longLeases.test.ts
@@ -2,7 +2,12 @@
 import { jobProgressSchema, STORE_KEYS } from '../../../src/model/scheduler/jobRecord.ts';
 import type { OpenRun } from '../../../src/model/scheduler/jobRecord.ts';
 import { countPeakRuns, JOB, replaceOwner, TASK, writeValue } from '../../support/jobWorld.ts';
-import { createLeaseWorld, loseWorker, measureIdleTime } from '../../support/lostWorkers.ts';
+import {
+  createLeaseWorld,
+  loseWorker,
+  measureIdleTime,
+  submitLastingTask,
+} from '../../support/lostWorkers.ts';
 import type { SchedulerWorld } from '../../support/schedulerWorld.ts';
 import type { AgentNode } from '../../support/worldNodes.ts';
 
@@ -120,8 +125,3 @@
   other!.getFault = () => undefined;
   return { world, agent: agent! };
 }
-
-function submitLastingTask(world: SchedulerWorld): void {
-  world.behave = () => ({ durationMs: 1e9, end: 'done', computeLatencyMs: () => 10 });
-  world.submit(world.entries[0]!, JOB, [{ longRunning: true }]);
-}
