--- a/test/soak/regressionSeeds.ts
+++ b/test/soak/regressionSeeds.ts
@@ -21,4 +21,8 @@
   { seed: 20_012, cause: 'as 20000' },
   { seed: 20_014, cause: 'as 20000' },
   { seed: 20_600, cause: 'as 20000' },
+  {
+    seed: 21_020,
+    cause: 'lasting tasks of a lost instance waited for 15 s after all entries were lost (0015)',
+  },
 ];
