--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -18,6 +18,7 @@
   lastEnd = 0;
   seenEnd = 0;
   seq = 0;
+  acknowledgedBeats = 0;
   polls = new Set();
   bornMs = Date.now();
   leaseUntil = 0;
@@ -58,29 +59,28 @@
   async sendBeat() {
     if (this.isDisposed) return;
     this.seq += 1;
-    const answer = await call(
-      'POST',
-      this.beatAddress,
-      `/bramleyladder/instances/${this.id}/heartbeat`,
-      {
-        timeoutMs: 1_000,
-        body: {
-          service: this.service,
-          addr: `127.0.0.1:${this.port}`,
-          zone: this.zone,
-          version: 'v1',
-          slots: 8,
-          state: 'ready',
-          cold_left_ms: 0,
-          capacity: this.capacity,
-          labels: this.labels,
-          clock_ms: this.clock,
-          seq: this.seq,
-          born: this.bornMs,
-        },
-      },
-    );
-    if (answer.status !== 200) setTimeout(() => void this.sendBeat(), 200);
+    const path = `/bramleyladder/instances/${this.id}/heartbeat`;
+    const body = this.buildBeat();
+    const answer = await call('POST', this.beatAddress, path, { timeoutMs: 1_000, body });
+    if (answer.status === 200) this.acknowledgedBeats += 1;
+    else setTimeout(() => void this.sendBeat(), 200);
+  }
+
+  buildBeat() {
+    return {
+      service: this.service,
+      addr: `127.0.0.1:${this.port}`,
+      zone: this.zone,
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      cold_left_ms: 0,
+      capacity: this.capacity,
+      labels: this.labels,
+      clock_ms: this.clock,
+      seq: this.seq,
+      born: this.bornMs,
+    };
   }
 
   advance() {
@@ -131,7 +131,11 @@
     else sendJson(response, 200, { clock_ms: this.clock, born: this.bornMs });
   }
 
-  serveStart({ task, run, spec, deadline_ms: deadline, checkpoint = '' }, response, reject) {
+  serveStart(
+    { task, run, spec, deadline_ms: deadline, checkpoint = '', ticket },
+    response,
+    reject,
+  ) {
     if (this.running.get(task)?.run === run) {
       sendJson(response, 200, { clock_ms: this.clock, born: this.bornMs });
       return;
@@ -139,6 +143,7 @@
     this.extendLease(deadline);
     if (run <= (this.stopped.get(task) ?? 0)) reject('old');
     else if (deadline <= this.clock) reject('late');
+    else if (this.isTicketValid?.(this, task, ticket) === false) reject('ticket');
     else {
       const { workMs, savesMs = 0, restoreMs = 0 } = this.describe(task, run, spec);
       const worked = checkpoint === '' ? 0 : Number.parseInt(checkpoint.slice(0, 8), 16);
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -49,9 +49,10 @@
   folder = mkdtempSync(join(tmpdir(), 'review-'));
 
   /** `zones` are the zones of the entries; each entry of `runners` describes one runner. */
-  static async create({ zones, runners, recordFile, prepareStore = () => undefined }) {
+  static async create({ zones, runners, recordFile, prepareStore = () => undefined, advice }) {
     const world = new World();
     world.recordFile = recordFile;
+    world.advice = advice;
     process.once('exit', () => {
       world.dispose();
     });
@@ -71,7 +72,7 @@
   writeConfiguration(version) {
     this.store.write('op/config', {
       version,
-      routes: [ROUTE],
+      routes: [this.advice === undefined ? ROUTE : { ...ROUTE, advice: this.advice.terms }],
       services: [{ name: 'svc' }],
       limits: { max_body_bytes: 262_144 },
     });
@@ -93,14 +94,14 @@
       callerAddress: `127.0.0.1:${callerPort}`,
       readyAddress: `127.0.0.1:${readyPort}`,
       storeAddress: this.store.address,
-      adviserAddress: '',
+      adviserAddress: this.advice?.address ?? '',
       instancesAddress: '',
       metricsAddress: '',
       processor: { share: 0.27, speed: 1 },
       bounds: BOUNDS,
     };
     const entry = this.start('entry', id, settings);
-    Object.assign(entry, { address: settings.callerAddress, ready: settings.readyAddress });
+    Object.assign(entry, { zone, address: settings.callerAddress, ready: settings.readyAddress });
     this.entries.push(entry);
     return entry;
   }
@@ -140,7 +141,7 @@
     writeFileSync(file, JSON.stringify(settings));
     const program = { id, role, ends: 0, log: [] };
     const run = () => {
-      if (this.isDisposed) return;
+      if (this.isDisposed || program.isRemoved) return;
       const child = spawn(process.execPath, COMMANDS[role], {
         cwd: repository,
         env: { PATH: process.env.PATH, HOME: this.folder, BRAMLEYLADDER_BOOT: file },
@@ -202,13 +203,20 @@
   }
 }
 
+/** Finds free ports below those that the system gives to outgoing connections. */
 async function findPorts(count) {
-  const servers = Array.from({ length: count }, () => createServer());
   const ports = [];
-  for (const server of servers) {
-    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-    ports.push(server.address().port);
+  while (ports.length < count) {
+    const port = 15_000 + Math.floor(Math.random() * 17_000);
+    if (!ports.includes(port) && (await canListen(port))) ports.push(port);
   }
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
   return ports;
 }
+
+async function canListen(port) {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
