Leave out the large job; end a review script with 2 on anything unexpected

Cause: an unexpected exception ended a script with 1, which reads as a broken rule, and a script with no accepted job could end with 0. Case 7 went beyond the site's own jobs (5 steps of 32 tasks) without saying so.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -107,6 +107,7 @@
     await world.waitUntilServing();
     await delay(2_000);
     const accepted = await sendTraffic(world);
+    if (accepted.size < TRAFFIC_S / 2) throw new Error('too few jobs were accepted');
     world.record('end of the traffic');
     await delay(FINISH_MS);
     return (await judge(world, jobs, accepted)) ? 1 : 0;
--- a/review/7/case.mjs
+++ b/review/left-out/large-job/case.mjs
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import { setTimeout as delay } from 'node:timers/promises';
 import { URL, fileURLToPath } from 'node:url';
-import { World } from '../lib-2/world.mjs';
+import { World } from '../../lib-2/world.mjs';
 
 const RUNNERS = 11;
 const ZONES = ['a', 'b', 'c'];
--- a/review/7/run.sh
+++ b/review/left-out/large-job/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-exec node review/7/case.mjs
+cd "$(dirname "$0")/../../.." || exit 2
+exec node review/left-out/large-job/case.mjs
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -13,6 +13,13 @@
 import { Store } from './store.mjs';
 
 const repository = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
+/** Anything unexpected means that the case could not run; Node.js would end with 1, a broken rule. */
+for (const event of ['uncaughtException', 'unhandledRejection'])
+  process.on(event, (error) => {
+    process.stderr.write(`${error?.stack ?? error}\n`);
+    process.exit(2);
+  });
+
 /** The commands of the deploy file. */
 const COMMANDS = {
   entry: ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/entry.mjs'],
