Review case 6: keep the stand-in of the store answering

Cause: the script added 80,000 jobs in one step, which kept the stand-in of the store from answering for longer than the lease of the owner key, so that the rule broke once with TROUBLE=0 as well.

Change: the jobs are added a few at a time, and the stand-in keeps its keys in order, so that a page takes no longer in a full store.

--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -23,6 +23,9 @@
   /** Stored jobs that transactions have deleted. */
   deletedJobs = 0;
   watches = new Set();
+  keys = [];
+  newKeys = [];
+  hasRemovedKeys = false;
   /** Called for each transaction; may return 'drop' (not executed, not answered). */
   intercept = () => undefined;
   /** Called with the rejected transactions whose value is too large. */
@@ -65,14 +68,24 @@
     this.server.closeAllConnections();
   }
 
+  /** Adds an item that all watches have seen long ago. */
+  addOld(key, value) {
+    this.rev += 1;
+    this.newKeys.push(key);
+    this.items.set(key, { key, value, rev: this.rev, created: this.rev, lease: 0 });
+  }
+
   put(key, value, lease) {
+    if (!this.items.has(key)) this.newKeys.push(key);
     const created = this.items.get(key)?.created ?? this.rev;
     this.items.set(key, { key, value, rev: this.rev, created, lease });
     this.events.push(this.items.get(key));
   }
 
   remove(key) {
-    if (this.items.delete(key)) this.events.push({ key, rev: this.rev, deleted: true });
+    if (!this.items.delete(key)) return;
+    this.hasRemovedKeys = true;
+    this.events.push({ key, rev: this.rev, deleted: true });
   }
 
   expireLeases() {
@@ -142,18 +155,45 @@
     }
   }
 
+  /** The keys in their order; kept between calls, so that a page takes no longer in a full store. */
+  listKeys() {
+    if (this.hasRemovedKeys) this.keys = this.keys.filter((key) => this.items.has(key));
+    if (this.newKeys.length > 0) {
+      const known = new Set(this.hasRemovedKeys ? this.keys : []);
+      for (const key of this.newKeys)
+        if (this.items.has(key) && !known.has(key)) this.keys.push(key);
+      this.keys.sort();
+    }
+    this.newKeys = [];
+    this.hasRemovedKeys = false;
+    return this.keys;
+  }
+
+  /** Position of the first key from `prefix` on that comes after `after`. */
+  findPosition(keys, prefix, after) {
+    let low = 0;
+    let high = keys.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (keys[middle] < prefix || keys[middle] <= after) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
   listPage(prefix, after) {
-    const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after);
-    keys.sort();
+    const keys = this.listKeys();
     const items = [];
     let bytes = 0;
-    for (const key of keys) {
-      const item = this.items.get(key);
+    let position = this.findPosition(keys, prefix, after);
+    for (; keys[position]?.startsWith(prefix); position += 1) {
+      const item = this.items.get(keys[position]);
       bytes += item.value.length;
       if (items.length > 0 && (items.length === MAX_PAGE_ITEMS || bytes > MAX_PAGE_BYTES)) break;
       items.push(item);
     }
-    return { items, has_more: items.length < keys.length, current_rev: this.rev };
+    const hasMore = keys[position]?.startsWith(prefix) === true;
+    return { items, has_more: hasMore, current_rev: this.rev };
   }
 
   transact({ expected = [], puts = [], deletes = [] }) {
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -68,7 +68,7 @@
     world.startedAt = performance.now();
     world.zones = zones;
     world.store = await Store.create();
-    prepareStore(world.store);
+    await prepareStore(world.store);
     world.writeConfiguration(1);
     for (const [index, zone] of zones.entries())
       await world.addEntry(`edge-${zone}-1`, zone, index);
